--- /dev/null
+++ b/packages/core/src/history/program-header.ts
@@ -0,0 +1,19 @@
+/**
+The part of a program's history that stands before its first turn.
+*/
+import type {ProgramId} from '../ids/program-id.js';
+import type {WorkspaceId} from '../ids/workspace-id.js';
+
+/** Who a program belongs to; written once, when the program starts. */
+export type ProgramHeader = {
+	readonly program: ProgramId;
+	readonly workspace: WorkspaceId;
+	/** Name of the program-kind row. */
+	readonly kind: string;
+	/** Name of the deployment row. */
+	readonly deployment: string;
+	/** The program that started this one as a sub-agent, if any. */
+	readonly parent?: ProgramId;
+	/** Wall-clock time of the start, in milliseconds since the Unix epoch. */
+	readonly startedAt: number;
+};
--- /dev/null
+++ b/packages/core/src/table/table-edit.ts
@@ -0,0 +1,24 @@
+/**
+One edit of the operators' table.
+*/
+import type {Revision} from '../ids/revision.js';
+import type {CellName} from './cell-name.js';
+import type {RowKey} from './row-key.js';
+
+type CellChange =
+	| {readonly kind: 'set'; readonly row: RowKey; readonly cell: CellName; readonly value: number}
+	| {readonly kind: 'clear'; readonly row: RowKey; readonly cell: CellName}
+	| {readonly kind: 'add-row'; readonly row: RowKey}
+	| {readonly kind: 'remove-row'; readonly row: RowKey};
+
+/** Changes that are accepted or refused together. */
+export type TableEdit = {
+	/** Chosen by the editor; decides whether an edit whose answer was lost took effect. */
+	readonly editId: string;
+	readonly who: string;
+	/** Wall-clock time of the edit, in milliseconds since the Unix epoch. */
+	readonly at: number;
+	/** The revision the editor saw. */
+	readonly against: Revision;
+	readonly changes: readonly CellChange[];
+};
