feat(peer): one long-lived Connect stream for each pair of processes

Messages gather into frames per turn of the event loop; replies match by id; heartbeats run inside the stream and silence closes it; a process that wakes from a pause drops what its sockets buffered meanwhile.

--- /dev/null
+++ b/packages/peer/src/__tests__/link.test.ts
@@ -0,0 +1,86 @@
+import {setTimeout as delay} from 'node:timers/promises';
+import {afterEach, expect, test} from 'vitest';
+import {Role} from '@siskinhub/proto/gen/siskinhub/peer/v1/peer_pb.js';
+import {createPauseDetector} from '../create-pause-detector.js';
+import {createPeerPool} from '../create-peer-pool.js';
+import {createPeerServer} from '../create-peer-server.js';
+import type {IncomingMessage} from '../incoming-message.js';
+import type {LinkSettings} from '../link-settings.js';
+
+const HEARTBEAT_INTERVAL_MS = 50;
+const SILENCE_MS = 400;
+const cleanups: Array<() => Promise<void> | void> = [];
+
+afterEach(async () => {
+	for (const cleanup of cleanups.splice(0)) {
+		await cleanup();
+	}
+});
+
+const createSettings = (host: string, onMessage: (message: IncomingMessage) => void): LinkSettings => ({
+	hello: {host, instance: `${host}-1`, role: Role.ENTRY},
+	heartbeatIntervalMs: HEARTBEAT_INTERVAL_MS,
+	silenceMs: SILENCE_MS,
+	describeSelf: () => ({tableRevision: 7n}),
+	onMessage,
+	pauseDetector: createPauseDetector(SILENCE_MS, () => {/* The links close themselves. */}),
+});
+
+const startPair = async (onMessage: (message: IncomingMessage) => void) => {
+	const server = await createPeerServer({ip: '127.0.0.1', port: 0, settings: createSettings('b', onMessage)});
+	const pool = createPeerPool(createSettings('a', () => {/* The dialling side is asked nothing. */}));
+	cleanups.push(() => {
+		pool.closeAll('test over');
+	}, server.close);
+	return {server, pool};
+};
+
+test('a request is answered, and both sides know each other', async () => {
+	const {server, pool} = await startPair(message => {
+		message.reply({case: 'refused', value: {code: 'not-run', message: `${message.link.remote()?.host} ${message.body.case}`}});
+	});
+	const link = pool.get(server.address);
+	const reply = await link.request({case: 'getProgram', value: {program: 'p1-a'}}, {timeoutMs: 2000});
+	expect(reply._unsafeUnwrap()).toMatchObject({case: 'refused', value: {message: 'a getProgram'}});
+	expect(link.remote()?.host).toBe('b');
+	expect(pool.get(server.address)).toBe(link);
+});
+
+test('the replies of a call arrive in order', async () => {
+	const {server, pool} = await startPair(message => {
+		for (let index = 0; index < 100; index++) {
+			message.reply({case: 'chunk', value: {offset: BigInt(index), text: 'x'}});
+		}
+
+		message.reply({case: 'done', value: {}});
+	});
+	const offsets: bigint[] = [];
+	await new Promise<void>(resolve => {
+		pool.get(server.address).openCall({case: 'cancelRun', value: {}}, {
+			onReply(body) {
+				if (body.case === 'chunk') {
+					offsets.push(body.value.offset);
+				} else {
+					resolve();
+				}
+			},
+			onLost() {
+				resolve();
+			},
+		});
+	});
+	expect(offsets).toEqual(Array.from({length: 100}, (_, index) => BigInt(index)));
+});
+
+test('heartbeats keep an idle link open', async () => {
+	const {server, pool} = await startPair(() => {/* Never asked. */});
+	const link = pool.get(server.address);
+	await delay(SILENCE_MS * 2);
+	expect(link.isOpen()).toBe(true);
+});
+
+test('a dead address fails the request instead of hanging', async () => {
+	const pool = createPeerPool(createSettings('a', () => {/* Never asked. */}));
+	const reply = await pool.get('http://127.0.0.1:9').request({case: 'getProgram', value: {}}, {timeoutMs: 5000});
+	expect(reply._unsafeUnwrapErr().kind).toBe('lost');
+});
--- /dev/null
+++ b/packages/peer/src/body.ts
@@ -0,0 +1,7 @@
+/**
+The messages that two processes of the system exchange, as they arrive.
+*/
+import type {Envelope} from '@siskinhub/proto/gen/siskinhub/peer/v1/peer_pb.js';
+
+/** One received message; `case` names its type. */
+export type Body = Exclude<Envelope['body'], {case: undefined}>;
--- /dev/null
+++ b/packages/peer/src/create-link.ts
@@ -0,0 +1,167 @@
+/**
+The logic of a link, the same on both sides: matches replies to requests by id,
+sends heartbeats, and closes a link that has gone silent.
+
+HTTP/2 pings do not replace the heartbeats: a middlebox that lost track of the
+connection drops them without closing, and only silence shows.
+*/
+import {err, ok, type Result} from 'neverthrow';
+import type {Envelope, Frame, Hello} from '@siskinhub/proto/gen/siskinhub/peer/v1/peer_pb.js';
+import type {Body} from './body.js';
+import type {BodyInit} from './body-init.js';
+import type {CallObserver} from './call-observer.js';
+import type {LinkError} from './link-error.js';
+import type {LinkSettings} from './link-settings.js';
+import type {OutboundQueue} from './outbound-queue.js';
+import type {PeerLink} from './peer-link.js';
+
+type Link = PeerLink & {
+	/** Handles one frame of the other side. */
+	readonly receive: (frame: Frame) => void;
+};
+
+/** Creates a link that sends through `outbound`; `abort` cuts the underlying stream. */
+export const createLink = (settings: LinkSettings, outbound: OutboundQueue, abort: () => void): Link => {
+	const observers = new Map<number, CallObserver>();
+	const closedListeners: Array<() => void> = [];
+	let lastReceivedAt = Date.now();
+	let nextId = 1;
+	let remote: Hello | undefined;
+	let open = true;
+
+	const close = (reason: string) => {
+		if (!open) {
+			return;
+		}
+
+		open = false;
+		clearInterval(heartbeatTimer);
+		outbound.close();
+		abort();
+		const lost: LinkError = {kind: 'lost', message: reason};
+		for (const observer of observers.values()) {
+			observer.onLost(lost);
+		}
+
+		observers.clear();
+		for (const listener of closedListeners) {
+			listener();
+		}
+	};
+
+	const heartbeatTimer = setInterval(() => {
+		if (Date.now() - lastReceivedAt > settings.silenceMs) {
+			close(`nothing arrived for ${settings.silenceMs} ms`);
+			return;
+		}
+
+		outbound.push({body: {case: 'heartbeat', value: settings.describeSelf()}});
+	}, settings.heartbeatIntervalMs);
+	heartbeatTimer.unref();
+
+	const openCall: PeerLink['openCall'] = (body, observer, traceparent = '') => {
+		if (!open) {
+			queueMicrotask(() => {
+				observer.onLost({kind: 'lost', message: 'the link was closed already'});
+			});
+			return {close() {/* Nothing is open. */}};
+		}
+
+		const id = nextId++;
+		observers.set(id, observer);
+		outbound.push({id, traceparent, body});
+		return {
+			close() {
+				observers.delete(id);
+			},
+		};
+	};
+
+	const request: PeerLink['request'] = async (body, {timeoutMs, traceparent}) => new Promise<Result<Body, LinkError>>(resolve => {
+		const call = openCall(body, {
+			onReply(reply) {
+				clearTimeout(timer);
+				call.close();
+				resolve(ok(reply));
+			},
+			onLost(lost) {
+				clearTimeout(timer);
+				resolve(err(lost));
+			},
+		}, traceparent);
+		const timer = setTimeout(() => {
+			call.close();
+			resolve(err({kind: 'timeout', message: `no reply within ${timeoutMs} ms`}));
+		}, timeoutMs);
+	});
+
+	const reply = (replyTo: number, body: BodyInit) => {
+		outbound.push({replyTo, body});
+	};
+
+	const receiveEnvelope = (envelope: Envelope) => {
+		const {body} = envelope;
+		if (body.case === undefined) {
+			return;
+		}
+
+		if (body.case === 'hello') {
+			remote = body.value;
+			return;
+		}
+
+		if (body.case === 'heartbeat') {
+			settings.onHeartbeat?.(link, body.value);
+			return;
+		}
+
+		if (envelope.replyTo > 0) {
+			observers.get(envelope.replyTo)?.onReply(body);
+			return;
+		}
+
+		settings.onMessage({
+			link,
+			body,
+			traceparent: envelope.traceparent,
+			reply(answer) {
+				reply(envelope.id, answer);
+			},
+		});
+	};
+
+	const link: Link = {
+		remote: () => remote,
+		isOpen: () => open,
+		send(body) {
+			outbound.push({body});
+		},
+		request,
+		openCall,
+		reply,
+		onClosed(listener) {
+			if (open) {
+				closedListeners.push(listener);
+			} else {
+				listener();
+			}
+		},
+		close,
+		receive(frame) {
+			if (settings.pauseDetector.isWaking()) {
+				close('the process was paused; what its sockets buffered meanwhile is out of date');
+				return;
+			}
+
+			lastReceivedAt = Date.now();
+			for (const envelope of frame.envelopes) {
+				if (open) {
+					receiveEnvelope(envelope);
+				}
+			}
+		},
+	};
+
+	outbound.push({body: {case: 'hello', value: settings.hello}});
+	return link;
+};
--- /dev/null
+++ b/packages/peer/src/create-peer-pool.ts
@@ -0,0 +1,35 @@
+/**
+Keeps one dialled link for each address and replaces it when it has closed.
+*/
+import {dialPeer} from './dial-peer.js';
+import type {LinkSettings} from './link-settings.js';
+import type {PeerLink} from './peer-link.js';
+import type {PeerPool} from './peer-pool.js';
+
+/** Creates an empty pool. */
+export const createPeerPool = (settings: LinkSettings): PeerPool => {
+	const links = new Map<string, PeerLink>();
+	return {
+		get(address) {
+			const known = links.get(address);
+			if (known?.isOpen()) {
+				return known;
+			}
+
+			const link = dialPeer(address, settings);
+			links.set(address, link);
+			link.onClosed(() => {
+				if (links.get(address) === link) {
+					links.delete(address);
+				}
+			});
+			return link;
+		},
+		links: () => [...links.values()],
+		closeAll(reason) {
+			for (const link of links.values()) {
+				link.close(reason);
+			}
+		},
+	};
+};
--- /dev/null
+++ b/packages/peer/src/link-settings.ts
@@ -0,0 +1,20 @@
+/**
+What every link of a process has in common.
+*/
+import type {MessageInitShape} from '@bufbuild/protobuf';
+import type {Heartbeat, HeartbeatSchema, HelloSchema} from '@siskinhub/proto/gen/siskinhub/peer/v1/peer_pb.js';
+import type {IncomingMessage} from './incoming-message.js';
+import type {PauseDetector} from './pause-detector.js';
+import type {PeerLink} from './peer-link.js';
+
+/** Identity, heartbeat timing and handlers of the process that owns the links. */
+export type LinkSettings = {
+	readonly hello: MessageInitShape<typeof HelloSchema>;
+	readonly heartbeatIntervalMs: number;
+	/** A link on which nothing arrives for this long is closed. */
+	readonly silenceMs: number;
+	readonly describeSelf: () => MessageInitShape<typeof HeartbeatSchema>;
+	readonly onMessage: (message: IncomingMessage) => void;
+	readonly onHeartbeat?: (link: PeerLink, heartbeat: Heartbeat) => void;
+	readonly pauseDetector: PauseDetector;
+};
