--- /dev/null
+++ b/packages/core/src/owner/create-open-program.ts
@@ -0,0 +1,24 @@
+/**
+Builds the owner's view of a program.
+*/
+import type {Digest} from '../ids/digest.js';
+import type {TurnNumber} from '../ids/turn-number.js';
+import type {ProgramHeader} from '../history/program-header.js';
+import type {OpenProgram} from './open-program.js';
+
+const FIRST_TURN = 1 as TurnNumber;
+const NO_HISTORY = '' as Digest;
+
+/** A program without turns, seen at `now` (milliseconds since the Unix epoch). */
+export const createOpenProgram = (header: ProgramHeader, now: number): OpenProgram => ({
+	header,
+	digest: NO_HISTORY,
+	nextTurn: FIRST_TURN,
+	spentTokens: 0,
+	historyTokens: 0,
+	ended: false,
+	stored: new Map(),
+	closed: new Map(),
+	children: new Set(),
+	lastSeenAt: now,
+});
