--- /dev/null
+++ b/packages/core/src/decide/__tests__/choose-next-call.test.ts
@@ -0,0 +1,76 @@
+import {fc, test} from '@fast-check/vitest';
+import {expect} from 'vitest';
+import type {RowKey} from '../../table/row-key.js';
+import {activateRow} from '../activate-row.js';
+import {chargeRow} from '../charge-row.js';
+import {chooseNextCall} from '../choose-next-call.js';
+import type {QueuedCall} from '../queued-call.js';
+import type {RowService} from '../row-service.js';
+
+const base: QueuedCall = {
+	row: 'workspace/a' as RowKey, weight: 1, priority: 0, queuedAt: 0, programStartedAt: 0, attainedMs: 0,
+};
+
+const calls = fc.array(fc.record({
+	row: fc.constantFrom('workspace/a', 'workspace/b', 'workspace/c').map(row => row as RowKey),
+	weight: fc.integer({min: 1, max: 8}),
+	priority: fc.integer({min: -2, max: 2}),
+	queuedAt: fc.nat(100_000),
+	programStartedAt: fc.nat(100_000),
+	attainedMs: fc.nat(1_000_000),
+}), {minLength: 1, maxLength: 20});
+
+test.prop([calls])('chooses a waiting call, whatever waits', waiting => {
+	expect(waiting[chooseNextCall(waiting, new Map(), 100_000)]).toBeDefined();
+});
+
+test('an empty queue has no next call', () => {
+	expect(chooseNextCall([], new Map(), 0)).toBe(-1);
+});
+
+test('the higher priority goes first', () => {
+	expect(chooseNextCall([base, {...base, priority: 1}], new Map(), 0)).toBe(1);
+});
+
+test('the program with less attained service goes first', () => {
+	expect(chooseNextCall([{...base, attainedMs: 500_000}, {...base, queuedAt: 50}], new Map(), 100)).toBe(1);
+});
+
+test.prop([fc.integer({min: 1, max: 6}), fc.integer({min: 0, max: 3_000_000})])('no call starves while newer ones of higher priority keep coming', (priority, attainedMs) => {
+	const old = {...base, attainedMs};
+	const boundMs = (30_000 * (priority + 1)) + (20_000 * 10);
+	let servedAt = Infinity;
+	for (let now = 0; now <= boundMs && servedAt === Infinity; now += 1000) {
+		const waiting = [{
+			...base, priority, queuedAt: now, programStartedAt: now,
+		}, old];
+		if (chooseNextCall(waiting, new Map(), now) === 1) {
+			servedAt = now;
+		}
+	}
+
+	expect(servedAt).toBeLessThanOrEqual(boundMs);
+});
+
+test.prop([fc.array(fc.integer({min: 1, max: 8}), {minLength: 2, maxLength: 6}), fc.integer({min: 100, max: 9000})])('backlogged rows are served by weight', (weights, servedMs) => {
+	const served = weights.map(() => 0);
+	const waiting = weights.map((weight, index): QueuedCall => ({...base, weight, row: `workspace/${index}` as RowKey}));
+	let rows: RowService = new Map();
+	const rounds = 4000;
+	for (let round = 0; round < rounds; round++) {
+		const next = chooseNextCall(waiting, rows, 0);
+		served[next]! += servedMs;
+		rows = chargeRow(rows, waiting[next]!, servedMs);
+	}
+
+	const total = weights.reduce((sum, weight) => sum + weight, 0);
+	const slackMs = 30_000 + servedMs;
+	for (const [index, weight] of weights.entries()) {
+		expect(Math.abs(served[index]! - (rounds * servedMs * weight / total))).toBeLessThanOrEqual(slackMs * total);
+	}
+});
+
+test('a row that was idle saves up no credit', () => {
+	const rows = new Map([['workspace/a' as RowKey, 500_000]]);
+	expect(activateRow(rows, {row: 'workspace/b' as RowKey}, [base]).get('workspace/b' as RowKey)).toBe(500_000);
+});
--- /dev/null
+++ b/packages/core/src/decide/__tests__/decide-admission.test.ts
@@ -0,0 +1,55 @@
+import {fc, test} from '@fast-check/vitest';
+import {expect} from 'vitest';
+import type {AdmissionView} from '../admission-view.js';
+import {decideAdmission} from '../decide-admission.js';
+
+const busy: AdmissionView = {
+	startsProgram: true, deadlineMs: 30_000, slots: 8, running: 8, callMs: 5000, queued: 0, rowQueued: 0, rowOpen: 0, rowShare: 1,
+};
+
+const views = fc.record({
+	startsProgram: fc.boolean(),
+	deadlineMs: fc.nat(60_000),
+	slots: fc.integer({min: 1, max: 32}),
+	running: fc.nat(32),
+	callMs: fc.integer({min: 1, max: 60_000}),
+	queued: fc.nat(200),
+	rowQueued: fc.nat(200),
+	rowOpen: fc.nat(200),
+	rowShare: fc.double({min: 0.01, max: 1, noNaN: true}),
+});
+
+test.prop([views])('a refusal is typed and says when to try again', view => {
+	decideAdmission(view).mapErr(refusal => {
+		expect(refusal.code).toBe('not-run');
+		expect(refusal.retryAfterMs).toBeGreaterThan(0);
+	});
+});
+
+test.prop([views])('a call with a free slot is never refused for load', view => {
+	expect(decideAdmission({...view, running: 0, queued: 0}).isOk()).toBe(true);
+});
+
+test.prop([views])('where a program may start, it may go on', view => {
+	const starts = decideAdmission({...view, startsProgram: true}).isOk();
+	expect(!starts || decideAdmission({...view, startsProgram: false}).isOk()).toBe(true);
+});
+
+test.prop([views, fc.nat(200)])('a row that is refused at one backlog is refused at a longer one', (view, more) => {
+	const refused = decideAdmission(view).isErr();
+	const longer = {...view, rowQueued: view.rowQueued + more, queued: view.queued + more};
+	expect(!refused || decideAdmission(longer).isErr()).toBe(true);
+});
+
+test('a flooding row is refused while a quiet one is admitted', () => {
+	expect(decideAdmission({
+		...busy, queued: 100, rowQueued: 100, rowShare: 0.5,
+	}).isErr()).toBe(true);
+	expect(decideAdmission({
+		...busy, queued: 100, rowQueued: 0, rowShare: 0.5,
+	}).isOk()).toBe(true);
+});
+
+test('the row\'s own limit has its own code', () => {
+	expect(decideAdmission({...busy, rowOpen: 3, rowConcurrency: 3})._unsafeUnwrapErr().code).toBe('limit-reached');
+});
--- /dev/null
+++ b/packages/core/src/decide/decide-admission.ts
@@ -0,0 +1,39 @@
+/**
+Decides whether a call may join the queue of an upstream.
+
+Each row is judged by its own expected wait: its waiting calls served at its
+share of the slots. A row that floods fills only its own queue and is refused
+alone. Calls that start a program are refused well before calls that continue
+one, because what the program has already used would be wasted.
+*/
+import {err, ok} from 'neverthrow';
+import type {AdmissionDecision} from './admission-decision.js';
+
+/** Longest expected wait at which a program may still start. */
+const START_WAIT_LIMIT_MS = 8000;
+/** Longest expected wait at which a program may go on. */
+const CONTINUE_WAIT_LIMIT_MS = 60_000;
+const MIN_RETRY_AFTER_MS = 250;
+const MAX_RETRY_AFTER_MS = 30_000;
+
+const boundRetryAfter = (waitMs: number): number => Math.round(Math.min(MAX_RETRY_AFTER_MS, Math.max(MIN_RETRY_AFTER_MS, waitMs)));
+
+/** The project's admission. A refusal is `limit-reached` for the row's own limit and `not-run` for load. */
+export const decideAdmission: AdmissionDecision = call => {
+	if (call.rowConcurrency !== undefined && call.rowOpen >= call.rowConcurrency) {
+		return err({code: 'limit-reached', message: 'Wait for a running call of this row to end, or raise its concurrency cell.', retryAfterMs: boundRetryAfter(call.callMs)});
+	}
+
+	if (call.running + call.queued < call.slots) {
+		return ok(undefined);
+	}
+
+	const rowSlots = Math.max(call.slots * call.rowShare, Number.EPSILON);
+	const waitMs = (call.rowQueued + 1) * call.callMs / rowSlots;
+	const limitMs = Math.min(call.startsProgram ? START_WAIT_LIMIT_MS : CONTINUE_WAIT_LIMIT_MS, call.deadlineMs);
+	if (waitMs <= limitMs) {
+		return ok(undefined);
+	}
+
+	return err({code: 'not-run', message: 'The upstream is overloaded; send the call again after the given time.', retryAfterMs: boundRetryAfter(waitMs - limitMs)});
+};
