feat(standins): model engine and plain service

Proofs and the playground need upstreams whose truth can be read afterwards.

The engine speaks docs/design/outside-protocols.md: continuous batching, resume, cancel, prefix cache with eviction, late and gappy cache events, lagged load, fencing numbers, faults. Its answer is a function of the prompt's hash alone, so a checker computes from a record what an answer must have been, byte for byte. Records go to a file as they happen (--records), because memory dies with the crash that a proof provokes.

Ruled out: one fencing number for the whole engine on completions (epochs of different shards are not comparable), so they are compared within a cache group; a timer for each request (one tick serves the whole batch).

--- /dev/null
+++ b/packages/standins/src/engine/create-cache-event-feed.ts
@@ -0,0 +1,44 @@
+/**
+Cache events as engines publish them: late, and with gaps.
+*/
+import type {ServerResponse} from 'node:http';
+import type {ResolvedFaults} from './resolved-faults.js';
+
+// A multiplicative hash spreads the dropped events evenly and the same way each time.
+const HASH_FACTOR = 2_654_435_761;
+const HASH_RANGE = 2 ** 32;
+
+const isDropped = (sequence: number, share: number): boolean => (sequence * HASH_FACTOR) % HASH_RANGE < share * HASH_RANGE;
+
+/** Subscribers of one engine's cache events. */
+export type CacheEventFeed = {
+	readonly publish: (change: {readonly type: string; readonly group: string; readonly tokens: number}) => void;
+	readonly subscribe: (res: ServerResponse) => void;
+};
+
+/** Events carry a rising `sequence`, so that a reader can notice a gap. */
+export const createCacheEventFeed = (faults: ResolvedFaults): CacheEventFeed => {
+	const subscribers = new Set<ServerResponse>();
+	let sequence = 0;
+
+	const send = (event: unknown): void => {
+		for (const res of subscribers) {
+			res.write(`data: ${JSON.stringify(event)}\n\n`);
+		}
+	};
+
+	return {
+		publish(change) {
+			sequence++;
+			if (!isDropped(sequence, faults.dropCacheEvents)) {
+				setTimeout(send, faults.lagMs, {sequence, ...change}).unref();
+			}
+		},
+		subscribe(res) {
+			res.writeHead(200, {'content-type': 'text/event-stream'});
+			res.flushHeaders();
+			subscribers.add(res);
+			res.on('close', () => subscribers.delete(res));
+		},
+	};
+};
--- /dev/null
+++ b/packages/standins/src/engine/create-control-routes.ts
@@ -0,0 +1,92 @@
+/**
+Routes for load, orders, faults and records of a stand-in engine.
+*/
+import {z} from 'zod';
+import {readJsonBody} from '../http/read-json-body.js';
+import type {Route} from '../http/route.js';
+import {sendJson} from '../http/send-json.js';
+import {engineFaultsSchema} from './engine-faults.js';
+import type {Engine} from './engine.js';
+import {sendFenced} from './send-fenced.js';
+
+const ENGINE_SCOPE = '';
+
+const orderSchema = z.object({order: z.unknown(), fencingNumber: z.number().int().optional()});
+
+const createLoadReader = ({batch, cache, options, faults}: Engine) => {
+	const measure = () => ({
+		running: batch.running(), queued: batch.queued(), slots: options.slots, cacheTokens: cache.totalTokens(),
+	});
+	let report = measure();
+	let measuredAt = Date.now();
+	return () => {
+		if (Date.now() - measuredAt >= faults.lagMs) {
+			report = measure();
+			measuredAt = Date.now();
+		}
+
+		return report;
+	};
+};
+
+const createOrderRoutes = (engine: Engine): Route[] => {
+	const orders: Array<z.infer<typeof orderSchema>> = [];
+	return [
+		{
+			method: 'POST',
+			pattern: /^\/orders$/v,
+			async handle({req, res}) {
+				const parsed = orderSchema.safeParse(await readJsonBody(req));
+				if (!parsed.success) {
+					sendJson(res, 400, {error: {message: parsed.error.message}});
+				} else if (engine.fence(ENGINE_SCOPE, parsed.data.fencingNumber)) {
+					orders.push(parsed.data);
+					sendJson(res, 200, {accepted: true});
+				} else {
+					sendFenced(res);
+				}
+			},
+		},
+		{
+			method: 'GET',
+			pattern: /^\/orders$/v,
+			handle({res}) {
+				sendJson(res, 200, orders);
+			},
+		},
+	];
+};
+
+/** `GET /load`, `POST` and `GET /orders`, `GET /records` and `PUT /faults`. */
+export const createControlRoutes = (engine: Engine): Route[] => {
+	const readLoad = createLoadReader(engine);
+	return [
+		{
+			method: 'GET',
+			pattern: /^\/load$/v,
+			handle({res}) {
+				sendJson(res, 200, readLoad());
+			},
+		},
+		{
+			method: 'GET',
+			pattern: /^\/records$/v,
+			handle({res}) {
+				sendJson(res, 200, engine.records());
+			},
+		},
+		{
+			method: 'PUT',
+			pattern: /^\/faults$/v,
+			async handle({req, res}) {
+				const parsed = engineFaultsSchema.safeParse(await readJsonBody(req));
+				if (parsed.success) {
+					Object.assign(engine.faults, parsed.data);
+				}
+
+				sendJson(res, parsed.success ? 200 : 400, parsed.success ? engine.faults : {error: {message: parsed.error.message}});
+			},
+		},
+		...createOrderRoutes(engine),
+	];
+};
--- /dev/null
+++ b/packages/standins/src/engine/create-engine.ts
@@ -0,0 +1,96 @@
+/**
+The stand-in engine without its HTTP: runs, cache, faults and records.
+*/
+import {Buffer} from 'node:buffer';
+import {openAppendLog} from '../append-log.js';
+import {createBatch} from './create-batch.js';
+import {createCacheEventFeed} from './create-cache-event-feed.js';
+import {createFence} from './create-fence.js';
+import {createPrefixCache} from './create-prefix-cache.js';
+import type {EngineOptions} from './engine-options.js';
+import {mergeRunRecords} from './merge-run-records.js';
+import type {ResolvedFaults} from './resolved-faults.js';
+import type {RunFate} from './run-fate.js';
+import type {RunRecord} from './run-record.js';
+import type {Run} from './run.js';
+
+// A stream that was cut can be resumed for this long after its run ended.
+const RESUME_WINDOW_MS = 60_000;
+const DEFAULT_LAG_MS = 200;
+
+const createFaults = (options: EngineOptions): ResolvedFaults => ({
+	tokenDelayMs: options.tokenDelayMs,
+	crashOn: options.crashOn ?? '',
+	slowFactor: 1,
+	dropCacheEvents: 0,
+	lagMs: DEFAULT_LAG_MS,
+	cutStreamAt: -1,
+});
+
+/** Creates an idle engine; runs that a dead process left in the records file count as lost. */
+export const createEngine = (options: EngineOptions) => {
+	const faults = createFaults(options);
+	const feed = createCacheEventFeed(faults);
+	const log = openAppendLog<RunRecord>(options.recordsFile);
+	const runs = new Map<string, Run>();
+	const deadRuns = new Set(log.items.map(({run}) => run));
+
+	const settle = (run: Run, fate: RunFate): void => {
+		run.fate = fate;
+		const {record, generated} = run;
+		cache.store(record.group, record.promptTokens + generated);
+		log.add({
+			...record, outputTokens: generated, endedAt: Date.now(), fate,
+		});
+		setTimeout(() => runs.get(record.requestId) === run && runs.delete(record.requestId), RESUME_WINDOW_MS).unref();
+	};
+
+	const emit = (run: Run): void => {
+		for (const listener of run.listeners) {
+			listener();
+		}
+	};
+
+	const advance = (run: Run, count: number): boolean => {
+		const next = run.tokens.slice(run.generated, run.generated + count);
+		run.generated += next.length;
+		run.output = Buffer.concat([run.output, Buffer.from(next.join(''))]);
+		if (run.crashes && run.generated * 2 >= run.tokens.length) {
+			options.crash();
+			return false;
+		}
+
+		if (run.generated === run.tokens.length) {
+			settle(run, run.finish);
+		}
+
+		emit(run);
+		return run.fate === 'running';
+	};
+
+	const batch = createBatch(options.slots, () => faults.tokenDelayMs * faults.slowFactor, advance);
+	const cache = createPrefixCache(options.cacheTokens, batch.has, feed.publish);
+
+	return {
+		options,
+		faults,
+		feed,
+		batch,
+		cache,
+		fence: createFence(options.checksFencing),
+		runs,
+		start(run: Run) {
+			runs.set(run.record.requestId, run);
+			log.add(run.record);
+			batch.add(run);
+		},
+		cancel(run: Run) {
+			if (run.fate === 'running') {
+				batch.remove(run);
+				settle(run, 'cancelled');
+				emit(run);
+			}
+		},
+		records: () => mergeRunRecords(log.items, deadRuns),
+	};
+};
--- /dev/null
+++ b/packages/standins/src/http/serve-until-terminated.ts
@@ -0,0 +1,17 @@
+/**
+Runs a stand-in's server as the job of a process.
+*/
+import type {Server} from 'node:http';
+import type {AddressInfo} from 'node:net';
+import process from 'node:process';
+
+/** Listens, prints `{"listening": "http://IP:PORT"}` on standard output, and exits with 0 on SIGTERM. */
+export const serveUntilTerminated = (server: Server, ip: string, port: number): void => {
+	process.once('SIGTERM', () => {
+		process.exit(0);
+	});
+	server.listen(port, ip, () => {
+		const {address, port: bound} = server.address() as AddressInfo;
+		process.stdout.write(`${JSON.stringify({listening: `http://${address}:${bound}`})}\n`);
+	});
+};
