--- /dev/null
+++ b/packages/sidecar/src/create-engine-client.ts
@@ -0,0 +1,150 @@
+/**
+Speaks to a model engine: chat completions as server-sent events, with resume,
+cancel and release of prefixes. docs/design/outside-protocols.md lists the
+requests.
+*/
+import {Buffer} from 'node:buffer';
+import {setTimeout as delay} from 'node:timers/promises';
+import {Agent, request} from 'undici';
+import {z} from 'zod';
+import {isConnectFailure} from './is-connect-failure.js';
+import {readEngineStream} from './read-engine-stream.js';
+import type {RunOutcome} from './run-outcome.js';
+import type {RunRequest} from './run-request.js';
+import type {UpstreamClient} from './upstream-client.js';
+
+/** A crashed engine refuses connections; a cut stream alone does not mean a crash. */
+const RESUME_ATTEMPTS = 3;
+const RESUME_DELAY_MS = 100;
+const CONTROL_TIMEOUT_MS = 3000;
+const STREAM_SILENCE_MS = 20_000;
+const HTTP_OK = 200;
+const HTTP_NOT_FOUND = 404;
+
+const cacheListSchema = z.object({groups: z.array(z.object({group: z.string(), tokens: z.number()}))});
+
+/** Creates the adapter to the engine at `address`, as `http://IP:PORT`. */
+export const createEngineClient = (address: string): UpstreamClient => {
+	const dispatcher = new Agent({connect: {timeout: CONTROL_TIMEOUT_MS}, bodyTimeout: STREAM_SILENCE_MS, headersTimeout: STREAM_SILENCE_MS});
+
+	const startStream = async (run: RunRequest, signal: AbortSignal) => request(`${address}/v1/chat/completions`, {
+		method: 'POST',
+		dispatcher,
+		signal,
+		headers: {
+			'content-type': 'application/json',
+			'x-request-id': run.runId,
+			'x-cache-group': run.program,
+			'x-fencing-number': String(run.fencingNumber),
+			...(run.traceparent && {traceparent: run.traceparent}),
+		},
+		body: JSON.stringify({
+			model: run.model,
+			messages: JSON.parse(run.payload) as unknown,
+			max_tokens: run.maxOutputTokens,
+			stream: true,
+			stream_options: {include_usage: true},
+			priority: run.priority,
+		}),
+	});
+
+	const resumeStream = async (run: RunRequest, from: number, signal: AbortSignal) => request(`${address}/streams/${encodeURIComponent(run.runId)}?from=${from}`, {dispatcher, signal});
+
+	const cancel = async (run: RunRequest) => {
+		try {
+			const res = await request(`${address}/streams/${encodeURIComponent(run.runId)}`, {
+				method: 'DELETE', dispatcher, headersTimeout: CONTROL_TIMEOUT_MS, headers: {'x-fencing-number': String(run.fencingNumber)},
+			});
+			await res.body.dump();
+		} catch {
+			// An engine that does not answer holds no stream that could be cancelled.
+		}
+	};
+
+	const run: UpstreamClient['run'] = async (call, onText, signal) => {
+		let receivedBytes = 0;
+		let pieces = 0;
+		const overrun = new AbortController();
+		const combined = AbortSignal.any([signal, overrun.signal]);
+		const countText = (text: string) => {
+			if (pieces >= call.maxOutputTokens) {
+				overrun.abort();
+				return;
+			}
+
+			// A piece is at least one token.
+			pieces++;
+			receivedBytes += Buffer.byteLength(text);
+			onText(text);
+		};
+
+		let lastReason = '';
+		let isCrash = false;
+		for (let attempt = 0; attempt <= RESUME_ATTEMPTS; attempt++) {
+			try {
+				const res = attempt === 0 ? await startStream(call, combined) : await resumeStream(call, receivedBytes, combined);
+				if (res.statusCode !== HTTP_OK) {
+					const text = await res.body.text();
+					return attempt === 0
+						? {kind: 'not-sent', reason: `the engine answered ${res.statusCode}: ${text.slice(0, 200)}`}
+						: {kind: 'lost', reason: `the engine no longer knows the stream (${res.statusCode})`, isCrash: res.statusCode === HTTP_NOT_FOUND};
+				}
+
+				const end = await readEngineStream(res.body, countText);
+				if (end) {
+					return {
+						kind: 'finished', promptTokens: end.promptTokens, outputTokens: end.outputTokens, finish: end.finish,
+					};
+				}
+
+				lastReason = 'the engine ended the stream early';
+			} catch (error) {
+				if (overrun.signal.aborted) {
+					await cancel(call);
+					return {
+						kind: 'finished', promptTokens: 0, outputTokens: pieces, finish: 'length',
+					};
+				}
+
+				if (signal.aborted) {
+					await cancel(call);
+					return {kind: 'cancelled'};
+				}
+
+				lastReason = String(error);
+				isCrash = isConnectFailure(error);
+				if (attempt === 0 && isCrash) {
+					return {kind: 'not-sent', reason: lastReason};
+				}
+			}
+
+			await delay(RESUME_DELAY_MS);
+		}
+
+		return {kind: 'lost', reason: lastReason, isCrash} satisfies RunOutcome;
+	};
+
+	return {
+		run,
+		async releasePrefix(program, fencingNumber) {
+			try {
+				const res = await request(`${address}/cache/${encodeURIComponent(program)}`, {
+					method: 'DELETE', dispatcher, headersTimeout: CONTROL_TIMEOUT_MS, headers: {'x-fencing-number': String(fencingNumber)},
+				});
+				await res.body.dump();
+				return res.statusCode === HTTP_OK || res.statusCode === HTTP_NOT_FOUND;
+			} catch {
+				return false;
+			}
+		},
+		async listPrefixes() {
+			try {
+				const res = await request(`${address}/cache`, {dispatcher, headersTimeout: CONTROL_TIMEOUT_MS});
+				const {groups} = cacheListSchema.parse(await res.body.json());
+				return groups.map(({group, tokens}) => ({program: group, tokens}));
+			} catch {
+				return undefined;
+			}
+		},
+	};
+};
--- /dev/null
+++ b/packages/sidecar/src/create-run-scheduler.ts
@@ -0,0 +1,364 @@
+/**
+Runs the one queue of an upstream: admission, order, start, cancel, and the last
+word on what ran. A grant is remembered by the registry; the answer of a call
+is kept until its program moves on, so that an entry that lost its connection,
+or another entry after a crash, can attach again at any byte.
+*/
+import {Buffer} from 'node:buffer';
+import type {MessageInitShape} from '@bufbuild/protobuf';
+import {activateRow} from '@siskinhub/core/decide/activate-row.js';
+import type {AdmissionDecision} from '@siskinhub/core/decide/admission-decision.js';
+import {chargeRow} from '@siskinhub/core/decide/charge-row.js';
+import type {QueueOrder} from '@siskinhub/core/decide/queue-order.js';
+import type {RowService} from '@siskinhub/core/decide/row-service.js';
+import type {ClaimId} from '@siskinhub/core/ids/claim-id.js';
+import type {Epoch} from '@siskinhub/core/ids/epoch.js';
+import type {InstanceId} from '@siskinhub/core/ids/instance-id.js';
+import type {ProgramId} from '@siskinhub/core/ids/program-id.js';
+import type {ShardId} from '@siskinhub/core/ids/shard-id.js';
+import type {GrantRegistry} from '@siskinhub/core/sidecar/grant-registry.js';
+import type {RowKey} from '@siskinhub/core/table/row-key.js';
+import {
+	type Dispatch, type DoneSchema, Fate, type Grant,
+} from '@siskinhub/proto/gen/siskinhub/peer/v1/peer_pb.js';
+import {createRunStatistics} from './create-run-statistics.js';
+import type {Run} from './run.js';
+import type {RunObserver} from './run-observer.js';
+import type {RunOutcome} from './run-outcome.js';
+import type {RunScheduler} from './run-scheduler.js';
+import {sliceUtf8} from './slice-utf8.js';
+import type {UpstreamClient} from './upstream-client.js';
+
+type Done = MessageInitShape<typeof DoneSchema>;
+
+type SchedulerOptions = {
+	readonly upstream: UpstreamClient;
+	readonly registry: GrantRegistry;
+	readonly slots: number;
+	readonly order: QueueOrder;
+	readonly admission: AdmissionDecision;
+};
+
+const createRun = (dispatch: Dispatch, grant: Grant, traceparent: string): Run => {
+	const now = Date.now();
+	return {
+		claim: grant.claim as ClaimId,
+		program: grant.program as ProgramId,
+		dispatch,
+		traceparent,
+		queued: {
+			row: grant.row as RowKey,
+			weight: grant.weight || 1,
+			priority: grant.priority,
+			queuedAt: now,
+			programStartedAt: now - Number(grant.programAgeMs),
+			attainedMs: Number(grant.attainedMs),
+		},
+		observers: new Set(),
+		controller: new AbortController(),
+		state: 'queued',
+		text: '',
+		bytes: 0,
+		startedAt: 0,
+		ranAlone: false,
+	};
+};
+
+const describeEnd = (run: Run, grant: Grant, outcome: RunOutcome): Done => {
+	const slotMs = BigInt(Date.now() - run.startedAt);
+	const common = {bytes: BigInt(run.bytes), slotMs, ranAlone: run.ranAlone};
+	switch (outcome.kind) {
+		case 'finished': {
+			return {
+				...common, promptTokens: outcome.promptTokens, outputTokens: outcome.outputTokens, finish: outcome.finish,
+			};
+		}
+
+		case 'not-sent': {
+			return {...common, fate: Fate.NOT_RUN, reason: outcome.reason};
+		}
+
+		case 'lost': {
+			return {
+				...common, fate: grant.idempotent ? Fate.FAILED : Fate.UNKNOWN, reason: outcome.reason, upstreamCrashed: outcome.isCrash,
+			};
+		}
+
+		case 'cancelled': {
+			return {...common, fate: grant.idempotent ? Fate.CANCELLED : Fate.UNKNOWN, reason: 'the call was cancelled while it ran'};
+		}
+	}
+};
+
+/** Creates an empty queue that accepts calls. */
+export const createRunScheduler = ({upstream, registry, slots, order, admission}: SchedulerOptions): RunScheduler => {
+	const runs = new Map<ClaimId, Run>();
+	const waiting: Run[] = [];
+	const running = new Set<Run>();
+	const statistics = createRunStatistics();
+	const changeListeners: Array<() => void> = [];
+	let rows: RowService = new Map();
+	let isAccepting = true;
+
+	const notifyChange = () => {
+		for (const listener of changeListeners) {
+			listener();
+		}
+	};
+
+	const finish = (run: Run, done: Done) => {
+		run.state = 'done';
+		run.done = done;
+		for (const observer of run.observers) {
+			observer.onDone(done);
+		}
+
+		run.observers.clear();
+	};
+
+	const refuseQueued = (run: Run, reason: string, fate = Fate.NOT_RUN) => {
+		const index = waiting.indexOf(run);
+		if (index !== -1) {
+			waiting.splice(index, 1);
+		}
+
+		registry.refuseLater(run.claim);
+		runs.delete(run.claim);
+		finish(run, {fate, reason});
+		notifyChange();
+	};
+
+	const grantOf = (run: Run): Grant => {
+		if (!run.dispatch.grant) {
+			throw new Error('a run is only created from a dispatch with a grant');
+		}
+
+		return run.dispatch.grant;
+	};
+
+	const takeNext = (): Run | undefined => {
+		const runningAlone = [...running].some(run => grantOf(run).runAlone);
+		if (waiting.length === 0 || running.size >= slots || runningAlone) {
+			return undefined;
+		}
+
+		const index = order(waiting.map(run => run.queued), rows, Date.now());
+		const run = waiting[index];
+		if (!run || (grantOf(run).runAlone && running.size > 0)) {
+			return undefined;
+		}
+
+		waiting.splice(index, 1);
+		return run;
+	};
+
+	const appendText = (run: Run, text: string) => {
+		const offset = BigInt(run.bytes);
+		run.text += text;
+		run.bytes += Buffer.byteLength(text);
+		for (const observer of run.observers) {
+			observer.onChunk({offset, text});
+		}
+	};
+
+	const execute = async (run: Run) => {
+		const grant = grantOf(run);
+		const {dispatch} = run;
+		const outcome = await upstream.run({
+			runId: `${grant.program}.${grant.requestId}`,
+			program: grant.program,
+			payload: dispatch.payload,
+			model: dispatch.model,
+			operation: dispatch.operation,
+			maxOutputTokens: grant.maxOutputTokens,
+			priority: grant.priority,
+			fencingNumber: grant.epoch,
+			isIdempotent: grant.idempotent,
+			traceparent: run.traceparent,
+		}, text => {
+			appendText(run, text);
+		}, run.controller.signal);
+		running.delete(run);
+		const servedMs = Date.now() - run.startedAt;
+		rows = chargeRow(rows, run.queued, servedMs);
+		statistics.record(servedMs, outcome, grant.program);
+		if (outcome.kind === 'not-sent') {
+			registry.refuseLater(run.claim);
+		}
+
+		finish(run, describeEnd(run, grant, outcome));
+		startWaiting();
+	};
+
+	const startWaiting = () => {
+		for (let run = takeNext(); run; run = takeNext()) {
+			const grant = grantOf(run);
+			const waitedMs = Date.now() - run.queued.queuedAt;
+			if (!registry.isCurrent(grant.shard as ShardId, Number(grant.epoch) as Epoch)) {
+				refuseQueued(run, 'a later owner has spoken for the shard');
+				continue;
+			}
+
+			if (grant.startWithinMs > 0 && waitedMs > grant.startWithinMs) {
+				refuseQueued(run, `the call waited ${waitedMs} ms, longer than its deadline allows`);
+				continue;
+			}
+
+			run.state = 'running';
+			run.startedAt = Date.now();
+			run.ranAlone = grant.runAlone;
+			running.add(run);
+			void execute(run);
+		}
+
+		notifyChange();
+	};
+
+	const checkLoad = (grant: Grant) => {
+		const rowRuns = [...waiting, ...running].filter(run => run.queued.row === grant.row);
+		const waitingRows = new Map(waiting.map(run => [run.queued.row, run.queued.weight]));
+		waitingRows.set(grant.row as RowKey, grant.weight || 1);
+		let totalWeight = 0;
+		for (const weight of waitingRows.values()) {
+			totalWeight += weight;
+		}
+
+		return admission({
+			startsProgram: grant.startsProgram,
+			deadlineMs: grant.startWithinMs,
+			slots,
+			running: running.size,
+			callMs: statistics.callMs(),
+			queued: waiting.length,
+			rowQueued: rowRuns.filter(run => run.state === 'queued').length,
+			rowOpen: rowRuns.length,
+			...(grant.rowConcurrency > 0 && {rowConcurrency: grant.rowConcurrency}),
+			rowShare: (grant.weight || 1) / totalWeight,
+		});
+	};
+
+	const attach = (run: Run, observer: RunObserver, offset: number) => {
+		delete run.abandonedAt;
+		const missing = sliceUtf8(run.text, offset);
+		if (missing.text !== '') {
+			observer.onChunk({offset: BigInt(missing.offset), text: missing.text});
+		}
+
+		if (run.done) {
+			observer.onDone(run.done);
+		} else {
+			run.observers.add(observer);
+		}
+	};
+
+	const submit: RunScheduler['submit'] = (dispatch, observer, traceparent) => {
+		const {grant} = dispatch;
+		if (!grant) {
+			observer.onDone({fate: Fate.NOT_RUN, reason: 'the dispatch carries no grant'});
+			return;
+		}
+
+		const load = checkLoad(grant);
+		const admitted = registry.admit({
+			claim: grant.claim as ClaimId,
+			shard: grant.shard as ShardId,
+			epoch: Number(grant.epoch) as Epoch,
+			sequence: Number(grant.sequence),
+			sidecarInstance: grant.sidecarInstance as InstanceId,
+			attachOnly: grant.attachOnly,
+		}, isAccepting && load.isOk());
+		switch (admitted.kind) {
+			case 'run': {
+				const run = createRun(dispatch, grant, traceparent);
+				runs.set(run.claim, run);
+				rows = activateRow(rows, run.queued, waiting.map(other => other.queued));
+				waiting.push(run);
+				run.observers.add(observer);
+				startWaiting();
+				break;
+			}
+
+			case 'attach': {
+				const run = runs.get(grant.claim as ClaimId);
+				if (run) {
+					attach(run, observer, Number(dispatch.offset));
+				} else {
+					observer.onDone({fate: grant.idempotent ? Fate.FAILED : Fate.UNKNOWN, reason: 'the call ran and its answer is no longer kept'});
+				}
+
+				break;
+			}
+
+			case 'refuse': {
+				const refusal = load.isErr() ? load.error : undefined;
+				observer.onDone({fate: Fate.NOT_RUN, reason: refusal?.message ?? admitted.reason, retryAfterMs: refusal?.retryAfterMs ?? 0});
+				break;
+			}
+
+			case 'unknown': {
+				observer.onDone({fate: Fate.UNKNOWN, reason: admitted.reason});
+				break;
+			}
+		}
+	};
+
+	const cancel = (run: Run, reason: string, fate?: Fate) => {
+		if (run.state === 'queued') {
+			refuseQueued(run, reason, fate);
+		} else if (run.state === 'running') {
+			run.controller.abort();
+		}
+	};
+
+	return {
+		submit,
+		detach(claim, observer) {
+			const run = runs.get(claim);
+			if (!run) {
+				return;
+			}
+
+			run.observers.delete(observer);
+			if (run.observers.size === 0 && run.state === 'queued') {
+				refuseQueued(run, 'the entry that asked for it is gone');
+			} else if (run.observers.size === 0) {
+				run.abandonedAt = Date.now();
+			}
+		},
+		cancel(claim) {
+			const run = runs.get(claim);
+			if (run) {
+				cancel(run, 'the call was cancelled before it started');
+			}
+		},
+		forgetProgram(program) {
+			for (const run of runs.values()) {
+				if (run.program === program && run.state === 'done') {
+					runs.delete(run.claim);
+				}
+			}
+		},
+		stopAccepting() {
+			isAccepting = false;
+		},
+		isAccepting: () => isAccepting,
+		dropQueued(reason) {
+			for (const run of waiting) {
+				refuseQueued(run, reason);
+			}
+		},
+		openRuns: () => waiting.length + running.size,
+		describeLoad: () => ({
+			slots,
+			running: running.size,
+			queued: waiting.length,
+			callMs: statistics.callMs(),
+			tokenMs: statistics.tokenMs(),
+			upstreamUp: statistics.isUp(),
+		}),
+		activePrograms: () => new Set([...waiting, ...running].map(run => run.program)),
+		onChange(listener) {
+			changeListeners.push(listener);
+		},
+	};
+};
--- /dev/null
+++ b/packages/sidecar/src/engine-chunk.ts
@@ -0,0 +1,16 @@
+/**
+One event of a chat-completions stream.
+*/
+import {z} from 'zod';
+
+/** Validates the parts of an event that the sidecar reads. */
+export const engineChunkSchema = z.object({
+	choices: z.array(z.object({
+		delta: z.object({content: z.string().optional()}).default({}),
+		finish_reason: z.string().nullish(),
+	})).default([]),
+	usage: z.object({
+		prompt_tokens: z.number(),
+		completion_tokens: z.number(),
+	}).nullish(),
+});
--- /dev/null
+++ b/packages/sidecar/src/is-connect-failure.ts
@@ -0,0 +1,8 @@
+/**
+Tells a connection that was never made from one that broke.
+*/
+
+const CONNECT_FAILURE_CODES: ReadonlySet<unknown> = new Set(['ECONNREFUSED', 'EHOSTUNREACH', 'ENETUNREACH', 'UND_ERR_CONNECT_TIMEOUT']);
+
+/** True if nothing can have reached the other side. */
+export const isConnectFailure = (error: unknown): boolean => error instanceof Error && 'code' in error && CONNECT_FAILURE_CODES.has(error.code);
--- /dev/null
+++ b/packages/sidecar/src/read-engine-stream.ts
@@ -0,0 +1,45 @@
+/**
+Reads one server-sent event stream of a model engine.
+*/
+import {createParser} from 'eventsource-parser';
+import {engineChunkSchema} from './engine-chunk.js';
+
+type StreamEnd = {
+	readonly finish: string;
+	readonly promptTokens: number;
+	readonly outputTokens: number;
+};
+
+const END_OF_STREAM = '[DONE]';
+
+/** Passes each piece of text on and returns the end that the engine stated, or undefined if the stream was cut. */
+export const readEngineStream = async (body: AsyncIterable<Uint8Array>, onText: (text: string) => void): Promise<StreamEnd | undefined> => {
+	const decoder = new TextDecoder();
+	let finish = '';
+	let usage: {prompt_tokens: number; completion_tokens: number} | undefined;
+	let isComplete = false;
+	const parser = createParser({
+		onEvent(event) {
+			if (event.data === END_OF_STREAM) {
+				isComplete = true;
+				return;
+			}
+
+			const chunk = engineChunkSchema.parse(JSON.parse(event.data));
+			const [choice] = chunk.choices;
+			if (choice?.delta.content) {
+				onText(choice.delta.content);
+			}
+
+			finish = choice?.finish_reason ?? finish;
+			usage = chunk.usage ?? usage;
+		},
+	});
+	for await (const bytes of body) {
+		parser.feed(decoder.decode(bytes, {stream: true}));
+	}
+
+	return isComplete && usage
+		? {finish, promptTokens: usage.prompt_tokens, outputTokens: usage.completion_tokens}
+		: undefined;
+};
--- /dev/null
+++ b/packages/sidecar/src/run.ts
@@ -0,0 +1,31 @@
+/**
+One call in a sidecar, from its arrival until its answer is no longer needed.
+*/
+import type {MessageInitShape} from '@bufbuild/protobuf';
+import type {ClaimId} from '@siskinhub/core/ids/claim-id.js';
+import type {ProgramId} from '@siskinhub/core/ids/program-id.js';
+import type {QueuedCall} from '@siskinhub/core/decide/queued-call.js';
+import type {Dispatch, DoneSchema} from '@siskinhub/proto/gen/siskinhub/peer/v1/peer_pb.js';
+import type {RunObserver} from './run-observer.js';
+
+/** A call with the part of its answer that has arrived. */
+export type Run = {
+	readonly claim: ClaimId;
+	readonly program: ProgramId;
+	readonly dispatch: Dispatch;
+	readonly traceparent: string;
+	/** What the queue order sees. */
+	readonly queued: QueuedCall;
+	readonly observers: Set<RunObserver>;
+	readonly controller: AbortController;
+	state: 'queued' | 'running' | 'done';
+	text: string;
+	/** UTF-8 bytes of `text`. */
+	bytes: number;
+	startedAt: number;
+	/** Whether nothing else ran beside it. */
+	ranAlone: boolean;
+	done?: MessageInitShape<typeof DoneSchema>;
+	/** Time at which the last observer left, in milliseconds since the Unix epoch. */
+	abandonedAt?: number;
+};
