feat(observe): structured log, metrics and traces

The daemons need one way to log, count and trace, and must not pay for metrics and traces that the settings do not ask for.

Weighed: OpenTelemetry's global API with context managers (ruled out: context must ride in the peer messages as text anyway, and a global registration is hidden state); static imports (ruled out: they load the libraries for nothing).

--- /dev/null
+++ b/packages/observe/src/__tests__/create-logger.test.ts
@@ -0,0 +1,40 @@
+import {expect, test, vi} from 'vitest';
+import {createLogger} from '../create-logger.js';
+
+const createCapture = (level: 'info' | 'silent') => {
+	const lines: string[] = [];
+	return {lines, log: createLogger({level, host: 'entry-1', write: line => lines.push(line)})};
+};
+
+test('a line is one JSON object with time, level, host, message and fields', () => {
+	vi.useFakeTimers({now: 0});
+	const {lines, log} = createCapture('info');
+	log.child({programId: 'p1-a'}).warn('turn\nrefused', {requestId: 'r', host: 'other'});
+	vi.useRealTimers();
+	expect(lines).toHaveLength(1);
+	expect(lines[0]).not.toContain('\n');
+	expect(JSON.parse(lines[0]!)).toEqual({
+		time: '1970-01-01T00:00:00.000Z', level: 'warn', host: 'entry-1', msg: 'turn\nrefused', programId: 'p1-a', requestId: 'r',
+	});
+});
+
+test('lower levels are left out, also in child logs', () => {
+	const {lines, log} = createCapture('info');
+	log.debug('a');
+	log.child({}).trace('b');
+	log.info('c');
+	expect(lines).toHaveLength(1);
+	const silent = createCapture('silent');
+	silent.log.error('d');
+	expect(silent.lines).toEqual([]);
+});
+
+test('errors are spelled out and what JSON cannot express does not throw', () => {
+	const {lines, log} = createCapture('info');
+	const circular: Record<string, unknown> = {};
+	circular.self = circular;
+	log.error('a', {error: new TypeError('bad'), size: 3n});
+	log.error('b', circular);
+	expect(JSON.parse(lines[0]!)).toMatchObject({error: {name: 'TypeError', message: 'bad'}, size: '3'});
+	expect(JSON.parse(lines[1]!)).toMatchObject({msg: 'b', fieldsError: expect.stringContaining('circular') as string});
+});
