feat(settings): settings files checked against a schema

Operators need every fault of a settings file at once, each with its line.

Weighed: throwing at the first fault (ruled out: one restart for each fault); a YAML loader without positions (ruled out: no lines).

Change: zod schemas for entry, sidecar and command with a description and default for each option; unknown keys are faults; addresses take IP numbers only; loadConfigFromFile returns all faults with file, line and key; resolveEntryConfig and resolveSidecarConfig fill every default.

--- /dev/null
+++ b/packages/settings/src/__tests__/load-config-from-file.test.ts
@@ -0,0 +1,10 @@
+import {expect, test} from 'vitest';
+import {CliSettingsSchema} from '../cli-settings-schema.js';
+import {formatConfigFault} from '../format-config-fault.js';
+import {loadConfigFromFile} from '../load-config-from-file.js';
+
+test('a file that is not there is one clear line', async () => {
+	const result = await loadConfigFromFile('no-such-folder/cli.yaml', CliSettingsSchema);
+	expect(result._unsafeUnwrapErr().map(fault => formatConfigFault(fault)))
+		.toEqual(['no-such-folder/cli.yaml: expected a settings file that can be read, found ENOENT']);
+});
--- /dev/null
+++ b/packages/settings/src/resolved-sidecar-config.ts
@@ -0,0 +1,20 @@
+/**
+Settings of a sidecar with every default filled in.
+*/
+import type {DataCentreId} from '@siskinhub/core/ids/data-centre-id.js';
+import type {HostId} from '@siskinhub/core/ids/host-id.js';
+import type {UpstreamId} from '@siskinhub/core/ids/upstream-id.js';
+import type {TracesConfig} from '@siskinhub/observe/traces-config.js';
+import type {resolvePeer} from './resolve-peer.js';
+import type {SidecarSettingsSchema} from './sidecar-settings-schema.js';
+
+type SidecarSettings = Readonly<ReturnType<typeof SidecarSettingsSchema.parse>>;
+
+/** What `siskinhub-sidecar` runs with; optional are only metrics and traces. */
+export type ResolvedSidecarConfig = Omit<SidecarSettings, 'host' | 'dataCentre' | 'peer' | 'upstream' | 'traces'> & {
+	readonly host: HostId;
+	readonly dataCentre: DataCentreId;
+	readonly peer: ReturnType<typeof resolvePeer>;
+	readonly upstream: SidecarSettings['upstream'] & {readonly id: UpstreamId};
+	readonly traces?: TracesConfig;
+};
