--- /dev/null
+++ b/packages/standins/src/platform/create-lease-store.ts
@@ -0,0 +1,58 @@
+/**
+Leases of the platform stand-in. A lease that is not renewed in time lapses,
+and the callback deletes its keys.
+*/
+
+type LeaseStore = {
+	/** Grants a lease for `ttlSeconds` and returns its id. */
+	readonly grant: (ttlSeconds: number) => string;
+	/** Renews a lease and returns its time to live in seconds; 0 if it does not exist any more. */
+	readonly renew: (lease: string) => number;
+	readonly revoke: (lease: string) => void;
+	readonly isAlive: (lease: string) => boolean;
+	/** Stops all timers. */
+	readonly close: () => void;
+};
+
+/** Creates an empty lease store; `onEnd` runs when a lease lapses or is revoked. */
+export const createLeaseStore = (onEnd: (lease: string) => void): LeaseStore => {
+	const leases = new Map<string, {readonly ttlSeconds: number; timer: NodeJS.Timeout}>();
+	let lastLease = 0;
+
+	const end = (lease: string) => {
+		clearTimeout(leases.get(lease)?.timer);
+		if (leases.delete(lease)) {
+			onEnd(lease);
+		}
+	};
+
+	const startTimer = (lease: string, ttlSeconds: number) => setTimeout(() => {
+		end(lease);
+	}, ttlSeconds * 1000);
+
+	return {
+		grant(ttlSeconds) {
+			lastLease++;
+			const lease = String(lastLease);
+			leases.set(lease, {ttlSeconds, timer: startTimer(lease, ttlSeconds)});
+			return lease;
+		},
+		renew(lease) {
+			const found = leases.get(lease);
+			if (!found) {
+				return 0;
+			}
+
+			clearTimeout(found.timer);
+			found.timer = startTimer(lease, found.ttlSeconds);
+			return found.ttlSeconds;
+		},
+		revoke: end,
+		isAlive: lease => leases.has(lease),
+		close() {
+			for (const {timer} of leases.values()) {
+				clearTimeout(timer);
+			}
+		},
+	};
+};
