--- /dev/null
+++ b/packages/sidecar/src/create-sidecar.ts
@@ -0,0 +1,109 @@
+/**
+Puts a sidecar together: the links to entries and owners round the queue of the
+one upstream.
+*/
+import {randomUUID} from 'node:crypto';
+import {setTimeout as delay} from 'node:timers/promises';
+import {decideAdmission} from '@siskinhub/core/decide/decide-admission.js';
+import {chooseNextCall} from '@siskinhub/core/decide/choose-next-call.js';
+import type {InstanceId} from '@siskinhub/core/ids/instance-id.js';
+import {createGrantRegistry} from '@siskinhub/core/sidecar/create-grant-registry.js';
+import type {Logger} from '@siskinhub/observe/logger.js';
+import type {Metrics} from '@siskinhub/observe/metrics.js';
+import type {Tracer} from '@siskinhub/observe/tracer.js';
+import {createPauseDetector} from '@siskinhub/peer/create-pause-detector.js';
+import {createPeerServer} from '@siskinhub/peer/create-peer-server.js';
+import type {LinkSettings} from '@siskinhub/peer/link-settings.js';
+import type {PeerLink} from '@siskinhub/peer/peer-link.js';
+import {Role} from '@siskinhub/proto/gen/siskinhub/peer/v1/peer_pb.js';
+import type {ResolvedSidecarConfig} from '@siskinhub/settings/resolved-sidecar-config.js';
+import {createEngineClient} from './create-engine-client.js';
+import {createMessageHandler} from './create-message-handler.js';
+import {createPrefixKeeper} from './create-prefix-keeper.js';
+import {createRunScheduler} from './create-run-scheduler.js';
+import {createServiceClient} from './create-service-client.js';
+import type {Sidecar} from './sidecar.js';
+
+const STOP_POLL_MS = 20;
+/** Time for the last replies to leave before the links close. */
+const LAST_REPLIES_MS = 50;
+
+type SidecarDependencies = {
+	readonly log: Logger;
+	readonly metrics: Metrics;
+	readonly tracer: Tracer;
+};
+
+/** Starts a sidecar; rejects only if its address cannot be bound. */
+export const createSidecar = async (cfg: ResolvedSidecarConfig, {log, metrics, tracer}: SidecarDependencies): Promise<Sidecar> => {
+	const instance = randomUUID() as InstanceId;
+	const upstream = cfg.upstream.kind === 'model' ? createEngineClient(cfg.upstream.address) : createServiceClient(cfg.upstream.address);
+	const registry = createGrantRegistry({instance, maxRecords: cfg.recordRetention.maxRequests});
+	const scheduler = createRunScheduler({
+		upstream, registry, slots: cfg.upstream.slots, order: chooseNextCall, admission: decideAdmission,
+	});
+	const links = new Set<PeerLink>();
+	const keeper = createPrefixKeeper({
+		upstream, scheduler, registry, links, intervalMs: cfg.reconcileIntervalMs, log,
+	});
+	const describeSelf = () => ({
+		leaving: !scheduler.isAccepting(),
+		load: {...scheduler.describeLoad(), ...keeper.describeHeld()},
+	});
+	const pauseDetector = createPauseDetector(cfg.heartbeat.silenceMs, () => {
+		log.warn('the process was paused; calls that had not started are dropped');
+		scheduler.dropQueued('the sidecar was paused while the call waited');
+	});
+	const settings: LinkSettings = {
+		hello: {
+			host: cfg.host, instance, role: Role.SIDECAR, dataCentre: cfg.dataCentre, peerAddress: cfg.peer.advertisedAddress,
+		},
+		heartbeatIntervalMs: cfg.heartbeat.intervalMs,
+		silenceMs: cfg.heartbeat.silenceMs,
+		describeSelf,
+		onMessage: createMessageHandler({
+			scheduler, registry, keeper, log, metrics, tracer,
+		}),
+		pauseDetector,
+	};
+	const announce = () => {
+		for (const link of links) {
+			link.send({case: 'heartbeat', value: describeSelf()});
+		}
+	};
+
+	const server = await createPeerServer({
+		ip: cfg.peer.ip,
+		port: cfg.peer.port,
+		settings,
+		onLink(link) {
+			links.add(link);
+			link.onClosed(() => {
+				links.delete(link);
+			});
+			// The owner learns the load at once instead of one interval later.
+			link.send({case: 'heartbeat', value: describeSelf()});
+		},
+	});
+	log.info('sidecar listens', {address: server.address, upstream: cfg.upstream.id, instance});
+
+	return {
+		address: server.address,
+		async stop() {
+			scheduler.stopAccepting();
+			announce();
+			log.info('sidecar is leaving', {openRuns: scheduler.openRuns()});
+			const deadline = Date.now() + cfg.gracefulStopMs;
+			while (scheduler.openRuns() > 0 && Date.now() < deadline) {
+				await delay(STOP_POLL_MS);
+			}
+
+			const isClean = scheduler.openRuns() === 0;
+			keeper.stop();
+			await delay(LAST_REPLIES_MS);
+			await server.close();
+			pauseDetector.stop();
+			return isClean;
+		},
+	};
+};
--- /dev/null
+++ b/packages/sidecar/src/siskinhub-sidecar.ts
@@ -0,0 +1,38 @@
+#!/usr/bin/env node
+/**
+The daemon beside one upstream.
+*/
+import process from 'node:process';
+import {createLogger} from '@siskinhub/observe/create-logger.js';
+import {createMetrics} from '@siskinhub/observe/create-metrics.js';
+import {createTracer} from '@siskinhub/observe/create-tracer.js';
+import {resolveSidecarConfig} from '@siskinhub/settings/resolve-sidecar-config.js';
+import {SidecarSettingsSchema} from '@siskinhub/settings/sidecar-settings-schema.js';
+import {startFromCommandLine} from '@siskinhub/settings/start-from-command-line.js';
+import {createSidecar} from './create-sidecar.js';
+
+const VERSION = '0.1.0';
+const EXIT_STOP_BOUND_PASSED = 3;
+
+await startFromCommandLine({
+	name: 'siskinhub-sidecar',
+	version: VERSION,
+	summary: 'Runs the queue of one upstream.',
+	schema: SidecarSettingsSchema,
+	async start(settings) {
+		const cfg = resolveSidecarConfig(settings);
+		const {host, dataCentre} = cfg;
+		const log = createLogger({level: cfg.log.level, host});
+		const metrics = await createMetrics({metrics: cfg.metrics, host, dataCentre});
+		const tracer = await createTracer({
+			traces: cfg.traces, service: 'siskinhub-sidecar', host, dataCentre, log,
+		});
+		const sidecar = await createSidecar(cfg, {log, metrics, tracer});
+		process.once('SIGTERM', async () => {
+			const isClean = await sidecar.stop();
+			await Promise.all([metrics.close(), tracer.close()]);
+			log.info('sidecar stopped', {isClean});
+			process.exit(isClean ? 0 : EXIT_STOP_BOUND_PASSED);
+		});
+	},
+});
--- a/xo.config.ts
+++ b/xo.config.ts
@@ -18,6 +18,8 @@
 			'no-await-in-loop': 'off',
 			// Header names and JSON fields of outside protocols keep their own spelling.
 			'@typescript-eslint/naming-convention': 'off',
+			// A handler names the messages that it answers; the rest get one refusal.
+			'@typescript-eslint/switch-exhaustiveness-check': ['error', {considerDefaultExhaustiveForUnions: true}],
 			// One argument object reads better than a rule about counts; the type checker covers the rest.
 			'max-params': ['error', 5],
 		},
