--- /dev/null
+++ b/packages/entry/src/directory/host-directory.ts
@@ -0,0 +1,12 @@
+/**
+The hosts of the system as the platform lists them.
+*/
+import type {PlatformHost} from '@siskinhub/platform/platform-host.js';
+
+/** A lagging view of the hosts; it decides nothing that must be exact. */
+export type HostDirectory = {
+	readonly entries: () => readonly PlatformHost[];
+	readonly sidecars: () => readonly PlatformHost[];
+	readonly refresh: () => Promise<void>;
+	readonly stop: () => void;
+};
--- /dev/null
+++ b/packages/entry/src/directory/upstream-directory.ts
@@ -0,0 +1,18 @@
+/**
+The upstreams that an owner may choose from.
+*/
+import type {UpstreamId} from '@siskinhub/core/ids/upstream-id.js';
+import type {Heartbeat} from '@siskinhub/proto/gen/siskinhub/peer/v1/peer_pb.js';
+import type {PeerLink} from '@siskinhub/peer/peer-link.js';
+import type {UpstreamEntry} from './upstream-entry.js';
+
+/** Follows the sidecars' own reports, which are ahead of the platform's list. */
+export type UpstreamDirectory = {
+	readonly list: () => readonly UpstreamEntry[];
+	readonly get: (id: UpstreamId) => UpstreamEntry | undefined;
+	/** Opens links to sidecars that are new in the host list. */
+	readonly sync: () => void;
+	readonly receiveHeartbeat: (link: PeerLink, heartbeat: Heartbeat) => void;
+	readonly noteSent: (id: UpstreamId) => void;
+	readonly noteEnded: (id: UpstreamId) => void;
+};
--- a/packages/sidecar/src/create-sidecar.ts
+++ b/packages/sidecar/src/create-sidecar.ts
@@ -44,7 +44,7 @@
 	});
 	const links = new Set<PeerLink>();
 	const keeper = createPrefixKeeper({
-		upstream, scheduler, registry, links, intervalMs: cfg.reconcileIntervalMs, log,
+		upstream, scheduler, links, intervalMs: cfg.reconcileIntervalMs, log,
 	});
 	const describeSelf = () => ({
 		leaving: !scheduler.isAccepting(),
