feat(history): append-only store of program histories with epochs

Histories are bulk and must outlive a host's crash without a replicated store that somebody looks after: plain files under the data folder.

One log in segments for all shards, so that one fsync serves every append that gathered meanwhile. Each line carries a CRC-32; a torn tail is cut, damage before a valid entry is refused as 'corrupt'. Fences stand in the log and at the head of each segment. Entries of a program link backwards, so memory holds only digest, turn count and last location. A repair is one entry, hence atomic.

Ruled out: a file for each program (an fsync each); a file for each shard (64 fsyncs where one does); removing segments in any order (an ended program whose last segment went first would seem open again), so only the oldest is freed.

--- /dev/null
+++ b/packages/history/src/create-compactor.ts
@@ -0,0 +1,124 @@
+/**
+Frees the oldest segments: programs that go on are copied forward as one entry
+each, and the file is removed. Only ever the oldest, so that what remains of a
+program's entries is a suffix of them and no ended program seems open again.
+*/
+import {unlink} from 'node:fs/promises';
+import type {ProgramId} from '@siskinhub/core/ids/program-id.js';
+import type {ShardId} from '@siskinhub/core/ids/shard-id.js';
+import {shardOfProgram} from '@siskinhub/core/ids/shard-of-program.js';
+import {err, ok, type Result} from 'neverthrow';
+import type {ProgramIndex} from './create-program-index.js';
+import type {HistoryError} from './history-error.js';
+import type {HistoryStore} from './history-store.js';
+import {encodeEntry} from './log/encode-entry.js';
+import type {LogWriter} from './log/open-log-writer.js';
+import {segmentFiles} from './log/segment-files.js';
+import {syncFolder} from './log/sync-folder.js';
+
+const MOST_SHARDS = 100_000;
+// Copying forward pays only once less than this share of the files is alive.
+const LEAST_LIVE_SHARE = 0.5;
+
+type Compactor = {
+	readonly folder: string;
+	readonly index: ProgramIndex;
+	readonly writer: LogWriter;
+	readonly readHistory: HistoryStore['readHistory'];
+	/** Bytes of each segment. */
+	readonly segmentBytes: () => ReadonlyMap<number, number>;
+	readonly dropSegment: (segment: number) => void;
+};
+
+const forgetExpired = (index: ProgramIndex, retentionMs: number): void => {
+	for (const [id, {endedAt}] of index.programs) {
+		if (endedAt !== undefined && endedAt + retentionMs <= Date.now()) {
+			index.forget(id);
+		}
+	}
+};
+
+const sumLiveBytes = (index: ProgramIndex): Map<number, number> => {
+	const live = new Map<number, number>();
+	for (const {spans} of index.programs.values()) {
+		for (const {segment, bytes} of spans) {
+			live.set(segment, (live.get(segment) ?? 0) + bytes);
+		}
+	}
+
+	return live;
+};
+
+const sum = (numbers: Iterable<number>): number => [...numbers].reduce((total, number) => total + number, 0);
+
+const copyForward = async ({index, writer, readHistory}: Compactor, id: ProgramId): Promise<Result<void, HistoryError>> => {
+	const history = await readHistory(id);
+	const program = index.programs.get(id);
+	if (history.isErr() || !program) {
+		return history.isErr() && history.error.kind !== 'unknown-program' ? err(history.error) : ok();
+	}
+
+	const {header, turns} = history.value;
+	if (turns.length !== program.turns || turns.at(-1)?.digest !== (program.turns > 0 ? program.digest : undefined)) {
+		// A turn came in while the history was read.
+		return copyForward({index, writer, readHistory} as Compactor, id);
+	}
+
+	const epoch = index.fences.get(shardOfProgram(id, MOST_SHARDS) ?? 0 as ShardId)!;
+	const meta = {
+		kind: 'copy', program: id, epoch, turns: program.turns, digest: program.digest, endedAt: program.endedAt,
+	} as const;
+	const {location, done} = writer.append(encodeEntry(meta, {header, turns}));
+	index.apply(meta, location);
+	return done;
+};
+
+const freeSegment = async (compactor: Compactor, segment: number): Promise<Result<void, HistoryError>> => {
+	const {folder, index, dropSegment} = compactor;
+	const programs = [...index.programs].filter(([, {spans}]) => spans.some(span => span.segment === segment));
+	for (const [id] of programs) {
+		const copied = await copyForward(compactor, id);
+		if (copied.isErr()) {
+			return copied;
+		}
+	}
+
+	try {
+		await unlink(segmentFiles.pathOf(folder, segment));
+		await syncFolder(folder);
+	} catch (error) {
+		return err({kind: 'io', message: error instanceof Error ? error.message : String(error)});
+	}
+
+	dropSegment(segment);
+	return ok();
+};
+
+/** Returns `compact` of a store; calls do not overlap. */
+export const createCompactor = (compactor: Compactor): HistoryStore['compact'] => {
+	const {index, writer, segmentBytes} = compactor;
+
+	const freeOldest = async (): Promise<Result<void, HistoryError>> => {
+		const oldest = Math.min(...segmentBytes().keys());
+		const live = sumLiveBytes(index);
+		const isWorthwhile = !live.has(oldest) || sum(live.values()) < sum(segmentBytes().values()) * LEAST_LIVE_SHARE;
+		if (oldest >= writer.segment() || !isWorthwhile) {
+			return ok();
+		}
+
+		const freed = await freeSegment(compactor, oldest);
+		return freed.isErr() ? freed : freeOldest();
+	};
+
+	let running: Promise<Result<void, HistoryError>> = Promise.resolve(ok());
+	return async retentionMs => {
+		const previous = running;
+		running = (async () => {
+			await previous;
+			forgetExpired(index, retentionMs);
+			const flushed = await writer.flush();
+			return flushed.isErr() ? flushed : freeOldest();
+		})();
+		return running;
+	};
+};
--- /dev/null
+++ b/packages/history/src/create-reader.ts
@@ -0,0 +1,31 @@
+/**
+Reads of a holder, which wait for writes under way.
+*/
+import type {ProgramHistory} from '@siskinhub/core/history/program-history.js';
+import type {ProgramId} from '@siskinhub/core/ids/program-id.js';
+import {err, type Result} from 'neverthrow';
+import type {ProgramIndex} from './create-program-index.js';
+import type {HistoryError} from './history-error.js';
+import type {LogWriter} from './log/open-log-writer.js';
+import {readProgram} from './read-program.js';
+
+const MOST_ATTEMPTS = 3;
+
+/** Returns `readHistory` of a store. */
+export const createReader = (folder: string, index: ProgramIndex, writer: LogWriter) => async (id: ProgramId): Promise<Result<ProgramHistory, HistoryError>> => {
+	for (let attempt = 1; ; attempt++) {
+		const flushed = await writer.flush();
+		const program = index.programs.get(id);
+		if (flushed.isErr() || !program) {
+			return err(flushed.isErr() ? flushed.error : {kind: 'unknown-program'});
+		}
+
+		const {last} = program;
+		const history = await readProgram(folder, program);
+		// A compaction may have moved the program while it was read.
+		const hasMoved = index.programs.get(id)?.last !== last;
+		if (history.isOk() || !hasMoved || attempt === MOST_ATTEMPTS) {
+			return history;
+		}
+	}
+};
--- /dev/null
+++ b/packages/history/src/create-writes.ts
@@ -0,0 +1,134 @@
+/**
+The writes of a holder. Each decides at once, against the index, and resolves
+when its entry has reached the disk.
+*/
+import {computeDigest} from '@siskinhub/core/history/compute-digest.js';
+import type {TurnRecord} from '@siskinhub/core/history/turn-record.js';
+import {verifyChain} from '@siskinhub/core/history/verify-chain.js';
+import type {Epoch} from '@siskinhub/core/ids/epoch.js';
+import type {ProgramId} from '@siskinhub/core/ids/program-id.js';
+import type {ShardId} from '@siskinhub/core/ids/shard-id.js';
+import {shardOfProgram} from '@siskinhub/core/ids/shard-of-program.js';
+import {err, ok, type Result} from 'neverthrow';
+import type {ProgramIndex} from './create-program-index.js';
+import type {HistoryError} from './history-error.js';
+import type {HistoryStore} from './history-store.js';
+import type {IndexedProgram} from './indexed-program.js';
+import {encodeEntry} from './log/encode-entry.js';
+import type {EntryMeta} from './log/entry-meta.js';
+import type {LogWriter} from './log/open-log-writer.js';
+
+const MOST_SHARDS = 100_000;
+
+type Writes = Pick<HistoryStore, 'startProgram' | 'appendTurn' | 'endProgram' | 'repairProgram' | 'fenceShard'>;
+type Written = Promise<Result<void, HistoryError>>;
+
+const mismatch = ({digest, turns}: IndexedProgram): HistoryError => ({kind: 'mismatch', expected: digest, turns});
+
+/** Creates the writes over an index that this object alone changes. */
+export const createWrites = (index: ProgramIndex, writer: LogWriter, readHistory: HistoryStore['readHistory']): Writes => {
+	const write = async (meta: EntryMeta, body?: unknown): Written => {
+		const {location, done} = writer.append(encodeEntry(meta, body));
+		index.apply(meta, location);
+		return done;
+	};
+
+	const checkShard = (shard: ShardId | undefined, epoch: Epoch): Result<void, HistoryError> => {
+		if (shard === undefined) {
+			return err({kind: 'invalid', message: 'the program id names no shard'});
+		}
+
+		const seen = index.fences.get(shard);
+		return seen !== undefined && epoch < seen ? err({kind: 'fenced', epoch: seen}) : ok();
+	};
+
+	const checkProgram = (program: ProgramId, epoch: Epoch): Result<void, HistoryError> => checkShard(shardOfProgram(program, MOST_SHARDS), epoch);
+
+	const find = (program: ProgramId, epoch: Epoch): Result<IndexedProgram, HistoryError> => checkProgram(program, epoch).andThen((): Result<IndexedProgram, HistoryError> => {
+		const found = index.programs.get(program);
+		return found ? ok(found) : err({kind: 'unknown-program'});
+	});
+
+	/** A turn that the copy holds already is accepted once it is known to be on the disk. */
+	const repeatTurn = async (turn: TurnRecord, program: IndexedProgram): Written => {
+		const history = await readHistory(turn.program);
+		return history.andThen(({turns}): Result<void, HistoryError> => turns[turn.turn - 1]?.digest === turn.digest ? ok() : err(mismatch(program)));
+	};
+
+	return {
+		async startProgram(header, epoch) {
+			const checked = checkProgram(header.program, epoch);
+			if (checked.isErr()) {
+				return checked;
+			}
+
+			if (!index.programs.has(header.program)) {
+				return write({kind: 'start', program: header.program, epoch}, header);
+			}
+
+			const history = await readHistory(header.program);
+			return history.andThen((held): Result<void, HistoryError> => JSON.stringify(held.header) === JSON.stringify(header)
+				? ok()
+				: err({kind: 'invalid', message: 'the program stands here with another header'}));
+		},
+		async appendTurn(turn, epoch) {
+			const found = find(turn.program, epoch);
+			if (found.isErr()) {
+				return err(found.error);
+			}
+
+			const program = found.value;
+			if (computeDigest(turn) !== turn.digest) {
+				return err({kind: 'invalid', message: 'the turn does not match its digest'});
+			}
+
+			if (turn.turn <= program.turns) {
+				return repeatTurn(turn, program);
+			}
+
+			if (program.endedAt !== undefined) {
+				return err({kind: 'ended'});
+			}
+
+			if (turn.previous !== program.digest || turn.turn !== program.turns + 1) {
+				return err(mismatch(program));
+			}
+
+			const {turn: number, previous, digest} = turn;
+			return write({
+				kind: 'turn', program: turn.program, epoch, turn: number, previous, digest, link: program.last,
+			}, turn);
+		},
+		async endProgram(program, epoch) {
+			const found = find(program, epoch);
+			if (found.isErr()) {
+				return err(found.error);
+			}
+
+			return found.value.endedAt === undefined
+				? write({
+					kind: 'end', program, epoch, at: Date.now(), link: found.value.last,
+				})
+				: writer.flush();
+		},
+		async repairProgram(header, turns, epoch) {
+			const digest = verifyChain(header, turns);
+			const checked = checkProgram(header.program, epoch);
+			if (checked.isErr() || digest.isErr()) {
+				return err(checked.isErr() ? checked.error : {kind: 'invalid', message: 'the history is no valid chain'});
+			}
+
+			return write({
+				kind: 'copy', program: header.program, epoch, turns: turns.length, digest: digest.value,
+			}, {header, turns});
+		},
+		async fenceShard(shard, epoch) {
+			const checked = checkShard(shard, epoch);
+			if (checked.isErr()) {
+				return checked;
+			}
+
+			return index.fences.get(shard) === epoch ? writer.flush() : write({kind: 'fence', shard, epoch});
+		},
+	};
+};
--- /dev/null
+++ b/packages/history/src/log/open-log-writer.ts
@@ -0,0 +1,135 @@
+/**
+Appends lines to segment files with group commit: lines that are given while
+an fsync is under way share the next one.
+*/
+import {Buffer} from 'node:buffer';
+import {open, type FileHandle} from 'node:fs/promises';
+import {err, ok, type Result} from 'neverthrow';
+import type {HistoryError} from '../history-error.js';
+import type {Location} from './location.js';
+import {segmentFiles} from './segment-files.js';
+import {syncFolder} from './sync-folder.js';
+
+type Chunk = {readonly segment: number; readonly bytes: Uint8Array};
+
+/** Where a line will stand, known at once, and when it has reached the disk. */
+type PendingAppend = {
+	readonly location: Location;
+	readonly done: Promise<Result<void, HistoryError>>;
+};
+
+/** The only writer of a data folder. */
+export type LogWriter = {
+	readonly append: (line: Uint8Array) => PendingAppend;
+	/** Resolves when every line given so far has reached the disk. */
+	readonly flush: () => Promise<Result<void, HistoryError>>;
+	readonly segment: () => number;
+	/** Number of fsyncs so far, which group commit keeps below the number of appends. */
+	readonly syncs: () => number;
+	readonly close: () => Promise<void>;
+};
+
+/** `beginSegment` gives the lines that every new segment begins with. After a failed write nothing more is written. */
+export const openLogWriter = (options: {
+	readonly folder: string;
+	readonly firstSegment: number;
+	readonly segmentBytes: number;
+	readonly beginSegment: () => readonly Uint8Array[];
+	/** Told of every line as it is queued. */
+	readonly onWritten?: (segment: number, length: number) => void;
+}): LogWriter => {
+	const {folder, segmentBytes, beginSegment, onWritten} = options;
+	let segment = options.firstSegment - 1;
+	let offset = Infinity;
+	let queue: Chunk[] = [];
+	let nextCycle: Promise<Result<void, HistoryError>> | undefined;
+	let currentCycle: Promise<unknown> = Promise.resolve();
+	let failure: HistoryError | undefined;
+	let file: {readonly segment: number; readonly handle: FileHandle} | undefined;
+	let syncs = 0;
+
+	const closeFile = async (): Promise<void> => {
+		await file?.handle.datasync();
+		await file?.handle.close();
+		file = undefined;
+	};
+
+	const openSegment = async (number: number): Promise<FileHandle> => {
+		if (file?.segment !== number) {
+			await closeFile();
+			file = {segment: number, handle: await open(segmentFiles.pathOf(folder, number), 'ax')};
+			await syncFolder(folder);
+		}
+
+		return file.handle;
+	};
+
+	const writeQueue = async (): Promise<void> => {
+		const chunks = queue;
+		queue = [];
+		for (const number of new Set(chunks.map(chunk => chunk.segment))) {
+			const handle = await openSegment(number);
+			const bytes = Buffer.concat(chunks.filter(chunk => chunk.segment === number).map(chunk => chunk.bytes));
+			await handle.appendFile(bytes);
+		}
+
+		syncs++;
+		await file?.handle.datasync();
+	};
+
+	const runCycle = async (previous: Promise<unknown>): Promise<Result<void, HistoryError>> => {
+		await previous;
+		nextCycle = undefined;
+		try {
+			if (!failure) {
+				await writeQueue();
+			}
+		} catch (error) {
+			failure = {kind: 'io', message: error instanceof Error ? error.message : String(error)};
+		}
+
+		return failure ? err(failure) : ok();
+	};
+
+	const flush = async (): Promise<Result<void, HistoryError>> => {
+		if (!nextCycle) {
+			nextCycle = runCycle(currentCycle);
+			currentCycle = nextCycle;
+		}
+
+		return nextCycle;
+	};
+
+	const enqueue = (line: Uint8Array): Location => {
+		const location = {segment, offset, length: line.length - 1};
+		queue.push({segment, bytes: line});
+		offset += line.length;
+		onWritten?.(segment, line.length);
+		return location;
+	};
+
+	const roll = (): void => {
+		segment++;
+		offset = 0;
+		for (const line of beginSegment()) {
+			enqueue(line);
+		}
+	};
+
+	return {
+		append(line) {
+			if (offset >= segmentBytes) {
+				roll();
+			}
+
+			return {location: enqueue(line), done: flush()};
+		},
+		flush,
+		segment: () => segment,
+		syncs: () => syncs,
+		async close() {
+			await flush();
+			await closeFile();
+		},
+	};
+};
--- /dev/null
+++ b/packages/history/src/log/read-entry.ts
@@ -0,0 +1,27 @@
+/**
+Reads one entry of the log from the disk.
+*/
+import {Buffer} from 'node:buffer';
+import {open, type FileHandle} from 'node:fs/promises';
+import {err, ok, type Result} from 'neverthrow';
+import type {HistoryError} from '../history-error.js';
+import {decodeEntry} from './decode-entry.js';
+import type {Location} from './location.js';
+import {segmentFiles} from './segment-files.js';
+
+/** Fails with `corrupt` if the line no longer matches its checksum. */
+export const readEntry = async (folder: string, location: Location): Promise<Result<NonNullable<ReturnType<typeof decodeEntry>>, HistoryError>> => {
+	const file = segmentFiles.pathOf(folder, location.segment);
+	let handle: FileHandle | undefined;
+	try {
+		handle = await open(file, 'r');
+		const line = Buffer.alloc(location.length);
+		await handle.read(line, 0, location.length, location.offset);
+		const entry = decodeEntry(line);
+		return entry ? ok(entry) : err({kind: 'corrupt', file, offset: location.offset});
+	} catch (error) {
+		return err({kind: 'io', message: error instanceof Error ? error.message : String(error)});
+	} finally {
+		await handle?.close();
+	}
+};
--- /dev/null
+++ b/packages/history/src/recover-index.ts
@@ -0,0 +1,58 @@
+/**
+Rebuilds the index from the segment files after a start.
+*/
+import {open, readFile, unlink} from 'node:fs/promises';
+import {err, ok, type Result} from 'neverthrow';
+import {createProgramIndex, type ProgramIndex} from './create-program-index.js';
+import type {HistoryError} from './history-error.js';
+import {scanSegment} from './log/scan-segment.js';
+import {segmentFiles} from './log/segment-files.js';
+import {syncFolder} from './log/sync-folder.js';
+
+type Recovery = {readonly index: ProgramIndex; readonly nextSegment: number; readonly segmentBytes: ReadonlyMap<number, number>};
+
+const cutTornTail = async (folder: string, file: string, validBytes: number): Promise<void> => {
+	if (validBytes === 0) {
+		await unlink(file);
+		await syncFolder(folder);
+		return;
+	}
+
+	const handle = await open(file, 'r+');
+	try {
+		await handle.truncate(validBytes);
+		await handle.sync();
+	} finally {
+		await handle.close();
+	}
+};
+
+/** A torn tail of the last segment is cut; unreadable bytes anywhere else fail with `corrupt`. */
+export const recoverIndex = async (folder: string): Promise<Result<Recovery, HistoryError>> => {
+	const index = createProgramIndex();
+	const segmentBytes = new Map<number, number>();
+	const segments = await segmentFiles.list(folder);
+	for (const segment of segments) {
+		const file = segmentFiles.pathOf(folder, segment);
+		const bytes = await readFile(file);
+		const {entries, validBytes, isDamaged} = scanSegment(bytes);
+		if (isDamaged || (validBytes < bytes.length && segment !== segments.at(-1))) {
+			return err({kind: 'corrupt', file, offset: validBytes});
+		}
+
+		const stray = entries.find(({meta, offset, length}) => !index.apply(meta, {segment, offset, length}));
+		if (stray) {
+			return err({kind: 'corrupt', file, offset: stray.offset});
+		}
+
+		if (validBytes === 0 || validBytes < bytes.length) {
+			await cutTornTail(folder, file, validBytes);
+		}
+
+		if (validBytes > 0) {
+			segmentBytes.set(segment, validBytes);
+		}
+	}
+
+	return ok({index, nextSegment: (segments.at(-1) ?? 0) + 1, segmentBytes});
+};
