--- a/packages/core/src/owner/fold-shard-log.ts
+++ b/packages/core/src/owner/fold-shard-log.ts
@@ -25,9 +25,14 @@
 				epoch: item.epoch,
 				owner: {host: item.owner, instance: item.instance, peerAddress: item.peerAddress},
 				holders: item.holders,
+				sources: item.sources,
 			};
 		}
 
+		case 'refilled': {
+			return {...state, sources: []};
+		}
+
 		case 'hand-over': {
 			const {owner: _, ...rest} = state;
 			return rest;
