--- /dev/null
+++ b/packages/entry/src/history/create-history-client.ts
@@ -0,0 +1,115 @@
+/**
+Reads and writes copies on several holders at once, with quorums that always
+have a holder in common (packages/core/src/owner/count-read-quorum.ts).
+*/
+import {err, ok, type Result} from 'neverthrow';
+import {chooseLongestValidChain} from '@siskinhub/core/history/choose-longest-valid-chain.js';
+import type {ProgramHistory} from '@siskinhub/core/history/program-history.js';
+import type {ProgramId} from '@siskinhub/core/ids/program-id.js';
+import {countReadQuorum} from '@siskinhub/core/owner/count-read-quorum.js';
+import {countWriteQuorum} from '@siskinhub/core/owner/count-write-quorum.js';
+import type {HistoryHolder} from '@siskinhub/core/owner/history-holder.js';
+import type {Refusal} from '@siskinhub/core/refusal/refusal.js';
+import type {Body} from '@siskinhub/peer/body.js';
+import type {BodyInit} from '@siskinhub/peer/body-init.js';
+import type {AskPeer} from '../ask-peer.js';
+import {decodeHistory} from './decode-history.js';
+import {encodeTurn} from './encode-turn.js';
+import type {HistoryClient} from './history-client.js';
+import {reachQuorum} from './reach-quorum.js';
+
+const HOLDER_TIMEOUT_MS = 3000;
+const RETRY_AFTER_MS = 1000;
+/** Waits between attempts to find enough holders. */
+const READ_ATTEMPTS = 3;
+
+type HolderReply = {readonly holder: HistoryHolder; readonly body: Body};
+
+const tooFew = (what: string): Refusal => ({
+	code: 'unavailable',
+	message: `Too few history holders answered to ${what}; send the same request again.`,
+	retryAfterMs: RETRY_AFTER_MS,
+});
+
+const isAcknowledged = ({body}: HolderReply): boolean => body.case === 'acknowledged';
+
+/** Creates the client; it keeps nothing. */
+export const createHistoryClient = (ask: AskPeer): HistoryClient => {
+	const askHolder = async (holder: HistoryHolder, body: BodyInit): Promise<HolderReply | undefined> => {
+		const reply = await ask(holder.peerAddress, body, {timeoutMs: HOLDER_TIMEOUT_MS});
+		return reply.isOk() ? {holder, body: reply.value} : undefined;
+	};
+
+	const write = async (holders: readonly HistoryHolder[], body: BodyInit, what: string): Promise<Result<void, Refusal>> => {
+		const {reached, replies} = await reachQuorum(
+			holders.map(async holder => askHolder(holder, body)),
+			isAcknowledged,
+			countWriteQuorum(holders.length),
+		);
+		if (reached) {
+			return ok();
+		}
+
+		const refused = replies.find(reply => reply.body.case === 'refused');
+		return refused?.body.case === 'refused'
+			? err({code: 'unavailable', message: `A history holder refused to ${what}: ${refused.body.value.message}`, retryAfterMs: RETRY_AFTER_MS})
+			: err(tooFew(what));
+	};
+
+	const readCopies = async (holders: readonly HistoryHolder[], program: ProgramId): Promise<Result<readonly ProgramHistory[], Refusal>> => {
+		for (let attempt = 0; attempt < READ_ATTEMPTS; attempt++) {
+			const {reached, replies} = await reachQuorum(
+				holders.map(async holder => askHolder(holder, {case: 'readHistory', value: {program}})),
+				reply => reply.body.case === 'history',
+				holders.length,
+			);
+			const copies = replies.flatMap(({body}) => body.case === 'history' ? [body.value] : []);
+			if (reached || copies.length >= countReadQuorum(holders.length)) {
+				return ok(copies.flatMap(copy => decodeHistory(copy) ?? []));
+			}
+		}
+
+		return err(tooFew('read the history'));
+	};
+
+	return {
+		writeHeader: async ({shard, epoch, holders}, header) => write(holders, {case: 'writeHeader', value: {shard, epoch: BigInt(epoch), header}}, 'store the program'),
+		appendTurn: async ({shard, epoch, holders}, turn) => write(holders, {case: 'appendTurn', value: {shard, epoch: BigInt(epoch), turn: encodeTurn(turn)}}, 'store the turn'),
+		markEnded: async ({shard, epoch, holders}, program) => write(holders, {case: 'markEnded', value: {shard, epoch: BigInt(epoch), program}}, 'end the program'),
+		repair: async ({shard, epoch, holders}, {header, turns, ended}) => write(
+			holders,
+			{case: 'repairProgram', value: {shard, epoch: BigInt(epoch), history: {header, turns: turns.map(turn => encodeTurn(turn)), ended}}},
+			'repair the history',
+		),
+		async readLongest(holders, program) {
+			const copies = await readCopies(holders, program);
+			return copies.map(found => {
+				const longest = chooseLongestValidChain(found);
+				return longest && {...longest, ended: found.some(copy => copy.ended)};
+			});
+		},
+		async readAt(holders, program, digest) {
+			const copies = await readCopies(holders, program);
+			if (copies.isErr()) {
+				return err(copies.error);
+			}
+
+			for (const {header, turns, ended} of copies.value) {
+				const end = digest === '' ? 0 : turns.findIndex(turn => turn.digest === digest) + 1;
+				if (digest === '' || end > 0) {
+					return ok({header, turns: turns.slice(0, end), ended});
+				}
+			}
+
+			return err({code: 'history-mismatch', message: 'No holder has the history that the program\'s owner names; send the whole history with the call.'});
+		},
+		async fence({shard, epoch, holders}) {
+			const replies = await Promise.all(holders.map(async holder => askHolder(holder, {
+				case: 'fenceShard',
+				value: {shard, epoch: BigInt(epoch), dataFolderId: holder.dataFolderId},
+			})));
+			const fenced = replies.flatMap(reply => reply && isAcknowledged(reply) ? [reply.holder] : []);
+			return fenced.length >= countReadQuorum(holders.length) ? ok(fenced) : err(tooFew('take the shard over'));
+		},
+	};
+};
--- /dev/null
+++ b/packages/entry/src/owner/create-shard-owner.ts
@@ -0,0 +1,321 @@
+/**
+Decides for the programs of one shard: order, limits, budget, upstream, and what
+may run once only. Nothing here moves an answer's bytes.
+
+What must outlive the process goes into the shard's log before a reply that
+depends on it: the claim of a non-idempotent call, and the word that a request
+will not run. An append that fails because another owner has taken over makes
+this owner answer `not-owner` from then on.
+*/
+import type {ClaimId} from '@siskinhub/core/ids/claim-id.js';
+import type {ProgramId} from '@siskinhub/core/ids/program-id.js';
+import type {RequestId} from '@siskinhub/core/ids/request-id.js';
+import type {TurnNumber} from '@siskinhub/core/ids/turn-number.js';
+import type {WorkspaceId} from '@siskinhub/core/ids/workspace-id.js';
+import type {Digest} from '@siskinhub/core/ids/digest.js';
+import type {ProgramHeader} from '@siskinhub/core/history/program-header.js';
+import type {ClosedFate} from '@siskinhub/core/owner/closed-fate.js';
+import {decideGrant} from '@siskinhub/core/owner/decide-grant.js';
+import type {OpenProgram} from '@siskinhub/core/owner/open-program.js';
+import type {OwnedCall} from '@siskinhub/core/owner/owned-call.js';
+import type {ShardLogItem} from '@siskinhub/core/owner/shard-log-item.js';
+import type {BodyInit} from '@siskinhub/peer/body-init.js';
+import {Fate, type GrantRequest, type Release, type StartProgram} from '@siskinhub/proto/gen/siskinhub/peer/v1/peer_pb.js';
+import {createGrantGiver} from './create-grant-giver.js';
+import {createProgramBook} from './create-program-book.js';
+import {endPrograms} from './end-programs.js';
+import {refuse} from './refuse.js';
+import type {ShardOwner} from './shard-owner.js';
+import type {ShardOwnerOptions} from './shard-owner-options.js';
+import {viewProgram} from './view-program.js';
+
+const ACKNOWLEDGED: BodyInit = {case: 'acknowledged', value: {}};
+/** Time that a word of not-run may take to become durable before it is given all the same. */
+const CLOSE_TIMEOUT_MS = 2000;
+
+const FATES: Readonly<Partial<Record<Fate, ClosedFate>>> = {
+	[Fate.NOT_RUN]: 'not-run',
+	[Fate.UNKNOWN]: 'outcome-unknown',
+	[Fate.CANCELLED]: 'cancelled',
+};
+
+/** Creates the owner of a shard whose log this process has just taken over. */
+export const createShardOwner = (options: ShardOwnerOptions): ShardOwner => {
+	const {shard, epoch, shardLog, holders, histories, upstreams, crashes, orders, log} = options;
+	const place = {shard, epoch, holders};
+	const book = createProgramBook(options);
+	const giver = createGrantGiver(options, book);
+	const notOwner: BodyInit = {case: 'notOwner', value: {shard}};
+	let isLeaving = false;
+
+	const append = async (item: ShardLogItem, timeoutMs?: number) => shardLog.append(item, timeoutMs === undefined ? {} : {timeoutMs});
+
+	const freeTurn = (program: OpenProgram, call: OwnedCall) => {
+		if (program.current === call) {
+			program.current = undefined;
+		}
+
+		if (call.grant && !call.grant.inherited) {
+			upstreams.noteEnded(call.grant.upstream);
+		}
+
+		book.signal(program.header.program);
+	};
+
+	/** Makes sure that the request never runs again under its id, whoever owns the shard. */
+	const closeRequest = async (program: OpenProgram, requestId: RequestId, turn: TurnNumber, fate: ClosedFate) => {
+		program.closed.set(requestId, fate);
+		await append({kind: 'close', program: program.header.program, turn, requestId, fate}, CLOSE_TIMEOUT_MS);
+	};
+
+	const grant: ShardOwner['grant'] = async message => {
+		const deadlineAt = Date.now() + message.deadlineMs;
+		const question = {
+			workspace: message.workspace as WorkspaceId,
+			turn: message.turn as TurnNumber,
+			requestId: message.requestId as RequestId,
+			after: message.after,
+		};
+		for (;;) {
+			if (shardLog.isFenced() || isLeaving) {
+				return notOwner;
+			}
+
+			const found = await book.find(message.program as ProgramId);
+			if (found.isErr()) {
+				return refuse(found.error);
+			}
+
+			const program = found.value;
+			program.lastSeenAt = Date.now();
+			const decision = decideGrant(program, question);
+			switch (decision.kind) {
+				case 'refuse': {
+					return refuse(decision.refusal);
+				}
+
+				case 'recorded': {
+					return {case: 'recorded', value: {turn: decision.turn, holders: [...holders]}};
+				}
+
+				case 'attach': {
+					return giver.repeat(program, decision.call);
+				}
+
+				case 'go': {
+					return giver.give(program, message, deadlineAt, closeRequest);
+				}
+
+				case 'wait': {
+					const remainingMs = deadlineAt - Date.now();
+					if (remainingMs <= 0) {
+						return refuse(decision.refusalAtDeadline);
+					}
+
+					await book.waitForChange(program.header.program, remainingMs);
+				}
+			}
+		}
+	};
+
+	const settle: ShardOwner['settle'] = async message => {
+		const found = await book.find(message.program as ProgramId);
+		if (found.isErr()) {
+			return refuse(found.error);
+		}
+
+		const program = found.value;
+		const requestId = message.requestId as RequestId;
+		if (program.stored.has(requestId)) {
+			return ACKNOWLEDGED;
+		}
+
+		const call = program.current;
+		if (call?.requestId !== requestId || call.turn !== message.turn) {
+			return notOwner;
+		}
+
+		const tokens = Number(message.promptTokens + message.outputTokens);
+		program.stored.set(requestId, call.turn);
+		program.digest = message.digest as Digest;
+		program.nextTurn = (call.turn + 1) as TurnNumber;
+		program.spentTokens += tokens;
+		program.historyTokens = tokens;
+		program.turnEndedAt = Date.now();
+		program.lastSeenAt = Date.now();
+		giver.settle(program, call, tokens, Number(message.slotMs));
+		crashes.noteSuccess(call.fingerprint);
+		freeTurn(program, call);
+		const onRecord = shardLog.state().programs[program.header.program];
+		if (!call.idempotent || onRecord) {
+			void append({kind: 'advance', program: program.header.program, turn: call.turn});
+		}
+
+		return ACKNOWLEDGED;
+	};
+
+	const isMayHaveRun = (message: Release) => message.fate !== Fate.NOT_RUN;
+
+	const release: ShardOwner['release'] = async message => {
+		const found = await book.find(message.program as ProgramId);
+		if (found.isErr()) {
+			return refuse(found.error);
+		}
+
+		const program = found.value;
+		const call = program.current;
+		if (call?.grant?.claim !== message.claim) {
+			return ACKNOWLEDGED;
+		}
+
+		if (message.upstreamCrashed) {
+			crashes.noteCrash(call.fingerprint, message.ranAlone);
+		}
+
+		giver.release(program, call, isMayHaveRun(message), Number(message.usedTokens));
+		const isUncertain = !call.idempotent && isMayHaveRun(message);
+		const fate = isUncertain ? 'outcome-unknown' : FATES[message.fate];
+		if (isUncertain || (message.final && fate)) {
+			const closed: ClosedFate = isUncertain ? 'outcome-unknown' : (fate ?? 'not-run');
+			await closeRequest(program, call.requestId, call.turn, closed);
+		}
+
+		freeTurn(program, call);
+		return ACKNOWLEDGED;
+	};
+
+	const createHeader = (message: StartProgram): ProgramHeader => ({
+		program: message.program as ProgramId,
+		workspace: message.workspace as WorkspaceId,
+		kind: message.kind,
+		deployment: message.deployment,
+		...(message.parent !== '' && {parent: message.parent as ProgramId}),
+		startedAt: Date.now(),
+	});
+
+	const checkParent = async (header: ProgramHeader): Promise<BodyInit | undefined> => {
+		if (!header.parent) {
+			return undefined;
+		}
+
+		const parent = await book.find(header.parent);
+		if (parent.isErr()) {
+			return refuse(parent.error);
+		}
+
+		if (parent.value.header.workspace !== header.workspace) {
+			return refuse({code: 'wrong-workspace', message: 'The parent program belongs to another workspace.'});
+		}
+
+		if (parent.value.ended) {
+			return refuse({code: 'program-ended', message: 'The parent program has ended.'});
+		}
+
+		parent.value.children.add(header.program);
+		return undefined;
+	};
+
+	const startProgram: ShardOwner['startProgram'] = async message => {
+		if (shardLog.isFenced() || isLeaving) {
+			return notOwner;
+		}
+
+		const header = createHeader(message);
+		const limits = options.limitsOf(header);
+		if (limits.isErr()) {
+			return refuse(limits.error);
+		}
+
+		const refusal = await checkParent(header);
+		if (refusal) {
+			return refusal;
+		}
+
+		const written = await histories.writeHeader(place, header);
+		return written.isErr() ? refuse(written.error) : viewProgram(book.add(header), epoch, holders);
+	};
+
+	const ender = endPrograms({...options, book, closeRequest, freeTurn, giver});
+
+	return {
+		shard,
+		epoch,
+		startProgram,
+		grant,
+		settle,
+		release,
+		async getProgram(message) {
+			const found = await book.find(message.program as ProgramId);
+			if (found.isErr()) {
+				return refuse(found.error);
+			}
+
+			if (message.workspace !== '' && message.workspace !== found.value.header.workspace) {
+				return refuse({code: 'wrong-workspace', message: 'The program belongs to another workspace.'});
+			}
+
+			return viewProgram(found.value, epoch, holders);
+		},
+		async endProgram(message) {
+			const found = await book.find(message.program as ProgramId);
+			if (found.isErr()) {
+				return refuse(found.error);
+			}
+
+			if (message.workspace !== '' && message.workspace !== found.value.header.workspace) {
+				return refuse({code: 'wrong-workspace', message: 'The program belongs to another workspace.'});
+			}
+
+			const ended = await ender.end(found.value);
+			return ended.isErr() ? refuse(ended.error) : viewProgram(found.value, epoch, holders);
+		},
+		async cancel(message) {
+			const found = await book.find(message.program as ProgramId);
+			if (found.isErr()) {
+				return refuse(found.error);
+			}
+
+			const program = found.value;
+			if (message.workspace !== '' && message.workspace !== program.header.workspace) {
+				return refuse({code: 'wrong-workspace', message: 'The program belongs to another workspace.'});
+			}
+
+			const call = program.current;
+			if (call?.requestId !== message.requestId) {
+				return refuse({code: 'unknown-request', message: 'No such request is running; it may have ended already.'});
+			}
+
+			call.cancelled = true;
+			if (call.grant) {
+				orders.cancelRun(call.grant.sidecarAddress, {shard, epoch, claim: call.grant.claim});
+			}
+
+			return ACKNOWLEDGED;
+		},
+		async listAlive(programs) {
+			const alive: string[] = [];
+			for (const id of programs) {
+				const found = await book.find(id as ProgramId);
+				const isGone = found.isErr() ? found.error.code === 'unknown-program' : found.value.ended;
+				if (!isGone) {
+					alive.push(id);
+				}
+			}
+
+			return alive;
+		},
+		openPrograms: () => [...book.all()].filter(program => !program.ended).length,
+		runningCalls: () => [...book.all()].filter(program => program.current !== undefined).length,
+		enforceTimeLimits: ender.enforceTimeLimits,
+		isFenced: shardLog.isFenced,
+		async handOver() {
+			isLeaving = true;
+			for (const program of book.all()) {
+				book.signal(program.header.program);
+			}
+
+			const handedOver = await append({kind: 'hand-over'});
+			log.info('shard handed over', {shard, ok: handedOver.isOk()});
+		},
+	};
+};
--- /dev/null
+++ b/packages/entry/src/owner/shard-owner-options.ts
@@ -0,0 +1,41 @@
+/**
+What the owner of a shard works with.
+*/
+import type {Result} from 'neverthrow';
+import type {Random} from '@siskinhub/core/decide/random.js';
+import type {UpstreamChoice} from '@siskinhub/core/decide/upstream-choice.js';
+import type {ProgramHeader} from '@siskinhub/core/history/program-header.js';
+import type {Epoch} from '@siskinhub/core/ids/epoch.js';
+import type {ProgramId} from '@siskinhub/core/ids/program-id.js';
+import type {ShardId} from '@siskinhub/core/ids/shard-id.js';
+import type {HistoryHolder} from '@siskinhub/core/owner/history-holder.js';
+import type {Refusal} from '@siskinhub/core/refusal/refusal.js';
+import type {Logger} from '@siskinhub/observe/logger.js';
+import type {UpstreamDirectory} from '../directory/upstream-directory.js';
+import type {HistoryClient} from '../history/history-client.js';
+import type {CrashRegister} from './crash-register.js';
+import type {RowLimits} from './row-limits.js';
+import type {ShardLog} from './shard-log.js';
+import type {SidecarOrders} from './sidecar-orders.js';
+import type {TokenReservation} from './token-reservation.js';
+
+/** The shard and the functions through which its owner reaches everything else. */
+export type ShardOwnerOptions = {
+	readonly shard: ShardId;
+	readonly epoch: Epoch;
+	readonly shardLog: ShardLog;
+	readonly holders: readonly HistoryHolder[];
+	readonly sources: readonly HistoryHolder[];
+	readonly histories: HistoryClient;
+	readonly upstreams: UpstreamDirectory;
+	readonly orders: SidecarOrders;
+	readonly crashes: CrashRegister;
+	readonly chooseUpstream: UpstreamChoice;
+	readonly random: Random;
+	readonly createId: () => string;
+	/** Fails with `unknown-row` if a row is missing from the table. */
+	readonly limitsOf: (header: Pick<ProgramHeader, 'workspace' | 'kind' | 'deployment'>) => Result<RowLimits, Refusal>;
+	readonly reserveTokens: (header: ProgramHeader, tokens: number, deadlineMs: number) => Promise<Result<TokenReservation, Refusal>>;
+	readonly onProgramEnded?: (program: ProgramId) => void;
+	readonly log: Logger;
+};
--- /dev/null
+++ b/packages/entry/src/owner/shard-owner.ts
@@ -0,0 +1,32 @@
+/**
+The owner of one shard during one epoch.
+*/
+import type {BodyInit} from '@siskinhub/peer/body-init.js';
+import type {
+	CancelCall, EndProgram, GetProgram, GrantRequest, Release, Settle, StartProgram,
+} from '@siskinhub/proto/gen/siskinhub/peer/v1/peer_pb.js';
+import type {Epoch} from '@siskinhub/core/ids/epoch.js';
+import type {ShardId} from '@siskinhub/core/ids/shard-id.js';
+
+/** Answers each message with the reply to send; no method rejects. */
+export type ShardOwner = {
+	readonly shard: ShardId;
+	readonly epoch: Epoch;
+	readonly startProgram: (message: StartProgram) => Promise<BodyInit>;
+	readonly getProgram: (message: GetProgram) => Promise<BodyInit>;
+	readonly endProgram: (message: EndProgram) => Promise<BodyInit>;
+	readonly grant: (message: GrantRequest) => Promise<BodyInit>;
+	readonly settle: (message: Settle) => Promise<BodyInit>;
+	readonly release: (message: Release) => Promise<BodyInit>;
+	readonly cancel: (message: CancelCall) => Promise<BodyInit>;
+	/** Those of the programs that are open, or that may be. */
+	readonly listAlive: (programs: readonly string[]) => Promise<string[]>;
+	readonly openPrograms: () => number;
+	readonly runningCalls: () => number;
+	/** Ends programs whose time limits have passed. */
+	readonly enforceTimeLimits: () => Promise<void>;
+	/** True once another owner has taken the shard over. */
+	readonly isFenced: () => boolean;
+	/** Takes no new grants, and says so in the log. */
+	readonly handOver: () => Promise<void>;
+};
