--- a/packages/platform/src/log/__tests__/create-faulty-client.ts
+++ b/packages/platform/src/log/__tests__/create-faulty-client.ts
@@ -3,7 +3,7 @@
 dropped, lost after they took effect, or carried out late.
 */
 import {err, ok, type Result} from 'neverthrow';
-import {type createKeyStore} from '@siskinhub/standins/platform/create-key-store.js';
+import {createKeyStore} from '@siskinhub/standins/platform/create-key-store.js';
 import type {StoredKey} from '@siskinhub/standins/platform/stored-key.js';
 import type {PlatformClient} from '../../platform-client.js';
 import type {PlatformError} from '../../platform-error.js';
