--- a/packages/core/src/owner/shard-log-state.ts
+++ b/packages/core/src/owner/shard-log-state.ts
@@ -31,8 +31,8 @@
 	/** Absent before the first takeover and after an orderly handover. */
 	readonly owner?: ShardOwner;
 	readonly holders: readonly HistoryHolder[];
-	/** Earlier holders that may have programs which the present ones still lack. */
-	readonly sources: readonly HistoryHolder[];
+	/** Earlier sets of holders, each with its own quorum, that may have programs which the present ones still lack. */
+	readonly sources: ReadonlyArray<readonly HistoryHolder[]>;
 	/** By program id; only programs with an open claim or a closed request. */
 	readonly programs: Readonly<Record<string, ProgramEntry>>;
 };
--- /dev/null
+++ b/packages/entry/src/calls/call-request.ts
@@ -0,0 +1,27 @@
+/**
+A caller's call after its body was checked.
+*/
+import type {ProgramId} from '@siskinhub/core/ids/program-id.js';
+import type {RequestId} from '@siskinhub/core/ids/request-id.js';
+import type {TurnNumber} from '@siskinhub/core/ids/turn-number.js';
+import type {WorkspaceId} from '@siskinhub/core/ids/workspace-id.js';
+
+type CallTarget =
+	| {readonly kind: 'model'; readonly model: string}
+	| {readonly kind: 'service'; readonly service: string; readonly operation: string};
+
+/** One call of a program. */
+export type CallRequest = {
+	readonly program: ProgramId;
+	readonly workspace: WorkspaceId;
+	readonly turn: TurnNumber;
+	readonly requestId: RequestId;
+	readonly idempotent: boolean;
+	readonly deadlineMs: number;
+	readonly target: CallTarget;
+	/** Chat messages, or the input of a plain service. */
+	readonly input: unknown;
+	readonly maxOutputTokens: number;
+	/** Digest of the history that the caller built on; empty if it did not say. */
+	readonly after: string;
+};
--- /dev/null
+++ b/packages/entry/src/http/call-body.ts
@@ -0,0 +1,31 @@
+/**
+The body of a call.
+*/
+import {z} from 'zod';
+
+const MAX_TURN = 1_000_000;
+const MAX_OUTPUT_TOKENS = 1_000_000;
+const MAX_DEADLINE_MS = 3_600_000;
+const REQUEST_ID_PATTERN = /^[\w.:\-]{1,128}$/v;
+const NAME_LENGTH = 128;
+
+const nameSchema = z.string().min(1).max(NAME_LENGTH);
+
+/** Checks a call; docs/guide/http-api.md describes the fields. */
+export const callBodySchema = z.strictObject({
+	turn: z.int().min(1).max(MAX_TURN),
+	requestId: z.string().regex(REQUEST_ID_PATTERN, 'expected 1 to 128 letters, digits, - _ . :'),
+	idempotent: z.boolean().default(false),
+	deadlineMs: z.int().min(1).max(MAX_DEADLINE_MS).optional(),
+	target: z.union([
+		z.strictObject({model: nameSchema}),
+		z.strictObject({service: nameSchema, operation: z.string().regex(/^[\w\-]{1,128}$/v, 'expected letters, digits, - _')}),
+	], {error: 'expected {"model"} or {"service", "operation"}'}),
+	input: z.unknown(),
+	maxOutputTokens: z.int().min(1).max(MAX_OUTPUT_TOKENS).default(1024),
+	after: z.string().max(NAME_LENGTH).default(''),
+	history: z.unknown().optional(),
+}).refine(call => 'service' in call.target || Array.isArray(call.input), {
+	path: ['input'],
+	message: 'expected an array of chat messages for a model',
+});
--- /dev/null
+++ b/packages/entry/src/http/create-http-server.ts
@@ -0,0 +1,119 @@
+/**
+The HTTP interface for callers and operators.
+*/
+import {once} from 'node:events';
+import {createServer, type IncomingMessage, type ServerResponse} from 'node:http';
+import type {Logger} from '@siskinhub/observe/logger.js';
+import type {HttpRoute} from './http-route.js';
+import {sendRefusal} from './send-refusal.js';
+
+const WORKSPACE_HEADER = 'siskinhub-workspace';
+const OPERATOR_HEADER = 'siskinhub-operator';
+const CLOSE_POLL_MS = 20;
+
+type HttpServer = {
+	/** Where it listens, as `http://IP:PORT`. */
+	readonly address: string;
+	/** Takes no new connections and resolves once the open requests have ended. */
+	readonly close: () => Promise<void>;
+	readonly openRequests: () => number;
+};
+
+type ServerOptions = {
+	readonly ip: string;
+	readonly port: number;
+	readonly routes: readonly HttpRoute[];
+	readonly log: Logger;
+};
+
+const readHeader = (req: IncomingMessage, name: string): string => {
+	const value = req.headers[name];
+	return typeof value === 'string' ? value : '';
+};
+
+const decodeParams = (match: RegExpExecArray): string[] | undefined => {
+	try {
+		return match.slice(1).map(part => decodeURIComponent(part));
+	} catch {
+		return undefined;
+	}
+};
+
+const describeAudienceFault = (route: HttpRoute, workspace: string, operator: string): string | undefined => {
+	if (route.audience === 'caller' && workspace === '') {
+		return `The header ${WORKSPACE_HEADER} is missing; name the caller's workspace.`;
+	}
+
+	if (route.audience === 'operator' && operator === '') {
+		return `The header ${OPERATOR_HEADER} is missing; name the operator.`;
+	}
+
+	return route.audience === 'both' && workspace === '' && operator === ''
+		? `Name the caller's workspace in ${WORKSPACE_HEADER}, or the operator in ${OPERATOR_HEADER}.`
+		: undefined;
+};
+
+/** Starts listening; rejects only if the address cannot be bound. */
+export const createHttpServer = async ({ip, port, routes, log}: ServerOptions): Promise<HttpServer> => {
+	let openRequests = 0;
+
+	const handle = async (req: IncomingMessage, res: ServerResponse) => {
+		const url = new URL(req.url ?? '/', 'http://entry');
+		const matching = routes.filter(route => route.pattern.test(url.pathname));
+		const route = matching.find(candidate => candidate.method === req.method);
+		const match = route?.pattern.exec(url.pathname);
+		if (!route || !match) {
+			sendRefusal(res, {code: 'bad-request', message: `There is no ${req.method} ${url.pathname}; docs/guide/http-api.md lists the requests.`});
+			return;
+		}
+
+		const params = decodeParams(match);
+		const workspace = readHeader(req, WORKSPACE_HEADER);
+		const operator = readHeader(req, OPERATOR_HEADER);
+		const fault = params ? describeAudienceFault(route, workspace, operator) : 'The path is not properly encoded.';
+		if (!params || fault !== undefined) {
+			sendRefusal(res, {code: 'bad-request', message: fault ?? ''});
+			return;
+		}
+
+		// An operator may see every program, so the workspace is left out for them.
+		await route.handle({
+			req, res, url, params, workspace: operator === '' ? workspace : '', operator, traceparent: readHeader(req, 'traceparent'),
+		});
+	};
+
+	const server = createServer(async (req, res) => {
+		openRequests++;
+		try {
+			await handle(req, res);
+		} catch (error) {
+			log.error('a request failed', {path: req.url, error: String(error)});
+			if (res.headersSent) {
+				res.destroy();
+			} else {
+				sendRefusal(res, {code: 'unavailable', message: 'The entry failed; send the same request again.', retryAfterMs: 1000});
+			}
+		} finally {
+			openRequests--;
+		}
+	});
+	server.listen(port, ip);
+	await once(server, 'listening');
+	const address = server.address();
+	const boundPort = typeof address === 'object' && address ? address.port : port;
+
+	return {
+		address: `http://${ip}:${boundPort}`,
+		async close() {
+			server.close();
+			while (openRequests > 0) {
+				await new Promise<void>(resolve => {
+					setTimeout(resolve, CLOSE_POLL_MS);
+				});
+			}
+
+			server.closeAllConnections();
+		},
+		openRequests: () => openRequests,
+	};
+};
--- /dev/null
+++ b/packages/entry/src/http/route-context.ts
@@ -0,0 +1,33 @@
+/**
+What the handlers of HTTP requests work with.
+*/
+import type {ProgramId} from '@siskinhub/core/ids/program-id.js';
+import type {ShardId} from '@siskinhub/core/ids/shard-id.js';
+import type {Random} from '@siskinhub/core/decide/random.js';
+import type {Logger} from '@siskinhub/observe/logger.js';
+import type {ResolvedEntryConfig} from '@siskinhub/settings/resolved-entry-config.js';
+import type {CallRunner} from '../calls/call-runner.js';
+import type {UpstreamDirectory} from '../directory/upstream-directory.js';
+import type {HistoryClient} from '../history/history-client.js';
+import type {OwnerRouter} from '../owner/owner-router.js';
+import type {Ownership} from '../ownership/ownership.js';
+
+/** The parts of an entry that its HTTP interface uses. */
+export type RouteContext = {
+	readonly cfg: ResolvedEntryConfig;
+	readonly instance: string;
+	readonly router: OwnerRouter;
+	readonly calls: CallRunner;
+	readonly histories: HistoryClient;
+	readonly upstreams: UpstreamDirectory;
+	readonly ownership: Ownership;
+	readonly random: Random;
+	readonly createId: () => string;
+	/** Undefined for a text that is no program id of this deployment. */
+	readonly shardOf: (program: ProgramId) => ShardId | undefined;
+	readonly isLeaving: () => boolean;
+	readonly drainUpstream: (sidecarAddress: string) => Promise<boolean>;
+	readonly version: string;
+	readonly tableRevision: () => number;
+	readonly log: Logger;
+};
--- /dev/null
+++ b/packages/entry/src/owner/create-owner-service.ts
@@ -0,0 +1,109 @@
+/**
+Answers messages to the owner of a shard by handing them to the owner that this
+process is, or saying that it is none.
+*/
+import type {ProgramId} from '@siskinhub/core/ids/program-id.js';
+import type {ShardId} from '@siskinhub/core/ids/shard-id.js';
+import type {Body} from '@siskinhub/peer/body.js';
+import type {BodyInit} from '@siskinhub/peer/body-init.js';
+import type {Ownership} from '../ownership/ownership.js';
+import type {ShardMap} from '../ownership/shard-map.js';
+import type {CrashRegister} from './crash-register.js';
+import type {ShardOwner} from './shard-owner.js';
+
+type ServiceOptions = {
+	readonly ownership: () => Ownership;
+	readonly map: ShardMap;
+	readonly crashes: CrashRegister;
+	readonly shardOf: (program: ProgramId) => ShardId | undefined;
+};
+
+/** Answers a message; undefined for one that is about something else. */
+export const createOwnerService = ({ownership, map, crashes, shardOf}: ServiceOptions) => {
+	const withOwner = async (program: string, ask: (owner: ShardOwner) => Promise<BodyInit>): Promise<BodyInit> => {
+		const shard = shardOf(program as ProgramId);
+		const owner = shard === undefined ? undefined : ownership().get(shard);
+		return owner ? ask(owner) : {case: 'notOwner', value: {shard: shard ?? 0}};
+	};
+
+	const listAlive = async (programs: readonly string[]): Promise<BodyInit> => {
+		const alive: string[] = [];
+		for (const program of programs) {
+			const shard = shardOf(program as ProgramId);
+			const owner = shard === undefined ? undefined : ownership().get(shard);
+			if (owner) {
+				alive.push(...await owner.listAlive([program]));
+			} else if (shard !== undefined && !map.ownerOf(shard)) {
+				// Nobody is known to own the shard, so nobody can say that the program ended.
+				alive.push(program);
+			}
+		}
+
+		return {case: 'programsAlive', value: {programs: alive}};
+	};
+
+	const describeOwner = (shard: ShardId): BodyInit => {
+		const owner = map.ownerOf(shard);
+		return {
+			case: 'owners',
+			value: {
+				owners: owner ? [{
+					shard, epoch: BigInt(owner.epoch), host: owner.host, peerAddress: owner.peerAddress,
+				}] : [],
+			},
+		};
+	};
+
+	return async (body: Body): Promise<BodyInit | undefined> => {
+		switch (body.case) {
+			case 'startProgram': {
+				return withOwner(body.value.program, async owner => owner.startProgram(body.value));
+			}
+
+			case 'getProgram': {
+				return withOwner(body.value.program, async owner => owner.getProgram(body.value));
+			}
+
+			case 'endProgram': {
+				return withOwner(body.value.program, async owner => owner.endProgram(body.value));
+			}
+
+			case 'grantRequest': {
+				return withOwner(body.value.program, async owner => owner.grant(body.value));
+			}
+
+			case 'attachCall': {
+				return withOwner(body.value.program, async owner => owner.attach(body.value));
+			}
+
+			case 'settle': {
+				return withOwner(body.value.program, async owner => owner.settle(body.value));
+			}
+
+			case 'release': {
+				return withOwner(body.value.program, async owner => owner.release(body.value));
+			}
+
+			case 'cancelCall': {
+				return withOwner(body.value.program, async owner => owner.cancel(body.value));
+			}
+
+			case 'programsAlive': {
+				return listAlive(body.value.programs);
+			}
+
+			case 'ownersSince': {
+				return describeOwner(body.value.shard as ShardId);
+			}
+
+			case 'quarantine': {
+				crashes.merge(body.value.fingerprint, body.value.crashesAlone);
+				return {case: 'acknowledged', value: {}};
+			}
+
+			default: {
+				return undefined;
+			}
+		}
+	};
+};
--- a/packages/entry/src/owner/create-program-book.ts
+++ b/packages/entry/src/owner/create-program-book.ts
@@ -3,6 +3,7 @@
 for, so that a takeover costs nothing for programs that stay quiet.
 */
 import {err, ok, type Result} from 'neverthrow';
+import type {ProgramHistory} from '@siskinhub/core/history/program-history.js';
 import type {ProgramId} from '@siskinhub/core/ids/program-id.js';
 import {createOpenProgram} from '@siskinhub/core/owner/create-open-program.js';
 import type {OpenProgram} from '@siskinhub/core/owner/open-program.js';
@@ -17,14 +18,20 @@
 	const loading = new Map<ProgramId, Promise<Result<OpenProgram, Refusal>>>();
 	const waiters = new Map<ProgramId, Set<() => void>>();
 
-	const readFrom = async (id: ProgramId) => {
-		const current = await histories.readLongest(holders, id);
-		if (current.isErr() || sources.length === 0) {
-			return current;
+	const readFrom = async (id: ProgramId): Promise<Result<ProgramHistory | undefined, Refusal>> => {
+		let longest: ProgramHistory | undefined;
+		for (const group of [holders, ...sources]) {
+			const read = await histories.readLongest(group, id);
+			if (read.isErr()) {
+				return err(read.error);
+			}
+
+			if ((read.value?.turns.length ?? -1) > (longest?.turns.length ?? -1)) {
+				longest = read.value;
+			}
 		}
 
-		const earlier = await histories.readLongest(sources, id);
-		return earlier.map(history => (history?.turns.length ?? -1) > (current.value?.turns.length ?? -1) ? history : current.value);
+		return ok(longest);
 	};
 
 	const load = async (id: ProgramId): Promise<Result<OpenProgram, Refusal>> => {
--- a/packages/entry/src/owner/create-shard-owner.ts
+++ b/packages/entry/src/owner/create-shard-owner.ts
@@ -7,7 +7,6 @@
 will not run. An append that fails because another owner has taken over makes
 this owner answer `not-owner` from then on.
 */
-import type {ClaimId} from '@siskinhub/core/ids/claim-id.js';
 import type {ProgramId} from '@siskinhub/core/ids/program-id.js';
 import type {RequestId} from '@siskinhub/core/ids/request-id.js';
 import type {TurnNumber} from '@siskinhub/core/ids/turn-number.js';
@@ -20,7 +19,7 @@
 import type {OwnedCall} from '@siskinhub/core/owner/owned-call.js';
 import type {ShardLogItem} from '@siskinhub/core/owner/shard-log-item.js';
 import type {BodyInit} from '@siskinhub/peer/body-init.js';
-import {Fate, type GrantRequest, type Release, type StartProgram} from '@siskinhub/proto/gen/siskinhub/peer/v1/peer_pb.js';
+import {Fate, type Release, type StartProgram} from '@siskinhub/proto/gen/siskinhub/peer/v1/peer_pb.js';
 import {createGrantGiver} from './create-grant-giver.js';
 import {createProgramBook} from './create-program-book.js';
 import {endPrograms} from './end-programs.js';
@@ -33,6 +32,8 @@
 /** Time that a word of not-run may take to become durable before it is given all the same. */
 const CLOSE_TIMEOUT_MS = 2000;
 
+const ATTACH_RETRY_MS = 500;
+
 const FATES: Readonly<Partial<Record<Fate, ClosedFate>>> = {
 	[Fate.NOT_RUN]: 'not-run',
 	[Fate.UNKNOWN]: 'outcome-unknown',
@@ -132,7 +133,7 @@
 
 		const call = program.current;
 		if (call?.requestId !== requestId || call.turn !== message.turn) {
-			return notOwner;
+			return refuse({code: 'unknown-request', message: 'This owner knows no such running call; ask for a grant again.'});
 		}
 
 		const tokens = Number(message.promptTokens + message.outputTokens);
@@ -235,7 +236,7 @@
 		return written.isErr() ? refuse(written.error) : viewProgram(book.add(header), epoch, holders);
 	};
 
-	const ender = endPrograms({...options, book, closeRequest, freeTurn, giver});
+	const ender = endPrograms({...options, book});
 
 	return {
 		shard,
@@ -292,6 +293,40 @@
 
 			return ACKNOWLEDGED;
 		},
+		async attach(message) {
+			const found = await book.find(message.program as ProgramId);
+			if (found.isErr()) {
+				return refuse(found.error);
+			}
+
+			const program = found.value;
+			const requestId = message.requestId as RequestId;
+			const turn = program.stored.get(requestId) ?? (program.current?.requestId === requestId ? program.current.turn : undefined);
+			if (turn === undefined && !program.closed.has(requestId)) {
+				return refuse({code: 'unknown-request', message: 'No such request is known; post the call again.'});
+			}
+
+			const decision = decideGrant(program, {
+				workspace: message.workspace as WorkspaceId, turn: turn ?? program.nextTurn, requestId, after: '',
+			});
+			switch (decision.kind) {
+				case 'recorded': {
+					return {case: 'recorded', value: {turn: decision.turn, holders: [...holders]}};
+				}
+
+				case 'attach': {
+					return giver.repeat(program, decision.call);
+				}
+
+				case 'refuse': {
+					return refuse(decision.refusal);
+				}
+
+				default: {
+					return refuse({code: 'unavailable', message: 'The request is still being recorded; attach again.', retryAfterMs: ATTACH_RETRY_MS});
+				}
+			}
+		},
 		async listAlive(programs) {
 			const alive: string[] = [];
 			for (const id of programs) {
--- a/packages/entry/src/owner/end-programs.ts
+++ b/packages/entry/src/owner/end-programs.ts
@@ -3,18 +3,12 @@
 */
 import {err, ok, type Result} from 'neverthrow';
 import type {OpenProgram} from '@siskinhub/core/owner/open-program.js';
-import type {OwnedCall} from '@siskinhub/core/owner/owned-call.js';
-import type {ClosedFate} from '@siskinhub/core/owner/closed-fate.js';
-import type {RequestId} from '@siskinhub/core/ids/request-id.js';
-import type {TurnNumber} from '@siskinhub/core/ids/turn-number.js';
 import type {Refusal} from '@siskinhub/core/refusal/refusal.js';
 import type {ProgramBook} from './program-book.js';
 import type {ShardOwnerOptions} from './shard-owner-options.js';
 
 type EnderOptions = ShardOwnerOptions & {
 	readonly book: ProgramBook;
-	readonly freeTurn: (program: OpenProgram, call: OwnedCall) => void;
-	readonly closeRequest: (program: OpenProgram, requestId: RequestId, turn: TurnNumber, fate: ClosedFate) => Promise<void>;
 };
 
 type ProgramEnder = {
--- a/packages/entry/src/owner/shard-owner-options.ts
+++ b/packages/entry/src/owner/shard-owner-options.ts
@@ -25,7 +25,8 @@
 	readonly epoch: Epoch;
 	readonly shardLog: ShardLog;
 	readonly holders: readonly HistoryHolder[];
-	readonly sources: readonly HistoryHolder[];
+	/** Earlier sets of holders, each with its own quorum. */
+	readonly sources: ReadonlyArray<readonly HistoryHolder[]>;
 	readonly histories: HistoryClient;
 	readonly upstreams: UpstreamDirectory;
 	readonly orders: SidecarOrders;
--- a/packages/entry/src/owner/shard-owner.ts
+++ b/packages/entry/src/owner/shard-owner.ts
@@ -3,7 +3,7 @@
 */
 import type {BodyInit} from '@siskinhub/peer/body-init.js';
 import type {
-	CancelCall, EndProgram, GetProgram, GrantRequest, Release, Settle, StartProgram,
+	AttachCall, CancelCall, EndProgram, GetProgram, GrantRequest, Release, Settle, StartProgram,
 } from '@siskinhub/proto/gen/siskinhub/peer/v1/peer_pb.js';
 import type {Epoch} from '@siskinhub/core/ids/epoch.js';
 import type {ShardId} from '@siskinhub/core/ids/shard-id.js';
@@ -16,6 +16,8 @@
 	readonly getProgram: (message: GetProgram) => Promise<BodyInit>;
 	readonly endProgram: (message: EndProgram) => Promise<BodyInit>;
 	readonly grant: (message: GrantRequest) => Promise<BodyInit>;
+	/** The grant of a running call, or the place of its recorded answer. */
+	readonly attach: (message: AttachCall) => Promise<BodyInit>;
 	readonly settle: (message: Settle) => Promise<BodyInit>;
 	readonly release: (message: Release) => Promise<BodyInit>;
 	readonly cancel: (message: CancelCall) => Promise<BodyInit>;
--- /dev/null
+++ b/packages/entry/src/ownership/create-ownership.ts
@@ -0,0 +1,241 @@
+/**
+Looks, at a beat, for shards without a live owner and takes over those for which
+this entry ranks first; lower ranks wait a beat longer each, so that one entry
+usually tries at a time. Two that try together are told apart by the log.
+
+An owner keeps one lease, not one for each shard, and announces its shards in
+one key under it.
+*/
+import {err, ok, type Result} from 'neverthrow';
+import type {ShardId} from '@siskinhub/core/ids/shard-id.js';
+import type {Logger} from '@siskinhub/observe/logger.js';
+import type {PlatformClient} from '@siskinhub/platform/platform-client.js';
+import type {HostDirectory} from '../directory/host-directory.js';
+import type {ShardOwner} from '../owner/shard-owner.js';
+import type {Ownership} from './ownership.js';
+import {ownerRecordSchema} from './owner-record.js';
+import {rankCandidates} from './rank-candidates.js';
+import type {ShardMap} from './shard-map.js';
+
+const OWNERS_PREFIX = 'owners/';
+const BEAT_INTERVAL_MS = 500;
+/** Beats that each lower rank waits before it takes a shard over. */
+const BEATS_PER_RANK = 3;
+/** Entries that watch for the loss of a shard's owner; the rest spare the platform's service and ask these. */
+const CANDIDATES_PER_SHARD = 3;
+
+type OwnershipOptions = {
+	readonly shards: number;
+	readonly host: string;
+	readonly instance: string;
+	readonly peerAddress: string;
+	readonly platform: PlatformClient;
+	readonly hosts: HostDirectory;
+	readonly map: ShardMap;
+	readonly hash: (text: string) => number;
+	readonly leaseTtlMs: number;
+	readonly leaseRenewEveryMs: number;
+	/** Takes one shard over; fails with the reason. */
+	readonly takeOver: (shard: ShardId, isAlive: (instance: string) => boolean) => Promise<Result<ShardOwner, string>>;
+	readonly log: Logger;
+};
+
+/** Starts the beats. */
+export const createOwnership = (options: OwnershipOptions): Ownership => {
+	const {shards, host, instance, peerAddress, platform, hosts, map, hash, log} = options;
+	const owned = new Map<ShardId, ShardOwner>();
+	const beatsWithoutOwner = new Map<ShardId, number>();
+	let liveInstances = new Set<string>();
+	let liveOwners = new Map<ShardId, {readonly instance: string; readonly epoch: number}>();
+	let lease: string | undefined;
+	let announced = '';
+	let recordVersion = 0;
+	let isPlatformUp = false;
+	let isLeaving = false;
+	let isBusy = false;
+
+	const readOwners = async (): Promise<boolean> => {
+		const listed = await platform.list(OWNERS_PREFIX);
+		if (listed.isErr()) {
+			return false;
+		}
+
+		liveInstances = new Set();
+		liveOwners = new Map();
+		for (const {value} of listed.value) {
+			const record = ownerRecordSchema.parse(JSON.parse(value));
+			liveInstances.add(record.instance);
+			for (const {shard, epoch} of record.shards) {
+				if (epoch >= (liveOwners.get(shard as ShardId)?.epoch ?? 0)) {
+					liveOwners.set(shard as ShardId, {instance: record.instance, epoch});
+				}
+
+				map.note(shard as ShardId, {host: record.host, peerAddress: record.peerAddress, epoch});
+			}
+		}
+
+		return true;
+	};
+
+	const renewLease = async (): Promise<Result<string, string>> => {
+		if (lease !== undefined) {
+			const renewed = await platform.renewLease(lease);
+			if (renewed.isErr()) {
+				return err(renewed.error.message);
+			}
+
+			if (renewed.value.alive) {
+				return ok(lease);
+			}
+		}
+
+		const granted = await platform.grantLease(options.leaseTtlMs);
+		if (granted.isErr()) {
+			return err(granted.error.message);
+		}
+
+		lease = granted.value.lease;
+		announced = '';
+		recordVersion = 0;
+		return ok(lease);
+	};
+
+	const announce = async (): Promise<void> => {
+		const value = JSON.stringify({
+			host, instance, peerAddress, shards: [...owned.values()].map(({shard, epoch}) => ({shard, epoch})),
+		});
+		if (value === announced || lease === undefined) {
+			return;
+		}
+
+		const key = `${OWNERS_PREFIX}${instance}`;
+		const put = await platform.put({key, value, expectedVersion: recordVersion, lease});
+		if (put.isErr()) {
+			return;
+		}
+
+		if (put.value.kind === 'stored') {
+			recordVersion = put.value.version;
+			announced = value;
+		} else {
+			// The answer to an earlier write was lost; the next beat writes over it.
+			recordVersion = put.value.current?.version ?? 0;
+		}
+	};
+
+	const mayTry = (shard: ShardId): boolean => {
+		const rank = rankCandidates(shard, hosts.entries(), hash).findIndex(entry => entry.id === host);
+		const beats = (beatsWithoutOwner.get(shard) ?? 0) + 1;
+		beatsWithoutOwner.set(shard, beats);
+		return rank !== -1 && rank < CANDIDATES_PER_SHARD && beats > rank * BEATS_PER_RANK;
+	};
+
+	const hasOtherOwner = (shard: ShardId): boolean => (liveOwners.get(shard)?.instance ?? instance) !== instance;
+
+	const tryShard = async (shard: ShardId): Promise<void> => {
+		const taken = await options.takeOver(shard, other => liveInstances.has(other));
+		if (taken.isErr()) {
+			log.debug('shard not taken over', {shard, reason: taken.error});
+			return;
+		}
+
+		owned.set(shard, taken.value);
+		beatsWithoutOwner.delete(shard);
+		map.note(shard, {host, peerAddress, epoch: taken.value.epoch});
+		log.info('shard taken over', {shard, epoch: taken.value.epoch});
+	};
+
+	const dropFenced = (): void => {
+		for (const [shard, owner] of owned) {
+			if (owner.isFenced()) {
+				owned.delete(shard);
+				map.forget(shard, owner.epoch);
+				log.warn('shard lost to another owner', {shard, epoch: owner.epoch});
+			}
+		}
+	};
+
+	const ranksForAny = (): boolean => {
+		for (let shard = 0; shard < shards; shard++) {
+			const rank = rankCandidates(shard as ShardId, hosts.entries(), hash).findIndex(entry => entry.id === host);
+			if (rank !== -1 && rank < CANDIDATES_PER_SHARD) {
+				return true;
+			}
+		}
+
+		return false;
+	};
+
+	const search = async (): Promise<void> => {
+		if (!ranksForAny()) {
+			return;
+		}
+
+		isPlatformUp = await readOwners();
+		if (!isPlatformUp || isLeaving) {
+			return;
+		}
+
+		for (let shard = 0; shard < shards && !isLeaving; shard++) {
+			const id = shard as ShardId;
+			if (hasOtherOwner(id)) {
+				beatsWithoutOwner.delete(id);
+			} else if (!owned.has(id) && mayTry(id)) {
+				await tryShard(id);
+			}
+		}
+
+		await announce();
+	};
+
+	const beat = async (): Promise<void> => {
+		if (isBusy) {
+			return;
+		}
+
+		isBusy = true;
+		dropFenced();
+		await search();
+		isBusy = false;
+	};
+
+	const keepLease = async (): Promise<void> => {
+		const renewed = await renewLease();
+		if (renewed.isErr()) {
+			log.warn('the lease could not be renewed', {reason: renewed.error});
+		} else {
+			await announce();
+		}
+	};
+
+	const beatTimer = setInterval(() => {
+		void beat();
+	}, BEAT_INTERVAL_MS);
+	const leaseTimer = setInterval(() => {
+		void keepLease();
+	}, options.leaseRenewEveryMs);
+	void keepLease();
+
+	const stop = () => {
+		clearInterval(beatTimer);
+		clearInterval(leaseTimer);
+	};
+
+	return {
+		get: shard => owned.get(shard),
+		owned: () => [...owned.values()],
+		isPlatformUp: () => isPlatformUp,
+		async leave() {
+			isLeaving = true;
+			await Promise.all([...owned.values()].map(async owner => owner.handOver()));
+			owned.clear();
+			await announce();
+			if (lease !== undefined) {
+				await platform.revokeLease(lease);
+			}
+
+			stop();
+		},
+		stop,
+	};
+};
--- /dev/null
+++ b/packages/entry/src/ownership/rank-candidates.ts
@@ -0,0 +1,15 @@
+/**
+Orders the entries that may take a shard over.
+*/
+import type {ShardId} from '@siskinhub/core/ids/shard-id.js';
+import type {PlatformHost} from '@siskinhub/platform/platform-host.js';
+
+type Hash = (text: string) => number;
+
+/** Rendezvous hashing: each shard has its own order, and a host that leaves moves no other shard. */
+export const rankCandidates = (shard: ShardId, entries: readonly PlatformHost[], hash: Hash): readonly PlatformHost[] =>
+	entries
+		.filter(entry => entry.state === 'live')
+		.map(entry => ({entry, score: hash(`${shard}/${entry.id}`)}))
+		.toSorted((a, b) => b.score - a.score)
+		.map(({entry}) => entry);
--- a/packages/sidecar/src/create-run-scheduler.ts
+++ b/packages/sidecar/src/create-run-scheduler.ts
@@ -251,6 +251,21 @@
 		}
 	};
 
+	/** An observer learns of a call but never starts or refuses one. */
+	const observe = (grant: Grant, offset: number, observer: RunObserver) => {
+		const run = runs.get(grant.claim as ClaimId);
+		if (run) {
+			attach(run, {
+				onChunk: observer.onChunk,
+				onDone(done) {
+					observer.onDone({...done, input: run.dispatch.input});
+				},
+			}, offset);
+		} else {
+			observer.onDone({fate: Fate.UNKNOWN, reason: 'this sidecar has no such call'});
+		}
+	};
+
 	const submit: RunScheduler['submit'] = (dispatch, observer, traceparent) => {
 		const {grant} = dispatch;
 		if (!grant) {
@@ -258,6 +273,11 @@
 			return;
 		}
 
+		if (dispatch.observe) {
+			observe(grant, Number(dispatch.offset), observer);
+			return;
+		}
+
 		const load = checkLoad(grant);
 		const admitted = registry.admit({
 			claim: grant.claim as ClaimId,
