--- /dev/null
+++ b/packages/core/src/table/cell-change.ts
@@ -0,0 +1,12 @@
+/**
+One change within an edit of the operators' table.
+*/
+import type {CellName} from './cell-name.js';
+import type {RowKey} from './row-key.js';
+
+/** `set` and `clear` need a row that exists; removing a row removes its cells. */
+export type CellChange =
+	| {readonly kind: 'set'; readonly row: RowKey; readonly cell: CellName; readonly value: number}
+	| {readonly kind: 'clear'; readonly row: RowKey; readonly cell: CellName}
+	| {readonly kind: 'add-row'; readonly row: RowKey}
+	| {readonly kind: 'remove-row'; readonly row: RowKey};
--- /dev/null
+++ b/packages/core/src/table/list-row-keys.ts
@@ -0,0 +1,12 @@
+/**
+Names the rows that govern one program.
+*/
+import type {ProgramRows} from './program-rows.js';
+import type {RowKey} from './row-key.js';
+
+/** Returns the program's row keys, the most specific first. */
+export const listRowKeys = ({deployment, kind, workspace}: ProgramRows): readonly RowKey[] => [
+	`workspace/${workspace}` as RowKey,
+	`kind/${kind}` as RowKey,
+	`deployment/${deployment}` as RowKey,
+];
--- a/packages/core/src/table/table-edit.ts
+++ b/packages/core/src/table/table-edit.ts
@@ -2,14 +2,7 @@
 One edit of the operators' table.
 */
 import type {Revision} from '../ids/revision.js';
-import type {CellName} from './cell-name.js';
-import type {RowKey} from './row-key.js';
-
-type CellChange =
-	| {readonly kind: 'set'; readonly row: RowKey; readonly cell: CellName; readonly value: number}
-	| {readonly kind: 'clear'; readonly row: RowKey; readonly cell: CellName}
-	| {readonly kind: 'add-row'; readonly row: RowKey}
-	| {readonly kind: 'remove-row'; readonly row: RowKey};
+import type {CellChange} from './cell-change.js';
 
 /** Changes that are accepted or refused together. */
 export type TableEdit = {
