feat(entry): one request through the whole path, separate processes

A caller posts over HTTP to one entry; the entry gets a grant over Connect from the owner of the program's shard, a second entry; sends the call to the sidecar beside the upstream; the answer streams back in server-sent events; the turn stands on both history holders before the final event.

The entries take longer than 2.5 s to stop when the platform is gone: the handover waits 3 s.

Budgets and the table are not wired yet: every row has the defaults.

--- a/packages/core/src/owner/shard-log-item.ts
+++ b/packages/core/src/owner/shard-log-item.ts
@@ -12,7 +12,15 @@
 
 /** One item; the log's fence makes `take-over` exclude the earlier owner from every later item. */
 export type ShardLogItem =
-	| {readonly kind: 'take-over'; readonly owner: HostId; readonly instance: string; readonly peerAddress: string; readonly epoch: Epoch; readonly holders: readonly HistoryHolder[]; readonly sources: ReadonlyArray<readonly HistoryHolder[]>}
+	| {
+		readonly kind: 'take-over';
+		readonly owner: HostId;
+		readonly instance: string;
+		readonly peerAddress: string;
+		readonly epoch: Epoch;
+		readonly holders: readonly HistoryHolder[];
+		readonly sources: ReadonlyArray<readonly HistoryHolder[]>;
+	}
 	// Every program of the sources stands on the holders now.
 	| {readonly kind: 'refilled'}
 	// The owner leaves in an orderly way; anyone may take over at once.
--- a/packages/entry/src/calls/build-payload.ts
+++ b/packages/entry/src/calls/build-payload.ts
@@ -4,7 +4,17 @@
 import type {ProgramHistory} from '@siskinhub/core/history/program-history.js';
 import type {CallRequest} from './call-request.js';
 
-const toMessages = (input: unknown): unknown[] => Array.isArray(input) ? input : [input];
+type StoredTurn = ProgramHistory['turns'][number];
+
+const isChatMessage = (value: unknown): boolean => typeof value === 'object' && value !== null && 'role' in value;
+
+/** A plain service's turn is shown to the model as a tool's use and its result. */
+const toMessages = (turn: StoredTurn): unknown[] => {
+	const input = JSON.parse(turn.input) as unknown;
+	return Array.isArray(input) && input.every(value => isChatMessage(value))
+		? [...input as unknown[], {role: 'assistant', content: turn.output}]
+		: [{role: 'assistant', content: turn.input}, {role: 'tool', content: turn.output}];
+};
 
 /** For a model: the messages of every earlier turn, each answer as an assistant's message, then the new input. For a plain service: the input alone. */
 export const buildPayload = (call: CallRequest, history: ProgramHistory | undefined): string => {
@@ -12,11 +22,6 @@
 		return JSON.stringify(call.input ?? null);
 	}
 
-	const messages: unknown[] = [];
-	for (const turn of history?.turns ?? []) {
-		messages.push(...toMessages(JSON.parse(turn.input)), {role: 'assistant', content: turn.output});
-	}
-
-	messages.push(...toMessages(call.input));
-	return JSON.stringify(messages);
+	const earlier = (history?.turns ?? []).flatMap(turn => toMessages(turn));
+	return JSON.stringify([...earlier, ...call.input as unknown[]]);
 };
--- a/packages/entry/src/calls/create-call-runner.ts
+++ b/packages/entry/src/calls/create-call-runner.ts
@@ -214,6 +214,7 @@
 				promptTokens: BigInt(done.promptTokens),
 				outputTokens: BigInt(done.outputTokens),
 				slotMs: done.slotMs,
+				storedBytes: BigInt(Buffer.byteLength(turn.input) + Buffer.byteLength(text)),
 			},
 		}, Date.now() + SETTLE_TIMEOUT_MS, progress.traceparent);
 		if (settled.isErr() || settled.value.body.case !== 'acknowledged') {
@@ -322,7 +323,7 @@
 				return waitOrRefuse(progress, result.refusal);
 			}
 
-			if (result.kind === 'lost' || result.done.fate !== 0) {
+			if (result.kind === 'lost' || result.done.fate !== Fate.UNSPECIFIED) {
 				return recover(progress, grant, result);
 			}
 
@@ -386,7 +387,7 @@
 			},
 			traceparent: progress.traceparent,
 		});
-		if (result.kind !== 'done' || result.done.fate !== 0) {
+		if (result.kind !== 'done' || result.done.fate !== Fate.UNSPECIFIED) {
 			return waitOrRefuse(progress, NOT_STORED);
 		}
 
--- a/packages/entry/src/calls/follow-run.ts
+++ b/packages/entry/src/calls/follow-run.ts
@@ -3,7 +3,7 @@
 */
 import {Buffer} from 'node:buffer';
 import {setTimeout as delay} from 'node:timers/promises';
-import type {Done, Grant} from '@siskinhub/proto/gen/siskinhub/peer/v1/peer_pb.js';
+import {type Done, Fate, type Grant} from '@siskinhub/proto/gen/siskinhub/peer/v1/peer_pb.js';
 import type {PeerLink} from '@siskinhub/peer/peer-link.js';
 import type {RunResult} from './run-result.js';
 
@@ -73,7 +73,7 @@
 		const outcome = await attempt();
 		if (outcome.kind === 'done') {
 			const {done} = outcome;
-			const isWhole = done.fate !== 0 || Number(done.bytes) === bytes;
+			const isWhole = done.fate !== Fate.UNSPECIFIED || Number(done.bytes) === bytes;
 			return isWhole ? {kind: 'done', done, text} : {kind: 'lost', reason: `the answer has ${done.bytes} bytes and ${bytes} arrived`};
 		}
 
--- /dev/null
+++ b/packages/entry/src/create-ask-peer.ts
@@ -0,0 +1,32 @@
+/**
+Reaches peers by address. A message to the process itself goes through the same
+encoding, so that both ways behave alike.
+*/
+import {setTimeout as delay} from 'node:timers/promises';
+import {create} from '@bufbuild/protobuf';
+import {err, ok} from 'neverthrow';
+import type {Body} from '@siskinhub/peer/body.js';
+import type {BodyInit} from '@siskinhub/peer/body-init.js';
+import type {PeerPool} from '@siskinhub/peer/peer-pool.js';
+import {EnvelopeSchema} from '@siskinhub/proto/gen/siskinhub/peer/v1/peer_pb.js';
+import type {AskPeer} from './ask-peer.js';
+
+type AskOptions = {
+	readonly ownAddress: string;
+	readonly pool: () => PeerPool;
+	readonly answer: (body: Body) => Promise<BodyInit>;
+};
+
+/** Creates the function for one entry. */
+export const createAskPeer = ({ownAddress, pool, answer}: AskOptions): AskPeer => {
+	const toBody = (body: BodyInit): Body => create(EnvelopeSchema, {body}).body as Body;
+
+	return async (address, body, options) => {
+		if (address !== ownAddress) {
+			return pool().get(address).request(body, options);
+		}
+
+		const reply = await Promise.race([answer(toBody(body)), delay(options.timeoutMs, undefined, {ref: false})]);
+		return reply ? ok(toBody(reply)) : err({kind: 'timeout', message: `no reply within ${options.timeoutMs} ms`});
+	};
+};
--- /dev/null
+++ b/packages/entry/src/create-entry.ts
@@ -0,0 +1,268 @@
+/**
+Puts an entry together: HTTP towards callers and operators, links towards peers,
+the shards it owns and the histories it holds.
+*/
+import {randomInt, randomUUID} from 'node:crypto';
+import {setTimeout as delay} from 'node:timers/promises';
+import {ok} from 'neverthrow';
+import createXxhash from 'xxhash-wasm';
+import {chooseUpstream} from '@siskinhub/core/decide/choose-upstream.js';
+import {createRandom} from '@siskinhub/core/decide/create-random.js';
+import {decideRetry} from '@siskinhub/core/decide/decide-retry.js';
+import type {HostId} from '@siskinhub/core/ids/host-id.js';
+import type {ProgramId} from '@siskinhub/core/ids/program-id.js';
+import type {ShardId} from '@siskinhub/core/ids/shard-id.js';
+import {shardOfProgram} from '@siskinhub/core/ids/shard-of-program.js';
+import type {RowKey} from '@siskinhub/core/table/row-key.js';
+import type {Logger} from '@siskinhub/observe/logger.js';
+import type {Metrics} from '@siskinhub/observe/metrics.js';
+import type {Tracer} from '@siskinhub/observe/tracer.js';
+import type {Body} from '@siskinhub/peer/body.js';
+import type {BodyInit} from '@siskinhub/peer/body-init.js';
+import {createPauseDetector} from '@siskinhub/peer/create-pause-detector.js';
+import {createPeerPool} from '@siskinhub/peer/create-peer-pool.js';
+import {createPeerServer} from '@siskinhub/peer/create-peer-server.js';
+import type {IncomingMessage} from '@siskinhub/peer/incoming-message.js';
+import type {LinkSettings} from '@siskinhub/peer/link-settings.js';
+import type {PeerPool} from '@siskinhub/peer/peer-pool.js';
+import type {PlatformClient} from '@siskinhub/platform/platform-client.js';
+import {Role} from '@siskinhub/proto/gen/siskinhub/peer/v1/peer_pb.js';
+import type {ResolvedEntryConfig} from '@siskinhub/settings/resolved-entry-config.js';
+import {createCallRunner} from './calls/create-call-runner.js';
+import {createAskPeer} from './create-ask-peer.js';
+import {createSidecarOrders} from './create-sidecar-orders.js';
+import {createHostDirectory} from './directory/create-host-directory.js';
+import {createUpstreamDirectory} from './directory/create-upstream-directory.js';
+import type {Entry} from './entry.js';
+import {createHistoryClient} from './history/create-history-client.js';
+import type {HistoryHolderService} from './history/history-holder-service.js';
+import {createCallRoutes} from './http/create-call-routes.js';
+import {createHttpServer} from './http/create-http-server.js';
+import {createOperatorRoutes} from './http/create-operator-routes.js';
+import {createProgramRoutes} from './http/create-program-routes.js';
+import {createCrashRegister} from './owner/create-crash-register.js';
+import {createOwnerRouter} from './owner/create-owner-router.js';
+import {createOwnerService} from './owner/create-owner-service.js';
+import {createShardOwner} from './owner/create-shard-owner.js';
+import {chooseHolders} from './ownership/choose-holders.js';
+import {createOwnership} from './ownership/create-ownership.js';
+import {createShardMap} from './ownership/create-shard-map.js';
+import type {Ownership} from './ownership/ownership.js';
+import {rankCandidates} from './ownership/rank-candidates.js';
+import {takeOverShard} from './ownership/take-over-shard.js';
+
+const MAX_SEED = 2 ** 31;
+const TIME_LIMIT_INTERVAL_MS = 500;
+const HELLO_TIMEOUT_MS = 500;
+const HELLO_POLL_MS = 10;
+const STOP_POLL_MS = 20;
+const DRAIN_TIMEOUT_MS = 2000;
+
+type EntryDependencies = {
+	readonly version: string;
+	readonly platform: PlatformClient;
+	readonly holderService: HistoryHolderService;
+	readonly log: Logger;
+	readonly metrics: Metrics;
+	readonly tracer: Tracer;
+};
+
+/** Starts an entry; rejects only if an address cannot be bound. */
+export const createEntry = async (cfg: ResolvedEntryConfig, dependencies: EntryDependencies): Promise<Entry> => {
+	const {platform, holderService, log, tracer, version} = dependencies;
+	const instance = randomUUID();
+	const createId = () => randomUUID();
+	const random = createRandom(randomInt(MAX_SEED));
+	const {h32} = await createXxhash();
+	const ownAddress = cfg.peer.advertisedAddress;
+	const shardOf = (program: ProgramId) => shardOfProgram(program, cfg.shards);
+	let isLeaving = false;
+
+	// The pool's heartbeats end in the directories, which need the pool to dial.
+	const late: {pool?: PeerPool; ownership?: Ownership} = {};
+	const pool = (): PeerPool => {
+		if (!late.pool) {
+			throw new Error('the peer pool is created before anything uses it');
+		}
+
+		return late.pool;
+	};
+
+	const ownership = (): Ownership => {
+		if (!late.ownership) {
+			throw new Error('the ownership is created before anything asks for it');
+		}
+
+		return late.ownership;
+	};
+
+	const hosts = createHostDirectory(platform, () => {
+		upstreams.sync();
+	});
+	const upstreams = createUpstreamDirectory({hosts, pool, silenceMs: cfg.heartbeat.silenceMs});
+	const map = createShardMap();
+	const crashes = createCrashRegister((fingerprint, crashesAlone) => {
+		for (const entry of hosts.entries()) {
+			if (entry.id !== cfg.host) {
+				pool().get(entry.peerAddress).send({case: 'quarantine', value: {fingerprint, crashesAlone}});
+			}
+		}
+	});
+	const answerAsOwner = createOwnerService({
+		ownership, map, crashes, shardOf,
+	});
+
+	const answer = async (body: Body): Promise<BodyInit> => await holderService.answer(body)
+		?? await answerAsOwner(body)
+		?? {case: 'refused', value: {code: 'bad-request', message: `This entry does not answer ${body.case}.`}};
+
+	const onMessage = async ({body, reply}: IncomingMessage) => {
+		try {
+			reply(await answer(body));
+		} catch (error) {
+			log.error('a peer\'s message failed', {message: body.case, error: String(error)});
+			reply({case: 'refused', value: {code: 'unavailable', message: 'The entry failed; ask again.', retryAfterMs: 1000}});
+		}
+	};
+
+	const settings: LinkSettings = {
+		hello: {
+			host: cfg.host, instance, role: Role.ENTRY, dataCentre: cfg.dataCentre, peerAddress: ownAddress, dataFolderId: holderService.dataFolderId,
+		},
+		heartbeatIntervalMs: cfg.heartbeat.intervalMs,
+		silenceMs: cfg.heartbeat.silenceMs,
+		describeSelf: () => ({leaving: isLeaving}),
+		onMessage(message) {
+			void onMessage(message);
+		},
+		onHeartbeat: upstreams.receiveHeartbeat,
+		pauseDetector: createPauseDetector(cfg.heartbeat.silenceMs, () => {
+			log.warn('the process was paused; links are opened anew');
+		}),
+	};
+	late.pool = createPeerPool(settings);
+	const ask = createAskPeer({ownAddress, pool, answer});
+	const histories = createHistoryClient(ask);
+	const rank = (shard: ShardId) => rankCandidates(shard, hosts.entries(), h32);
+	const router = createOwnerRouter({ask, map, rank});
+	const orders = createSidecarOrders(pool(), hosts);
+
+	const readFolderId = async (address: string): Promise<string> => {
+		if (address === ownAddress) {
+			return holderService.dataFolderId;
+		}
+
+		const link = pool().get(address);
+		const giveUpAt = Date.now() + HELLO_TIMEOUT_MS;
+		while (link.isOpen() && !link.remote() && Date.now() < giveUpAt) {
+			await delay(HELLO_POLL_MS);
+		}
+
+		return link.remote()?.dataFolderId ?? '';
+	};
+
+	const findHolders = async (shard: ShardId) => {
+		const candidates = await Promise.all(rank(shard).map(async entry => ({
+			host: entry.id as HostId,
+			peerAddress: entry.peerAddress,
+			dataCentre: entry.dataCentre,
+			dataFolderId: await readFolderId(entry.peerAddress),
+		})));
+		return chooseHolders(candidates.filter(candidate => candidate.dataFolderId !== ''));
+	};
+
+	late.ownership = createOwnership({
+		shards: cfg.shards,
+		host: cfg.host,
+		instance,
+		peerAddress: ownAddress,
+		platform,
+		hosts,
+		map,
+		hash: h32,
+		leaseTtlMs: cfg.lease.ttlMs,
+		leaseRenewEveryMs: cfg.lease.renewEveryMs,
+		async takeOver(shard, isAlive) {
+			const taken = await takeOverShard({
+				shard,
+				platform,
+				histories,
+				host: cfg.host,
+				instance,
+				peerAddress: ownAddress,
+				createId,
+				commitWindowMs: cfg.commitWindowMs,
+				findHolders: async () => findHolders(shard),
+				isAlive: owner => isAlive(owner.instance),
+			});
+			return taken.map(({shardLog, epoch, holders, sources}) => createShardOwner({
+				shard, epoch, shardLog, holders, sources, histories, upstreams, orders, crashes, chooseUpstream, random, createId, log,
+				limitsOf: ({workspace}) => ok({row: `workspace/${workspace}` as RowKey, limits: {weight: 1, priority: 0}}),
+				reserveTokens: async () => ok({settle() {/* Budgets follow. */}, release() {/* Budgets follow. */}}),
+			}));
+		},
+		log,
+	});
+
+	const calls = createCallRunner({
+		shardOf: program => shardOf(program) ?? 0 as ShardId,
+		router,
+		histories,
+		getLink: address => pool().get(address),
+		decideRetry,
+		random,
+		tracer,
+	});
+	const context = {
+		cfg, instance, version, router, calls, histories, upstreams, ownership: ownership(), random, createId, shardOf, log,
+		isLeaving: () => isLeaving,
+		tableRevision: () => 0,
+		async drainUpstream(address: string) {
+			const reply = await ask(address, {case: 'drainUpstream', value: {}}, {timeoutMs: DRAIN_TIMEOUT_MS});
+			return reply.isOk() && reply.value.case === 'acknowledged';
+		},
+	};
+	const peerServer = await createPeerServer({ip: cfg.peer.ip, port: cfg.peer.port, settings});
+	await hosts.refresh();
+	const http = await createHttpServer({
+		ip: cfg.http.ip,
+		port: cfg.http.port,
+		routes: [...createProgramRoutes(context), ...createCallRoutes(context), ...createOperatorRoutes(context)],
+		log,
+	});
+	const limitTimer = setInterval(() => {
+		for (const owner of ownership().owned()) {
+			void owner.enforceTimeLimits();
+		}
+	}, TIME_LIMIT_INTERVAL_MS);
+	limitTimer.unref();
+	log.info('entry listens', {http: http.address, peer: peerServer.address, instance});
+
+	return {
+		httpAddress: http.address,
+		peerAddress: peerServer.address,
+		async stop() {
+			isLeaving = true;
+			log.info('entry is leaving', {openCalls: calls.open()});
+			await ownership().leave();
+			const closed = http.close();
+			const deadline = Date.now() + cfg.gracefulStopMs;
+			while (http.openRequests() > 0 && Date.now() < deadline) {
+				await delay(STOP_POLL_MS);
+			}
+
+			const isClean = http.openRequests() === 0;
+			if (isClean) {
+				await closed;
+			}
+
+			clearInterval(limitTimer);
+			hosts.stop();
+			pool().closeAll('the process is stopping');
+			await peerServer.close();
+			await holderService.close();
+			settings.pauseDetector.stop();
+			return isClean;
+		},
+	};
+};
--- /dev/null
+++ b/packages/entry/src/create-sidecar-orders.ts
@@ -0,0 +1,20 @@
+/**
+Orders to sidecars over the links that the owner keeps to them.
+*/
+import type {PeerPool} from '@siskinhub/peer/peer-pool.js';
+import type {HostDirectory} from './directory/host-directory.js';
+import type {SidecarOrders} from './owner/sidecar-orders.js';
+
+/** Creates the sender; a sidecar whose link is lost reconciles later on its own. */
+export const createSidecarOrders = (pool: PeerPool, hosts: HostDirectory): SidecarOrders => ({
+	cancelRun(sidecarAddress, {shard, epoch, claim}) {
+		pool.get(sidecarAddress).send({case: 'cancelRun', value: {shard, epoch: BigInt(epoch), claim}});
+	},
+	releasePrefix({shard, epoch, program}) {
+		for (const sidecar of hosts.sidecars()) {
+			if (sidecar.upstream?.kind === 'model') {
+				pool.get(sidecar.peerAddress).send({case: 'releasePrefix', value: {shard, epoch: BigInt(epoch), programs: [program]}});
+			}
+		}
+	},
+});
--- a/packages/entry/src/directory/create-upstream-directory.ts
+++ b/packages/entry/src/directory/create-upstream-directory.ts
@@ -91,7 +91,9 @@
 				return;
 			}
 
-			reports.set(remote.host, {load: heartbeat.load, isLeaving: heartbeat.leaving, instance: remote.instance, at: Date.now()});
+			reports.set(remote.host, {
+				load: heartbeat.load, isLeaving: heartbeat.leaving, instance: remote.instance, at: Date.now(),
+			});
 			const upstream = hosts.sidecars().find(host => host.id === remote.host)?.upstream;
 			if (upstream) {
 				countsOf(upstream.id as UpstreamId).sentSinceReport = 0;
--- a/packages/entry/src/history/reach-quorum.ts
+++ b/packages/entry/src/history/reach-quorum.ts
@@ -23,17 +23,19 @@
 		}
 	};
 
+	const count = async (reply: Promise<Reply | undefined>) => {
+		const value = await reply;
+		pending--;
+		if (value !== undefined) {
+			replies.push(value);
+			good += isGood(value) ? 1 : 0;
+		}
+
+		check();
+	};
+
 	check();
 	for (const reply of asked) {
-		void (async () => {
-			const value = await reply;
-			pending--;
-			if (value !== undefined) {
-				replies.push(value);
-				good += isGood(value) ? 1 : 0;
-			}
-
-			check();
-		})();
+		void count(reply);
 	}
 });
--- a/packages/entry/src/http/call-body.ts
+++ b/packages/entry/src/http/call-body.ts
@@ -11,6 +11,8 @@
 
 const nameSchema = z.string().min(1).max(NAME_LENGTH);
 
+const chatMessagesSchema = z.array(z.looseObject({role: z.string()})).min(1);
+
 /** Checks a call; docs/guide/http-api.md describes the fields. */
 export const callBodySchema = z.strictObject({
 	turn: z.int().min(1).max(MAX_TURN),
@@ -25,7 +27,7 @@
 	maxOutputTokens: z.int().min(1).max(MAX_OUTPUT_TOKENS).default(1024),
 	after: z.string().max(NAME_LENGTH).default(''),
 	history: z.unknown().optional(),
-}).refine(call => 'service' in call.target || Array.isArray(call.input), {
+}).refine(call => 'service' in call.target || chatMessagesSchema.safeParse(call.input).success, {
 	path: ['input'],
-	message: 'expected an array of chat messages for a model',
+	error: 'expected an array of chat messages, each with a role, for a model',
 });
--- a/packages/entry/src/http/create-call-routes.ts
+++ b/packages/entry/src/http/create-call-routes.ts
@@ -106,8 +106,14 @@
 	};
 
 	return [
-		{method: 'POST', pattern: /^\/v1\/programs\/([^\/]+)\/calls$/v, audience: 'caller', handle: post},
-		{method: 'GET', pattern: /^\/v1\/programs\/([^\/]+)\/calls\/([^\/]+)$/v, audience: 'caller', handle: attach},
-		{method: 'DELETE', pattern: /^\/v1\/programs\/([^\/]+)\/calls\/([^\/]+)$/v, audience: 'caller', handle: cancel},
+		{
+			method: 'POST', pattern: /^\/v1\/programs\/([^\/]+)\/calls$/v, audience: 'caller', handle: post,
+		},
+		{
+			method: 'GET', pattern: /^\/v1\/programs\/([^\/]+)\/calls\/([^\/]+)$/v, audience: 'caller', handle: attach,
+		},
+		{
+			method: 'DELETE', pattern: /^\/v1\/programs\/([^\/]+)\/calls\/([^\/]+)$/v, audience: 'caller', handle: cancel,
+		},
 	];
 };
--- a/packages/entry/src/http/create-http-server.ts
+++ b/packages/entry/src/http/create-http-server.ts
@@ -9,7 +9,6 @@
 
 const WORKSPACE_HEADER = 'siskinhub-workspace';
 const OPERATOR_HEADER = 'siskinhub-operator';
-const CLOSE_POLL_MS = 20;
 
 type HttpServer = {
 	/** Where it listens, as `http://IP:PORT`. */
@@ -56,6 +55,11 @@
 /** Starts listening; rejects only if the address cannot be bound. */
 export const createHttpServer = async ({ip, port, routes, log}: ServerOptions): Promise<HttpServer> => {
 	let openRequests = 0;
+	let isClosing = false;
+	let signalIdle = () => {/* Replaced at once. */};
+	const idle = new Promise<void>(resolve => {
+		signalIdle = resolve;
+	});
 
 	const handle = async (req: IncomingMessage, res: ServerResponse) => {
 		const url = new URL(req.url ?? '/', 'http://entry');
@@ -95,6 +99,9 @@
 			}
 		} finally {
 			openRequests--;
+			if (openRequests === 0 && isClosing) {
+				signalIdle();
+			}
 		}
 	});
 	server.listen(port, ip);
@@ -105,13 +112,14 @@
 	return {
 		address: `http://${ip}:${boundPort}`,
 		async close() {
-			server.close();
-			while (openRequests > 0) {
-				await new Promise<void>(resolve => {
-					setTimeout(resolve, CLOSE_POLL_MS);
-				});
+			isClosing = true;
+			if (openRequests === 0) {
+				signalIdle();
 			}
 
+			server.close();
+			server.closeIdleConnections();
+			await idle;
 			server.closeAllConnections();
 		},
 		openRequests: () => openRequests,
--- a/packages/entry/src/http/create-operator-routes.ts
+++ b/packages/entry/src/http/create-operator-routes.ts
@@ -64,8 +64,14 @@
 	};
 
 	return [
-		{method: 'GET', pattern: /^\/v1\/status$/v, audience: 'operator', handle: showStatus},
-		{method: 'GET', pattern: /^\/v1\/upstreams$/v, audience: 'operator', handle: listUpstreams},
-		{method: 'POST', pattern: /^\/v1\/upstreams\/([^\/]+)\/drain$/v, audience: 'operator', handle: drainUpstream},
+		{
+			method: 'GET', pattern: /^\/v1\/status$/v, audience: 'operator', handle: showStatus,
+		},
+		{
+			method: 'GET', pattern: /^\/v1\/upstreams$/v, audience: 'operator', handle: listUpstreams,
+		},
+		{
+			method: 'POST', pattern: /^\/v1\/upstreams\/([^\/]+)\/drain$/v, audience: 'operator', handle: drainUpstream,
+		},
 	];
 };
--- a/packages/entry/src/http/create-program-routes.ts
+++ b/packages/entry/src/http/create-program-routes.ts
@@ -83,7 +83,11 @@
 		}
 
 		const program = createProgramId(shard, createId());
-		const reply = await askOwner(request, program, {case: 'startProgram', value: {program, workspace: request.workspace, kind, deployment, parent}});
+		const reply = await askOwner(request, program, {
+			case: 'startProgram', value: {
+				program, workspace: request.workspace, kind, deployment, parent,
+			},
+		});
 		if (reply?.case === 'programView') {
 			sendJson(request.res, HTTP_CREATED, describeProgram(reply.value));
 		}
@@ -116,9 +120,17 @@
 	};
 
 	return [
-		{method: 'POST', pattern: /^\/v1\/programs$/v, audience: 'caller', handle: start},
-		{method: 'GET', pattern: /^\/v1\/programs\/([^\/]+)$/v, audience: 'both', handle: async request => show(request, 'getProgram')},
-		{method: 'POST', pattern: /^\/v1\/programs\/([^\/]+)\/end$/v, audience: 'both', handle: async request => show(request, 'endProgram')},
-		{method: 'GET', pattern: /^\/v1\/programs\/([^\/]+)\/history$/v, audience: 'both', handle: readHistory},
+		{
+			method: 'POST', pattern: /^\/v1\/programs$/v, audience: 'caller', handle: start,
+		},
+		{
+			method: 'GET', pattern: /^\/v1\/programs\/([^\/]+)$/v, audience: 'both', handle: async request => show(request, 'getProgram'),
+		},
+		{
+			method: 'POST', pattern: /^\/v1\/programs\/([^\/]+)\/end$/v, audience: 'both', handle: async request => show(request, 'endProgram'),
+		},
+		{
+			method: 'GET', pattern: /^\/v1\/programs\/([^\/]+)\/history$/v, audience: 'both', handle: readHistory,
+		},
 	];
 };
--- a/packages/entry/src/http/read-json.ts
+++ b/packages/entry/src/http/read-json.ts
@@ -4,16 +4,16 @@
 import {Buffer} from 'node:buffer';
 import type {IncomingMessage} from 'node:http';
 import {err, ok, type Result} from 'neverthrow';
-import {z} from 'zod';
+import {type z} from 'zod';
 import type {Refusal} from '@siskinhub/core/refusal/refusal.js';
 
 type ReadError = {readonly kind: 'too-large'} | {readonly kind: 'cut'};
 
-const readBytes = async (req: IncomingMessage, maxBytes: number): Promise<Result<Buffer, ReadError>> => {
-	const pieces: Buffer[] = [];
+const readBytes = async (req: IncomingMessage, maxBytes: number): Promise<Result<Uint8Array, ReadError>> => {
+	const pieces: Uint8Array[] = [];
 	let size = 0;
 	try {
-		for await (const piece of req as AsyncIterable<Buffer>) {
+		for await (const piece of req as AsyncIterable<Uint8Array>) {
 			size += piece.length;
 			if (size > maxBytes) {
 				return err({kind: 'too-large'});
@@ -28,9 +28,9 @@
 	return ok(Buffer.concat(pieces));
 };
 
-const parseJson = (bytes: Buffer): Result<unknown, Refusal> => {
+const parseJson = (bytes: Uint8Array): Result<unknown, Refusal> => {
 	try {
-		const text = new TextDecoder('utf-8', {fatal: true}).decode(bytes);
+		const text = new TextDecoder('utf8', {fatal: true}).decode(bytes);
 		return ok(JSON.parse(text) as unknown);
 	} catch {
 		return err({code: 'bad-request', message: 'The body is not JSON in UTF-8; correct it and send the request again.'});
--- a/packages/entry/src/owner/check-limits.ts
+++ b/packages/entry/src/owner/check-limits.ts
@@ -19,10 +19,11 @@
 		return {code: 'limit-reached', message: 'The program\'s tool took longer than its tool-time cell allows; start a new program.'};
 	}
 
-	if (limits.programBudget !== undefined && program.spentTokens + worstCaseTokens > limits.programBudget) {
+	const leftTokens = Math.max(0, (limits.programBudget ?? Infinity) - program.spentTokens);
+	if (worstCaseTokens > leftTokens) {
 		return {
 			code: 'budget-exhausted',
-			message: `The call may need ${worstCaseTokens} tokens and the program has ${Math.max(0, limits.programBudget - program.spentTokens)} left; ask for fewer output tokens or a larger program-budget cell.`,
+			message: `The call may need ${worstCaseTokens} tokens and the program has ${leftTokens} left; ask for fewer output tokens or a larger program-budget cell.`,
 		};
 	}
 
--- a/packages/entry/src/owner/create-owner-service.ts
+++ b/packages/entry/src/owner/create-owner-service.ts
@@ -47,9 +47,11 @@
 		return {
 			case: 'owners',
 			value: {
-				owners: owner ? [{
-					shard, epoch: BigInt(owner.epoch), host: owner.host, peerAddress: owner.peerAddress,
-				}] : [],
+				owners: owner
+					? [{
+						shard, epoch: BigInt(owner.epoch), host: owner.host, peerAddress: owner.peerAddress,
+					}]
+					: [],
 			},
 		};
 	};
--- a/packages/entry/src/owner/create-shard-owner.ts
+++ b/packages/entry/src/owner/create-shard-owner.ts
@@ -32,6 +32,8 @@
 /** Time that a word of not-run may take to become durable before it is given all the same. */
 const CLOSE_TIMEOUT_MS = 2000;
 
+/** A platform that does not answer must not hold up a planned stop; the lease lapses then. */
+const HAND_OVER_TIMEOUT_MS = 3000;
 const ATTACH_RETRY_MS = 500;
 
 const FATES: Readonly<Partial<Record<Fate, ClosedFate>>> = {
@@ -66,7 +68,9 @@
 	/** Makes sure that the request never runs again under its id, whoever owns the shard. */
 	const closeRequest = async (program: OpenProgram, requestId: RequestId, turn: TurnNumber, fate: ClosedFate) => {
 		program.closed.set(requestId, fate);
-		await append({kind: 'close', program: program.header.program, turn, requestId, fate}, CLOSE_TIMEOUT_MS);
+		await append({
+			kind: 'close', program: program.header.program, turn, requestId, fate,
+		}, CLOSE_TIMEOUT_MS);
 	};
 
 	const grant: ShardOwner['grant'] = async message => {
@@ -141,7 +145,8 @@
 		program.digest = message.digest as Digest;
 		program.nextTurn = (call.turn + 1) as TurnNumber;
 		program.spentTokens += tokens;
-		program.historyTokens = tokens;
+		// A model's prompt holds all turns before it; a plain service's turn adds to the next one.
+		program.historyTokens = tokens > 0 ? tokens : program.historyTokens + Number(message.storedBytes);
 		program.turnEndedAt = Date.now();
 		program.lastSeenAt = Date.now();
 		giver.settle(program, call, tokens, Number(message.slotMs));
@@ -349,7 +354,7 @@
 				book.signal(program.header.program);
 			}
 
-			const handedOver = await append({kind: 'hand-over'});
+			const handedOver = await append({kind: 'hand-over'}, HAND_OVER_TIMEOUT_MS);
 			log.info('shard handed over', {shard, ok: handedOver.isOk()});
 		},
 	};
--- a/packages/entry/src/owner/end-programs.ts
+++ b/packages/entry/src/owner/end-programs.ts
@@ -73,7 +73,7 @@
 	return {
 		end,
 		async enforceTimeLimits() {
-			for (const program of [...book.all()]) {
+			for (const program of book.all()) {
 				const limit = program.ended ? undefined : hasOutlived(program, Date.now());
 				if (limit) {
 					log.info('program ended by its row\'s limit', {programId: program.header.program, limit});
--- a/packages/entry/src/owner/restore-program.ts
+++ b/packages/entry/src/owner/restore-program.ts
@@ -1,6 +1,7 @@
 /**
 Rebuilds the owner's view of a program from its history and the shard's log.
 */
+import {Buffer} from 'node:buffer';
 import type {ProgramHistory} from '@siskinhub/core/history/program-history.js';
 import type {TurnNumber} from '@siskinhub/core/ids/turn-number.js';
 import type {RequestId} from '@siskinhub/core/ids/request-id.js';
@@ -13,9 +14,10 @@
 const addTurns = (program: OpenProgram, {turns}: ProgramHistory): void => {
 	for (const turn of turns) {
 		program.stored.set(turn.requestId, turn.turn);
-		program.spentTokens += turn.promptTokens + turn.outputTokens;
-		// The prompt of a turn holds all turns before it.
-		program.historyTokens = turn.promptTokens + turn.outputTokens;
+		const tokens = turn.promptTokens + turn.outputTokens;
+		program.spentTokens += tokens;
+		// A model's prompt holds all turns before it; a plain service's turn adds to the next one.
+		program.historyTokens = tokens > 0 ? tokens : program.historyTokens + Buffer.byteLength(turn.input) + Buffer.byteLength(turn.output);
 		program.digest = turn.digest;
 	}
 
--- a/packages/entry/src/ownership/create-ownership.ts
+++ b/packages/entry/src/ownership/create-ownership.ts
@@ -109,7 +109,9 @@
 		}
 
 		const key = `${OWNERS_PREFIX}${instance}`;
-		const put = await platform.put({key, value, expectedVersion: recordVersion, lease});
+		const put = await platform.put({
+			key, value, expectedVersion: recordVersion, lease,
+		});
 		if (put.isErr()) {
 			return;
 		}
@@ -139,6 +141,11 @@
 			return;
 		}
 
+		if (isLeaving) {
+			await taken.value.handOver();
+			return;
+		}
+
 		owned.set(shard, taken.value);
 		beatsWithoutOwner.delete(shard);
 		map.note(shard, {host, peerAddress, epoch: taken.value.epoch});
@@ -176,9 +183,9 @@
 			return;
 		}
 
-		for (let shard = 0; shard < shards && !isLeaving; shard++) {
+		for (let shard = 0; shard < shards; shard++) {
 			const id = shard as ShardId;
-			if (hasOtherOwner(id)) {
+			if (hasOtherOwner(id) || isLeaving) {
 				beatsWithoutOwner.delete(id);
 			} else if (!owned.has(id) && mayTry(id)) {
 				await tryShard(id);
--- a/packages/entry/src/ownership/take-over-shard.ts
+++ b/packages/entry/src/ownership/take-over-shard.ts
@@ -78,7 +78,9 @@
 	const holders = isUnchanged ? before.holders : mergeHolders(kept, available).slice(0, Math.max(available.length, 1));
 	const sources = isUnchanged ? before.sources : [before.holders, ...before.sources].filter(group => group.length > 0);
 	const epoch = (before.epoch + 1) as Epoch;
-	const appended = await shardLog.append({kind: 'take-over', owner: host, instance, peerAddress, epoch, holders, sources});
+	const appended = await shardLog.append({
+		kind: 'take-over', owner: host, instance, peerAddress, epoch, holders, sources,
+	});
 	if (appended.isErr()) {
 		shardLog.close();
 		return err(`the takeover was not recorded: ${appended.error.kind}`);
@@ -92,5 +94,7 @@
 		}
 	}
 
-	return ok({shardLog, epoch, holders, sources});
+	return ok({
+		shardLog, epoch, holders, sources,
+	});
 };
--- /dev/null
+++ b/packages/entry/src/siskinhub-entry.ts
@@ -0,0 +1,48 @@
+#!/usr/bin/env node
+/**
+The daemon on an entry host.
+*/
+import process from 'node:process';
+import {createLogger} from '@siskinhub/observe/create-logger.js';
+import {createMetrics} from '@siskinhub/observe/create-metrics.js';
+import {createTracer} from '@siskinhub/observe/create-tracer.js';
+import {createPlatformClient} from '@siskinhub/platform/create-platform-client.js';
+import {EntrySettingsSchema} from '@siskinhub/settings/entry-settings-schema.js';
+import {resolveEntryConfig} from '@siskinhub/settings/resolve-entry-config.js';
+import {startFromCommandLine} from '@siskinhub/settings/start-from-command-line.js';
+import {createEntry} from './create-entry.js';
+import {createHistoryHolderService} from './history/create-history-holder-service.js';
+
+const VERSION = '0.1.0';
+const EXIT_STOP_BOUND_PASSED = 3;
+
+await startFromCommandLine({
+	name: 'siskinhub-entry',
+	version: VERSION,
+	summary: 'Serves callers and operators, owns shards of programs and holds copies of histories.',
+	schema: EntrySettingsSchema,
+	async start(settings) {
+		const cfg = resolveEntryConfig(settings);
+		const {host, dataCentre} = cfg;
+		const log = createLogger({level: cfg.log.level, host});
+		const metrics = await createMetrics({metrics: cfg.metrics, host, dataCentre});
+		const tracer = await createTracer({
+			traces: cfg.traces, service: 'siskinhub-entry', host, dataCentre, log,
+		});
+		const holderService = await createHistoryHolderService(cfg.dataFolder);
+		if (holderService.isErr()) {
+			throw new Error(holderService.error);
+		}
+
+		const platform = createPlatformClient({address: cfg.platform.address, callTimeoutMs: cfg.platform.timeoutMs});
+		const entry = await createEntry(cfg, {
+			version: VERSION, platform, holderService: holderService.value, log, metrics, tracer,
+		});
+		process.once('SIGTERM', async () => {
+			const isClean = await entry.stop();
+			await Promise.all([metrics.close(), tracer.close()]);
+			log.info('entry stopped', {isClean});
+			process.exit(isClean ? 0 : EXIT_STOP_BOUND_PASSED);
+		});
+	},
+});
