feat(platform): the operators' table on its log

Why: an accepted edit must be in force everywhere within seconds and never revert, and an editor whose answer was lost must be told the truth.

Ruled out: answering "never" for an edit that a read of the log does not find; it may be on its way. Ruled out: reading the log only when a watch reports a change.

--- a/packages/platform/src/create-platform-client.ts
+++ b/packages/platform/src/create-platform-client.ts
@@ -90,7 +90,7 @@
 		watch: async ({prefix, after, timeoutMs}) => readFirstChange({
 			dispatcher,
 			url: `${address}/v3/watch`,
-			body: {create_request: {...toRange(prefix), start_revision: String(after + 1)}},
+			body: {create_request: {...toRange(prefix), ...(after !== undefined && {start_revision: String(after + 1)})}},
 			after,
 			timeoutMs,
 			openTimeoutMs: callTimeoutMs,
--- a/packages/platform/src/http/read-first-change.ts
+++ b/packages/platform/src/http/read-first-change.ts
@@ -10,14 +10,14 @@
 import {platformAnswers} from './platform-answers.js';
 import {readLines} from './read-lines.js';
 
-type Change = {readonly revision: number; readonly changed: readonly KeyValue[]};
+type Change = {readonly revision?: number; readonly changed: readonly KeyValue[]};
 
 type WatchCall = {
 	readonly dispatcher: Dispatcher;
 	readonly url: string;
 	readonly body: unknown;
 	/** Returned as the revision if nothing changes. */
-	readonly after: number;
+	readonly after?: number;
 	readonly timeoutMs: number;
 	/** How long the service may take to accept the watch, in milliseconds. */
 	readonly openTimeoutMs: number;
--- a/packages/platform/src/platform-client.ts
+++ b/packages/platform/src/platform-client.ts
@@ -24,12 +24,12 @@
 	/** `alive: false` when the lease lapsed before the call. */
 	readonly renewLease: (lease: string) => Promise<Result<{readonly alive: boolean}, PlatformError>>;
 	readonly revokeLease: (lease: string) => Promise<Result<void, PlatformError>>;
-	/** Waits up to `timeoutMs` for a change under `prefix` after the platform's revision `after`; returns the new revision. */
+	/** Waits up to `timeoutMs` for a change under `prefix` after the platform's revision `after`, or from now on; returns the new revision, `undefined` if none is known. */
 	readonly watch: (request: {
 		readonly prefix: string;
-		readonly after: number;
+		readonly after?: number;
 		readonly timeoutMs: number;
-	}) => Promise<Result<{readonly revision: number; readonly changed: readonly KeyValue[]}, PlatformError>>;
+	}) => Promise<Result<{readonly revision?: number; readonly changed: readonly KeyValue[]}, PlatformError>>;
 	/** The platform's lagging list of hosts. */
 	readonly listHosts: () => Promise<Result<readonly PlatformHost[], PlatformError>>;
 };
--- /dev/null
+++ b/packages/platform/src/table/__tests__/create-table.test.ts
@@ -0,0 +1,105 @@
+import {fc, test} from '@fast-check/vitest';
+import type {Result} from 'neverthrow';
+import {
+	afterEach, beforeEach, expect, vi,
+} from 'vitest';
+import type {Revision} from '@siskinhub/core/ids/revision.js';
+import type {RowKey} from '@siskinhub/core/table/row-key.js';
+import type {TableEdit} from '@siskinhub/core/table/table-edit.js';
+import {callFaults} from '../../log/__tests__/call-faults.js';
+import {createFaultyClient} from '../../log/__tests__/create-faulty-client.js';
+import {createTable} from '../create-table.js';
+
+const SETTLE_MS = 60_000;
+const ROWS = ['workspace/a', 'workspace/b', 'kind/c'] as RowKey[];
+
+type Table = ReturnType<typeof createTable>;
+type Submitted = {
+	readonly edit: TableEdit;
+	readonly submitted: Awaited<ReturnType<Table['submitEdit']>>;
+	readonly fate: Awaited<ReturnType<Table['findEdit']>>;
+};
+
+beforeEach(() => {
+	vi.useFakeTimers();
+});
+
+afterEach(() => {
+	vi.useRealTimers();
+});
+
+const createTables = (faults: Parameters<typeof createFaultyClient>[0]) => {
+	const {client, heal} = createFaultyClient(faults);
+	let commits = 0;
+	const open = (writer: string) => createTable({
+		client, writer, createCommitId: () => `c${commits++}`, isWatcher: () => false,
+	});
+	return {tables: [open('w0'), open('w1'), open('w2')], reader: open('reader'), heal};
+};
+
+const sleep = async (ms: number) => new Promise<void>(resolve => {
+	setTimeout(resolve, ms);
+});
+
+const advance = async <Value>(pending: Promise<Value>): Promise<Value> => {
+	await vi.advanceTimersByTimeAsync(SETTLE_MS);
+	return pending;
+};
+
+const step = fc.record({
+	table: fc.integer({min: 0, max: 2}),
+	finder: fc.integer({min: 0, max: 2}),
+	lag: fc.nat({max: 2}),
+	row: fc.constantFrom(...ROWS),
+	cell: fc.constantFrom('weight' as const, 'turns' as const),
+	value: fc.integer({min: 1, max: 9}),
+	/** Less than the edit's deadline: the fate is asked for while the edit is on its way. */
+	findAfterMs: fc.integer({min: 0, max: 1500}),
+	waitMs: fc.oneof(fc.constant(0), fc.integer({min: 20, max: 800})),
+});
+
+const describeFate = (result: Result<{readonly kind: string; readonly revision?: Revision}, {readonly kind: string}>) =>
+	result.match(({kind, revision}) => kind === 'accepted' ? revision : kind, () => 'unknown');
+
+test.prop([callFaults, fc.array(step, {minLength: 5, maxLength: 40})], {numRuns: 150})('what an editor is told of its edit is true', async (faults, steps) => {
+	const {tables, reader, heal} = createTables(faults);
+	const outcomes: Submitted[] = [];
+	const submit = async ({table, finder, lag, row, cell, value, findAfterMs}: (typeof steps)[number], editId: string) => {
+		const against = Math.max(0, tables[table]!.revision() - lag) as Revision;
+		const edit: TableEdit = {
+			editId, who: `w${table}`, at: 0, against, changes: [{
+				kind: 'set', row, cell, value,
+			}],
+		};
+		const submitting = tables[table]!.submitEdit(edit, {timeoutMs: 1000});
+		await sleep(findAfterMs);
+		const fate = await tables[finder]!.findEdit({editId});
+		outcomes.push({edit, submitted: await submitting, fate});
+	};
+
+	void tables[0]!.submitEdit({
+		editId: 'rows', who: 'w0', at: 0, against: 0 as Revision, changes: ROWS.map(row => ({kind: 'add-row', row})),
+	}, {timeoutMs: SETTLE_MS});
+	await vi.advanceTimersByTimeAsync(10_000);
+	for (const [number, next] of steps.entries()) {
+		void submit(next, `e${number}`);
+		await vi.advanceTimersByTimeAsync(next.waitMs);
+	}
+
+	heal();
+	await advance(reader.refresh());
+	await advance(reader.refresh());
+	const {edits} = reader.state();
+	expect(outcomes).toHaveLength(steps.length);
+	for (const {edit: {editId}, submitted, fate} of outcomes) {
+		const stands = edits.find(edit => edit.editId === editId)?.revision;
+		expect(['unknown', stands ?? 'never'], `fate of ${editId}`).toContain(describeFate(fate));
+		if (submitted.isOk()) {
+			expect(submitted.value.revision).toBe(stands);
+		} else if (submitted.error.kind !== 'unavailable' || submitted.error.fate === 'not-written') {
+			expect(stands).toBeUndefined();
+		}
+	}
+
+	expect(edits.map(({revision}) => revision)).toEqual(edits.map((_, position) => position + 1));
+});
