feat(cli): the siskinhub command

Operators drive the system by editing the table; they need commands that print readable tables, refuse what cannot work before sending it, and never leave them guessing about an edit whose answer was lost.

Weighed: oclif's pattern strategy (ruled out: it loads one file a command, and the bundle is one file); posting a lost edit again under its id (ruled out: the entry is asked for the edit's fate instead, so that one edit is never two).

The bundle exports its own command registry, from which oclif loads.

--- /dev/null
+++ b/packages/cli/src/command/table-command.ts
@@ -0,0 +1,60 @@
+/**
+What the commands of the table share.
+*/
+import {randomUUID} from 'node:crypto';
+import type {Revision} from '@siskinhub/core/ids/revision.js';
+import type {ConfigFault} from '@siskinhub/settings/config-fault.js';
+import {formatConfigFault} from '@siskinhub/settings/format-config-fault.js';
+import type {EntryClient} from '../entry/entry-client.js';
+import {submitEdit} from '../entry/submit-edit.js';
+import type {DeclaredRows} from '../table/declared-rows.js';
+import {loadTableFile} from '../table/load-table-file.js';
+import type {TableChange} from '../table/table-change.js';
+import {TableViewSchema} from '../table/table-view-schema.js';
+import type {TableView} from '../table/table-view.js';
+import {describeEditFailure} from './describe-edit-failure.js';
+import {EntryCommand} from './entry-command.js';
+import {EXIT_CODE} from './exit-code.js';
+
+const MS_PER_SECOND = 1000;
+
+type EditOptions = {
+	/** The revision that the operator saw. */
+	readonly against: number;
+	readonly changes: readonly TableChange[];
+	readonly waitSeconds: number;
+};
+
+type AcceptedEdit = {readonly revision: number; readonly editId: string};
+
+/** A command that reads or edits the table. */
+export abstract class TableCommand extends EntryCommand {
+	protected async readTable(client: EntryClient): Promise<TableView> {
+		return this.expectAnswer(await client.ask({method: 'GET', path: '/v1/table', schema: TableViewSchema}));
+	}
+
+	protected async readTableFile(file: string): Promise<DeclaredRows> {
+		const declared = await loadTableFile(file);
+		return declared.isOk() ? declared.value : this.failFile(declared.error);
+	}
+
+	/** Submits one edit and fails the command unless it was accepted. */
+	protected async submit(client: EntryClient, {against, changes, waitSeconds}: EditOptions): Promise<AcceptedEdit> {
+		const editId = randomUUID();
+		const accepted = await submitEdit(client, {editId, against: against as Revision, changes}, waitSeconds * MS_PER_SECOND);
+		return accepted.isOk() ? {revision: accepted.value, editId} : this.fail(describeEditFailure(accepted.error));
+	}
+
+	/** Names the rows that the file does not have and that stay. */
+	protected reportUnlisted(rows: readonly string[]): void {
+		if (rows.length > 0) {
+			this.log(`Not in the file and left as they are (--prune removes them): ${rows.join(', ')}`);
+		}
+	}
+
+	private failFile(faults: readonly ConfigFault[]): never {
+		return this.fail({
+			code: 'table-file', message: faults.map(fault => formatConfigFault(fault)).join('\n'), exitCode: EXIT_CODE.USAGE, details: {faults},
+		});
+	}
+}
--- /dev/null
+++ b/packages/cli/src/command/to-failure.ts
@@ -0,0 +1,20 @@
+/**
+Turns whatever a command threw into a failure.
+*/
+import {CommandError} from './command-error.js';
+import type {CommandFailure} from './command-failure.js';
+import {EXIT_CODE} from './exit-code.js';
+
+type OclifError = Error & {readonly oclif?: {readonly exit?: number}};
+
+/** Errors of oclif's own parser are faults of the command line. */
+export const toFailure = (error: unknown): CommandFailure => {
+	if (error instanceof CommandError) {
+		return error.failure;
+	}
+
+	const {message, oclif} = error as OclifError;
+	return oclif
+		? {code: 'usage', message, exitCode: EXIT_CODE.USAGE}
+		: {code: 'failed', message, exitCode: EXIT_CODE.FAILED};
+};
--- /dev/null
+++ b/packages/cli/src/commands.ts
@@ -0,0 +1,29 @@
+/**
+The commands of `siskinhub`, by their oclif ids.
+*/
+import {ProgramEnd} from './commands/program-end.js';
+import {ProgramShow} from './commands/program-show.js';
+import {SettingsCheck} from './commands/settings-check.js';
+import {Status} from './commands/status.js';
+import {TableApply} from './commands/table-apply.js';
+import {TableDiff} from './commands/table-diff.js';
+import {TableGet} from './commands/table-get.js';
+import {TableHistory} from './commands/table-history.js';
+import {TableSet} from './commands/table-set.js';
+import {UpstreamDrain} from './commands/upstream-drain.js';
+import {UpstreamList} from './commands/upstream-list.js';
+
+/** Ids and classes; an id's parts are separated by colons, which operators type as spaces. */
+export const COMMANDS = {
+	'program:end': ProgramEnd,
+	'program:show': ProgramShow,
+	'settings:check': SettingsCheck,
+	status: Status,
+	'table:apply': TableApply,
+	'table:diff': TableDiff,
+	'table:get': TableGet,
+	'table:history': TableHistory,
+	'table:set': TableSet,
+	'upstream:drain': UpstreamDrain,
+	'upstream:list': UpstreamList,
+};
--- /dev/null
+++ b/packages/cli/src/commands/table-get.ts
@@ -0,0 +1,38 @@
+/**
+`siskinhub table get`.
+*/
+import {Args, Flags} from '@oclif/core';
+import {EXIT_CODE} from '../command/exit-code.js';
+import {TableCommand} from '../command/table-command.js';
+import {renderRow} from '../format/render-row.js';
+import {renderTableFile} from '../format/render-table-file.js';
+import {renderTableView} from '../format/render-table-view.js';
+
+/** Shows the table, or one row of it. */
+export class TableGet extends TableCommand {
+	static override summary = 'Show the table, or one row with who wrote each cell.';
+	static override args = {row: Args.string({description: 'deployment/NAME, kind/NAME or workspace/NAME'})};
+	static override flags = {yaml: Flags.boolean({description: 'print the table as a YAML file for version control'})};
+	static override examples = ['<%= config.bin %> table get', '<%= config.bin %> table get workspace/huenchullan', '<%= config.bin %> table get --yaml > table.yaml'];
+
+	async run(): Promise<unknown> {
+		const {args, flags} = await this.parse(TableGet);
+		const view = await this.readTable(await this.connect(flags));
+		if (args.row !== undefined) {
+			return this.showRow(args.row, view);
+		}
+
+		this.log(flags.yaml ? renderTableFile(view).trimEnd() : `${renderTableView(view)}\nrevision ${view.revision}`);
+		return view;
+	}
+
+	private showRow(row: string, {revision, rows}: Awaited<ReturnType<TableGet['readTable']>>): unknown {
+		const cells = rows[row];
+		if (!cells) {
+			return this.fail({code: 'unknown-row', message: `The table has no row ${row}. "siskinhub table get" lists the rows.`, exitCode: EXIT_CODE.FAILED});
+		}
+
+		this.log(`${renderRow(cells)}\n${row} at revision ${revision}`);
+		return {revision, row, cells};
+	}
+}
--- /dev/null
+++ b/packages/cli/src/entry/create-entry-client.ts
@@ -0,0 +1,75 @@
+/**
+Talks to entries over HTTP.
+*/
+import {err, ok, type Result} from 'neverthrow';
+import {Agent, request as sendHttp} from 'undici';
+import type * as z from 'zod';
+import type {EntryClient} from './entry-client.js';
+import type {EntryError} from './entry-error.js';
+import type {EntryRequest} from './entry-request.js';
+import {readAnswer} from './read-answer.js';
+
+type ClientOptions = {
+	readonly entries: readonly string[];
+	readonly operator: string;
+	/** Milliseconds after which a request counts as lost. */
+	readonly timeoutMs?: number;
+};
+
+type HttpAnswer = {readonly status: number; readonly text: string};
+
+const ANSWER_TIMEOUT_MS = 15_000;
+const CONNECT_TIMEOUT_MS = 3000;
+const FIRST_SERVER_ERROR = 500;
+
+/** Codes of failures that come before any byte of the request is sent. */
+const CONNECT_FAILURES = new Set(['ECONNREFUSED', 'EHOSTUNREACH', 'ENETUNREACH', 'EADDRNOTAVAIL', 'UND_ERR_CONNECT_TIMEOUT']);
+
+const describeFailure = (entry: string, error: unknown): EntryError => {
+	const {code, message} = error as NodeJS.ErrnoException;
+	const kind = code !== undefined && CONNECT_FAILURES.has(code) ? 'not-sent' : 'lost';
+	return {kind, message: `${entry}: ${message === '' ? code ?? 'no answer' : message}`};
+};
+
+const shouldTryNext = (error: EntryError): boolean => error.kind !== 'refused' || error.status >= FIRST_SERVER_ERROR;
+
+/** Builds a client that tries `entries` in their order. */
+export const createEntryClient = ({entries, operator, timeoutMs = ANSWER_TIMEOUT_MS}: ClientOptions): EntryClient => {
+	const dispatcher = new Agent({connect: {timeout: CONNECT_TIMEOUT_MS}});
+
+	const exchange = async (entry: string, {method, path, body}: Omit<EntryRequest<z.ZodType>, 'schema'>): Promise<Result<HttpAnswer, EntryError>> => {
+		try {
+			const res = await sendHttp(`${entry}${path}`, {
+				dispatcher,
+				method,
+				headers: {'siskinhub-operator': operator, 'content-type': 'application/json'},
+				body: body === undefined ? undefined : JSON.stringify(body),
+				signal: AbortSignal.timeout(timeoutMs),
+			});
+			return ok({status: res.statusCode, text: await res.body.text()});
+		} catch (error) {
+			return err(describeFailure(entry, error));
+		}
+	};
+
+	const send: EntryClient['send'] = async (entry, request) => {
+		const answer = await exchange(entry, request);
+		return answer.andThen(({status, text}) => readAnswer(entry, status, text, request.schema));
+	};
+
+	const ask: EntryClient['ask'] = async request => {
+		let last: EntryError = {kind: 'not-sent', message: 'no entry is known'};
+		for (const entry of entries) {
+			const answer = await send(entry, request);
+			if (answer.isOk() || !shouldTryNext(answer.error)) {
+				return answer;
+			}
+
+			last = answer.error;
+		}
+
+		return err(last);
+	};
+
+	return {entries, send, ask};
+};
--- /dev/null
+++ b/packages/cli/src/entry/entry-client.ts
@@ -0,0 +1,16 @@
+/**
+What commands talk to entries with.
+*/
+import type {Result} from 'neverthrow';
+import type * as z from 'zod';
+import type {EntryError} from './entry-error.js';
+import type {EntryRequest} from './entry-request.js';
+
+/** A client for one or more entries. */
+export type EntryClient = {
+	readonly entries: readonly string[];
+	/** Sends the request to one entry, once. */
+	readonly send: <Schema extends z.ZodType>(entry: string, request: EntryRequest<Schema>) => Promise<Result<z.output<Schema>, EntryError>>;
+	/** Sends an idempotent request to one entry after another until one answers. */
+	readonly ask: <Schema extends z.ZodType>(request: EntryRequest<Schema>) => Promise<Result<z.output<Schema>, EntryError>>;
+};
--- /dev/null
+++ b/packages/cli/src/entry/find-edit-fate.ts
@@ -0,0 +1,42 @@
+/**
+Finds out what became of an edit whose answer was lost.
+*/
+import {setTimeout as delay} from 'node:timers/promises';
+import {err, ok, type Result} from 'neverthrow';
+import type {EditFailure} from './edit-failure.js';
+import type {EntryClient} from './entry-client.js';
+import {RevisionSchema} from './revision-schema.js';
+
+type FateOptions = {
+	readonly editId: string;
+	/** What went wrong with the answer. */
+	readonly message: string;
+	/** Milliseconds for which the entries are asked. */
+	readonly waitMs: number;
+};
+
+const FIRST_RETRY_DELAY_MS = 200;
+const MAX_RETRY_DELAY_MS = 2000;
+
+/** Asks every entry in turn, again and again until one knows or `waitMs` have passed. */
+export const findEditFate = async (client: EntryClient, {editId, message, waitMs}: FateOptions): Promise<Result<number, EditFailure>> => {
+	const deadline = Date.now() + waitMs;
+	let delayMs = FIRST_RETRY_DELAY_MS;
+	for (;;) {
+		const fate = await client.ask({method: 'GET', path: `/v1/table/edits/${encodeURIComponent(editId)}`, schema: RevisionSchema});
+		if (fate.isOk()) {
+			return ok(fate.value.revision);
+		}
+
+		if (fate.error.kind === 'refused' && fate.error.refusal.code === 'unknown-request') {
+			return err({kind: 'not-accepted', editId, message});
+		}
+
+		if (Date.now() + delayMs > deadline) {
+			return err({kind: 'unknown', editId, message});
+		}
+
+		await delay(delayMs);
+		delayMs = Math.min(2 * delayMs, MAX_RETRY_DELAY_MS);
+	}
+};
--- /dev/null
+++ b/packages/cli/src/entry/revision-schema.ts
@@ -0,0 +1,7 @@
+/**
+Schema of the answer to an accepted edit.
+*/
+import * as z from 'zod';
+
+/** The revision at which the edit was accepted. */
+export const RevisionSchema = z.object({revision: z.number()});
--- /dev/null
+++ b/packages/cli/src/table/load-table-file.ts
@@ -0,0 +1,17 @@
+/**
+Loads the table from a YAML file in version control.
+*/
+import type {Result} from 'neverthrow';
+import type {RowKey} from '@siskinhub/core/table/row-key.js';
+import type {ConfigFault} from '@siskinhub/settings/config-fault.js';
+import {loadConfigFromFile} from '@siskinhub/settings/load-config-from-file.js';
+import type {DeclaredRows} from './declared-rows.js';
+import type {RowCells} from './row-cells.js';
+import {TableFileSchema} from './table-file-schema.js';
+
+/** Reads and checks the file; the error has every fault, each with its line. */
+export const loadTableFile = async (path: string): Promise<Result<DeclaredRows, readonly ConfigFault[]>> => {
+	const file = await loadConfigFromFile(path, TableFileSchema);
+	return file.map(groups => new Map(Object.entries(groups).flatMap(([kind, rows]) =>
+		Object.entries(rows ?? {}).map(([name, cells]) => [`${kind}/${name}` as RowKey, (cells ?? {}) as RowCells]))));
+};
