--- a/packages/core/src/table/validate-edit.ts
+++ b/packages/core/src/table/validate-edit.ts
@@ -2,29 +2,31 @@
 Checks an edit by itself, without the table that it will meet.
 */
 import type {CellChange} from './cell-change.js';
-import {cellRules} from './cell-rules.js';
+import {CELL_RULES} from './cell-rules.js';
+import {describeCellValues} from './describe-cell-values.js';
+import {isCellName} from './is-cell-name.js';
+import {isCellValue} from './is-cell-value.js';
+import {isRowKey} from './is-row-key.js';
 import type {TableEdit} from './table-edit.js';
 
-const ROW_KEY_PATTERN = /^(?:deployment|kind|workspace)\/[\w.\-]{1,64}$/v;
 const EDIT_ID_PATTERN = /^[\w.:\-]{1,128}$/v;
 
 const validateChange = (change: CellChange): readonly string[] => {
 	const faults: string[] = [];
-	if (!ROW_KEY_PATTERN.test(change.row)) {
-		faults.push(`${change.row}: a row is named deployment/NAME, kind/NAME or workspace/NAME, with letters, digits, dots, hyphens and underscores.`);
+	if (!isRowKey(change.row)) {
+		faults.push(`${String(change.row)}: a row is named deployment/NAME, kind/NAME or workspace/NAME, with letters, digits, dots, hyphens and underscores.`);
 	}
 
 	if (change.kind !== 'set' && change.kind !== 'clear') {
 		return faults;
 	}
 
-	if (!Object.hasOwn(cellRules, change.cell)) {
-		return [...faults, `${change.row}.${change.cell}: there is no such cell; the cells are ${Object.keys(cellRules).join(', ')}.`];
+	if (!isCellName(change.cell)) {
+		return [...faults, `${change.row}.${String(change.cell)}: there is no such cell; the cells are ${Object.keys(CELL_RULES).join(', ')}.`];
 	}
 
-	const {min, max, unit} = cellRules[change.cell];
-	if (change.kind === 'set' && !(Number.isSafeInteger(change.value) && change.value >= min && change.value <= max)) {
-		faults.push(`${change.row}.${change.cell}: ${change.value} is not a whole number of ${unit} from ${min} to ${max}.`);
+	if (change.kind === 'set' && !isCellValue(change.cell, change.value)) {
+		faults.push(`${change.row}.${change.cell}: ${String(change.value)} is not ${describeCellValues(change.cell)}.`);
 	}
 
 	return faults;
