--- /dev/null
+++ b/packages/prove/src/checkers/__tests__/check-state.test.ts
@@ -0,0 +1,111 @@
+import {expect, test} from 'vitest';
+import {checkBudget} from '../check-budget.js';
+import {checkEngineMemory} from '../check-engine-memory.js';
+import {checkGracefulStop} from '../check-graceful-stop.js';
+import {checkHistory} from '../check-history.js';
+import {checkLeaving} from '../check-leaving.js';
+import {checkTable} from '../check-table.js';
+import {buildRun} from './build-run.js';
+
+const {
+	call, final, ran, run,
+} = buildRun;
+const cut = {kind: 'cut', message: ''} as const;
+
+const turn = (mark: string, number: number, output = 'ab', digest = 'd') => ({
+	turn: number, requestId: mark, output, digest,
+});
+const read = (id: number, turns: ReadonlyArray<ReturnType<typeof turn>>, extra: Record<string, unknown> = {}) => ({
+	id, kind: 'history', via: 'entry-1', program: 'p1-a', detail: 'a', invokedAt: id, completedAt: id, outcome: {
+		kind: 'done', value: {
+			program: 'p1-a', digest: turns.at(-1)?.digest ?? '', turns, ...extra,
+		},
+	},
+} as const);
+const answered = call('a.t1.r1', [0, 5], final());
+
+test.each([
+	['an empty history before any answer', [read(1, [])], 0],
+	['the answered turn', [answered, read(6, [turn('a.t1.r1', 1)])], 0],
+	['a history that grew', [read(1, [turn('a.t1.r1', 1)]), read(2, [turn('a.t1.r1', 1), turn('a.t2.r1', 2, 'cd', 'e')])], 0],
+	['a lost turn', [answered, read(6, [])], 1],
+	['another program\'s turn', [read(6, [turn('b.t1.r1', 1)])], 1],
+	['another program\'s name', [read(6, [], {program: 'p1-b'})], 1],
+	['a turn out of place', [read(6, [turn('a.t2.r1', 2)])], 1],
+	['another answer than was given', [answered, read(6, [turn('a.t1.r1', 1, 'ax')])], 1],
+	['another digest than was given', [answered, read(6, [turn('a.t1.r1', 1, 'ab', 'x')])], 1],
+	['a history that shrank', [read(1, [turn('a.t1.r1', 1)]), read(2, [])], 1],
+	['a history that was replaced', [read(1, [turn('a.t1.r1', 1)]), read(2, [turn('a.t1.r2', 1, 'cd', 'e')])], 1],
+])('history: %s', (_, operations, violations) => {
+	expect(checkHistory(run(operations))).toHaveLength(violations);
+});
+
+const cost = (at: number, tokens: number) => ran('a.t1.r1', at, at + 1, {promptTokens: tokens - 1, outputTokens: 1});
+
+test.each([
+	['up to the limit', [cost(1, 50), cost(2, 50)], [{tokens: 100, from: 0}], 0],
+	['lost and cancelled runs count', [{...cost(1, 60), fate: 'lost' as const}, {...cost(2, 60), fate: 'cancelled' as const}], [{tokens: 100, from: 0}], 1],
+	['one token more', [cost(1, 50), cost(2, 51)], [{tokens: 100, from: 0}], 1],
+	['a run that began before the limit was lowered', [cost(1, 80)], [{tokens: 100, from: 0}, {tokens: 50, from: 2}], 0],
+	['a run that began after the limit was lowered', [cost(1, 40), cost(3, 20)], [{tokens: 100, from: 0}, {tokens: 50, from: 2}], 1],
+])('budget: %s', (_, executions, limits, violations) => {
+	expect(checkBudget(executions, limits)).toHaveLength(violations);
+});
+
+const snapshot = (at: number, groups: readonly string[]) => ({at, engine: 'engine-1', groups});
+
+test.each([
+	['a live program is held', [snapshot(100, ['p1-b'])], 0],
+	['an ended one within the bound', [snapshot(15, ['p1-a'])], 0],
+	['an ended one after the bound', [snapshot(21, ['p1-a'])], 1],
+])('engine memory: %s', (_, snapshots, violations) => {
+	expect(checkEngineMemory(snapshots, [{program: 'p1-a', endedAt: 10}], 10)).toHaveLength(violations);
+});
+
+test.each([
+	['work before the bound', [ran('a.t1.r1', 15, 30)], 0],
+	['work on another upstream', [ran('a.t1.r1', 25, 30, {upstream: 'engine-2'})], 0],
+	['new work after the bound', [ran('a.t1.r1', 21, 30)], 1],
+])('leaving: %s', (_, executions, violations) => {
+	expect(checkLeaving(executions, [{upstream: 'engine-1', at: 10}], 10)).toHaveLength(violations);
+});
+
+const stop = {
+	process: 'entry-1', signalledAt: 10, exitedAt: 20, exitCode: 0,
+};
+
+test.each([
+	['a call in flight is answered', [call('a.t1.r1', [0, 15], final(), {acceptedAt: 5})], stop, 0],
+	['a call that was not accepted yet may be cut', [call('a.t1.r1', [0, 15], cut)], stop, 0],
+	['a call in flight is cut', [call('a.t1.r1', [0, 15], cut, {acceptedAt: 5})], stop, 1],
+	['a call in flight has no end', [call('a.t1.r1', [0, 15], cut, {acceptedAt: 5, completedAt: undefined, outcome: undefined})], stop, 1],
+	['another exit code', [], {...stop, exitCode: 1}, 1],
+	['a late exit', [], {...stop, exitedAt: 111}, 1],
+	['no exit', [], {...stop, exitedAt: undefined}, 1],
+])('graceful stop: %s', (_, operations, planned, violations) => {
+	expect(checkGracefulStop(run(operations), [planned], 100)).toHaveLength(violations);
+});
+
+const seen = (at: number, revision: number, value?: number, instance = 'i1') => ({
+	at, process: 'entry-1', instance, revision, cells: (value === undefined ? {} : {'workspace/a.weight': value}) as Record<string, number>,
+});
+const edit = {
+	editId: 'e1', cell: 'workspace/a.weight', value: 7, answeredAt: 10,
+};
+const accepted = {...edit, revision: 2};
+const stored = [{editId: 'e1', revision: 2}];
+
+test.each([
+	['an edit that comes into force', [seen(5, 1), seen(15, 1), seen(25, 2, 7)], [accepted], stored, 0],
+	['a refused edit that is not in the history', [], [edit], [], 0],
+	['a process that goes back', [seen(5, 2, 7), seen(6, 1)], [accepted], stored, 1],
+	['a process that restarts behind, for a moment', [seen(5, 2, 7), seen(6, 1, undefined, 'i2')], [accepted], stored, 0],
+	['a process that stays behind', [seen(25, 1)], [accepted], stored, 1],
+	['two tables of one revision', [seen(5, 3, 7), seen(6, 3, 8, 'i2')], [], [], 1],
+	['a revision without its edit', [seen(5, 2, 6)], [accepted], stored, 1],
+	['an accepted edit that the history lacks', [], [accepted], [], 1],
+	['a refused edit that took effect', [], [edit], stored, 1],
+	['an edit that took effect twice', [], [accepted], [...stored, {editId: 'e1', revision: 3}], 1],
+])('table: %s', (_, observations, edits, history, violations) => {
+	expect(checkTable(observations, edits, history, 10)).toHaveLength(violations);
+});
--- /dev/null
+++ b/packages/prove/src/checkers/check-at-most-once.ts
@@ -0,0 +1,38 @@
+/**
+A request marked as non-idempotent runs at most once, and one whose outcome was
+called unknown, or that was called not-run, never runs afterwards.
+*/
+import type {Execution} from '../history/execution.js';
+import type {Operation} from '../history/operation.js';
+import type {RecordedRun} from '../history/recorded-run.js';
+import type {Violation} from '../history/violation.js';
+import {groupByMark} from './group-by-mark.js';
+
+const checkCount = (mark: string, executions: readonly Execution[]): Violation[] => {
+	const second = executions.toSorted((a, b) => a.startedAt - b.startedAt)[1];
+	return second ? [{message: `${mark} ran ${executions.length} times`, at: second.startedAt, marks: [mark]}] : [];
+};
+
+const checkUnknown = (mark: string, attempts: readonly Operation[], executions: readonly Execution[]): Violation[] => {
+	const unknownAt = attempts
+		.filter(({outcome}) => outcome?.kind === 'refused' && outcome.code === 'outcome-unknown')
+		.map(({completedAt}) => completedAt ?? Infinity);
+	const firstUnknownAt = Math.min(...unknownAt);
+	return executions
+		.filter(({startedAt}) => startedAt > firstUnknownAt)
+		.map(({startedAt}) => ({message: `${mark} ran after its outcome was called unknown`, at: startedAt, marks: [mark]}));
+};
+
+const checkAnswered = (mark: string, attempts: readonly Operation[], executions: readonly Execution[]): Violation[] => attempts
+	.filter(({outcome}) => outcome?.kind === 'final' && executions.length === 0)
+	.map(({completedAt}) => ({message: `${mark} was answered although it never ran`, at: completedAt ?? 0, marks: [mark]}));
+
+/** Joins the attempts of every non-idempotent request with what upstreams recorded. */
+export const checkAtMostOnce = ({operations, executions}: RecordedRun): Violation[] => {
+	const calls = operations.filter(({kind, isIdempotent}) => (kind === 'call' || kind === 'attach') && isIdempotent === false);
+	const executionsByMark = groupByMark(executions);
+	return [...groupByMark(calls)].flatMap(([mark, attempts]) => {
+		const own = executionsByMark.get(mark) ?? [];
+		return [...checkCount(mark, own), ...checkUnknown(mark, attempts, own), ...checkAnswered(mark, attempts, own)];
+	});
+};
--- /dev/null
+++ b/packages/prove/src/checkers/check-engine-memory.ts
@@ -0,0 +1,18 @@
+/**
+No engine memory stays held by programs that have ended.
+*/
+import type {Violation} from '../history/violation.js';
+
+/** What an engine said it held. */
+type CacheSnapshot = {readonly at: number; readonly engine: string; readonly groups: readonly string[]};
+
+/** A program and when it ended. */
+type EndedProgram = {readonly program: string; readonly endedAt: number};
+
+/** A prefix may stay for `boundMs` after its program's end. */
+export const checkEngineMemory = (snapshots: readonly CacheSnapshot[], ended: readonly EndedProgram[], boundMs: number): Violation[] => {
+	const endedAt = new Map(ended.map(entry => [entry.program, entry.endedAt]));
+	return snapshots.flatMap(({at, engine, groups}) => groups
+		.filter(group => at - (endedAt.get(group) ?? Infinity) > boundMs)
+		.map(group => ({message: `${engine} still holds ${group}, ${at - (endedAt.get(group) ?? 0)} ms after its end`, at, programs: [group]})));
+};
--- /dev/null
+++ b/packages/prove/src/checkers/check-leaving.ts
@@ -0,0 +1,13 @@
+/**
+An upstream that is leaving receives no new work after a few seconds.
+*/
+import type {Execution} from '../history/execution.js';
+import type {Violation} from '../history/violation.js';
+
+/** When an upstream was told to leave. */
+type Departure = {readonly upstream: string; readonly at: number};
+
+/** New work may still begin for `boundMs` after the departure was announced. */
+export const checkLeaving = (executions: readonly Execution[], departures: readonly Departure[], boundMs: number): Violation[] => departures.flatMap(({upstream, at}) => executions
+	.filter(execution => execution.upstream === upstream && execution.startedAt > at + boundMs)
+	.map(({mark, startedAt}) => ({message: `${upstream} began ${mark} ${startedAt - at} ms after it was leaving`, at: startedAt, marks: [mark]})));
--- /dev/null
+++ b/packages/prove/src/checkers/check-whole-answer.ts
@@ -0,0 +1,40 @@
+/**
+Every caller receives the whole answer to its own request: byte-equal to what
+the upstream produced, or a typed failure.
+*/
+import {Buffer} from 'node:buffer';
+import type {Execution} from '../history/execution.js';
+import type {Operation} from '../history/operation.js';
+import type {RecordedRun} from '../history/recorded-run.js';
+import type {Violation} from '../history/violation.js';
+import {groupByMark} from './group-by-mark.js';
+
+const matches = (execution: Execution, text: string): boolean => execution.kind === 'service'
+	? text.includes(`"confirmation":"${execution.confirmation ?? ''}"`)
+	: execution.fate === 'finished' && execution.text === text;
+
+const findFault = (outcome: Operation['outcome'], executions: readonly Execution[]): string | undefined => {
+	if (outcome?.kind !== 'final') {
+		return undefined;
+	}
+
+	const {text, bytes, gap} = outcome;
+	if (gap !== undefined) {
+		return `was answered with a gap: ${gap}`;
+	}
+
+	if (Buffer.byteLength(text) !== bytes) {
+		return `was answered with ${Buffer.byteLength(text)} bytes, and the final event says ${bytes}`;
+	}
+
+	return executions.some(execution => matches(execution, text)) ? undefined : 'was answered with a text that no run of it produced';
+};
+
+/** Compares every answer with the runs of its own request. */
+export const checkWholeAnswer = ({operations, executions}: RecordedRun): Violation[] => {
+	const executionsByMark = groupByMark(executions);
+	return operations.flatMap(({mark, outcome, completedAt, id}) => {
+		const fault = mark === undefined ? undefined : findFault(outcome, executionsByMark.get(mark) ?? []);
+		return fault ? [{message: `#${id} ${mark} ${fault}`, at: completedAt ?? 0, marks: [mark ?? '']}] : [];
+	});
+};
--- /dev/null
+++ b/packages/prove/src/history/recorded-run.ts
@@ -0,0 +1,13 @@
+/**
+Everything that one run of a proof left behind.
+*/
+import type {Execution} from './execution.js';
+import type {FaultEvent} from './fault-event.js';
+import type {Operation} from './operation.js';
+
+/** Input of the checkers. */
+export type RecordedRun = {
+	readonly operations: readonly Operation[];
+	readonly executions: readonly Execution[];
+	readonly faults: readonly FaultEvent[];
+};
--- /dev/null
+++ b/packages/prove/src/history/request-mark.ts
@@ -0,0 +1,15 @@
+/**
+Names logical requests, so that any record of one can be traced to its turn.
+*/
+
+const MARK_PATTERN = /^(?<alias>[\w\-]+)\.t(?<turn>\d+)\.r(?<request>\d+)$/v;
+
+/** A mark is also the request id that the client sends. */
+export const requestMark = {
+	build: (alias: string, turn: number, request: number): string => `${alias}.t${turn}.r${request}`,
+	/** Returns the parts, or `undefined` for another text. */
+	parse(mark: string): {readonly alias: string; readonly turn: number} | undefined {
+		const groups = MARK_PATTERN.exec(mark)?.groups;
+		return groups ? {alias: groups.alias ?? '', turn: Number(groups.turn)} : undefined;
+	},
+};
