feat(prove): cluster of real processes, fault schedule and clients

Proofs run the built bundles on the loopback interface: platform, engines and service with their sidecars, entries. A seed draws clients and faults; relays before every listener make open connections go silent while new ones work.

--- /dev/null
+++ b/packages/prove/src/client/program-options.ts
@@ -0,0 +1,25 @@
+/**
+How one program of a proof behaves.
+*/
+import type {Random} from '@siskinhub/core/decide/random.js';
+import type {EntryClient} from './create-entry-client.js';
+
+/** The random source belongs to this program alone, so that programs do not disturb one another's choices. */
+export type ProgramOptions = {
+	readonly client: EntryClient;
+	readonly entries: ReadonlyArray<{readonly name: string; readonly address: string}>;
+	readonly random: Random;
+	/** Short name, part of every mark. */
+	readonly alias: string;
+	readonly turns: number;
+	/** No new turn begins after this time, and no attempt after `giveUpAt`. */
+	readonly until: number;
+	readonly giveUpAt: number;
+	/** Turns that are posted at once, each through an entry of its own. */
+	readonly pipeline?: number;
+	readonly serviceShare?: number;
+	/** Text that is put into every input, for example to crash upstreams. */
+	readonly extraText?: string;
+	/** Whether the program is ended after its last turn. */
+	readonly endsProgram?: boolean;
+};
--- /dev/null
+++ b/packages/prove/src/client/run-program.ts
@@ -0,0 +1,91 @@
+/**
+One agent program of a proof: a chain of calls through whichever entry answers,
+each sent again until its fate is known.
+*/
+import {setTimeout as sleep} from 'node:timers/promises';
+import {buildCall} from './build-call.js';
+import {pick} from './pick.js';
+import type {ProgramOptions} from './program-options.js';
+import {settleRequest} from './settle-request.js';
+
+const RETRY_DELAY_MS = 150;
+const SERVICE_SHARE = 0.3;
+const NON_IDEMPOTENT_MODEL_SHARE = 0.3;
+const HISTORY_SHARE = 0.2;
+const LEAST_TOKENS = 8;
+const TOKENS_SPREAD = 60;
+
+/** Refusals after which the turn is tried with a new request id. */
+const RENEWED_CODES = new Set(['not-run', 'outcome-unknown', 'cancelled']);
+
+const drawKind = ({random, serviceShare = SERVICE_SHARE}: ProgramOptions) => {
+	const service = random() < serviceShare;
+	return {
+		service,
+		isIdempotent: !service && random() >= NON_IDEMPOTENT_MODEL_SHARE,
+		tokens: LEAST_TOKENS + Math.floor(random() * TOKENS_SPREAD),
+	};
+};
+
+/** Resolves with whether the turn was answered. */
+const settleTurn = async (options: ProgramOptions, program: string, turn: number): Promise<boolean> => {
+	const kind = drawKind(options);
+	for (let request = 1; Date.now() < options.giveUpAt; request++) {
+		const {outcome} = await settleRequest(options, buildCall(options, program, turn, request, kind));
+		if (outcome?.kind !== 'refused' || !RENEWED_CODES.has(outcome.code)) {
+			return outcome?.kind === 'final';
+		}
+
+		await sleep(RETRY_DELAY_MS * options.random());
+	}
+
+	return false;
+};
+
+const startProgram = async ({client, entries, random, alias, giveUpAt}: ProgramOptions): Promise<string | undefined> => {
+	while (Date.now() < giveUpAt) {
+		const {outcome} = await client.startProgram(pick(random, entries), {kind: 'agent', deployment: 'proof'}, alias);
+		if (outcome?.kind === 'done') {
+			return (outcome.value as {program: string}).program;
+		}
+
+		await sleep(RETRY_DELAY_MS);
+	}
+
+	return undefined;
+};
+
+/** Sends batches of turns until one fails or the time is over; returns how many turns were answered. */
+const runTurns = async (options: ProgramOptions, program: string): Promise<number> => {
+	const {client, entries, random, alias, turns, until, pipeline = 1} = options;
+	let answered = 0;
+	for (let turn = 1; turn <= turns && Date.now() < until; turn += pipeline) {
+		const batch = Array.from({length: Math.min(pipeline, turns - turn + 1)}, async (_, index) => settleTurn(options, program, turn + index));
+		const results = await Promise.all(batch);
+		answered += results.filter(Boolean).length;
+		if (results.includes(false)) {
+			break;
+		}
+
+		if (random() < HISTORY_SHARE) {
+			await client.readHistory(pick(random, entries), program, alias);
+		}
+	}
+
+	return answered;
+};
+
+/** Returns the program's id and how many of its turns were answered. */
+export const runProgram = async (options: ProgramOptions): Promise<{readonly program?: string; readonly answered: number}> => {
+	const program = await startProgram(options);
+	if (program === undefined) {
+		return {answered: 0};
+	}
+
+	const answered = await runTurns(options, program);
+	if (options.endsProgram) {
+		await options.client.endProgram(pick(options.random, options.entries), program);
+	}
+
+	return {program, answered};
+};
--- /dev/null
+++ b/packages/prove/src/client/settle-request.ts
@@ -0,0 +1,39 @@
+/**
+Sends one logical request until its fate is known.
+*/
+import {setTimeout as sleep} from 'node:timers/promises';
+import type {Operation} from '../history/operation.js';
+import type {CallRequest} from './call-request.js';
+import {pick} from './pick.js';
+import type {ProgramOptions} from './program-options.js';
+
+const RETRY_DELAY_MS = 150;
+const ATTACH_SHARE = 0.5;
+const DUPLICATE_SHARE = 0.2;
+
+/** Refusals after which the same request is sent again. */
+const RETRIED_CODES = new Set(['unavailable', 'out-of-order', 'unknown-request', 'limit-reached']);
+
+const isOver = ({outcome}: Operation): boolean => outcome?.kind === 'final' || (outcome?.kind === 'refused' && !RETRIED_CODES.has(outcome.code));
+
+/** One attempt; sometimes a copy of the request goes to another entry at the same moment. */
+const attempt = async ({client, entries, random}: ProgramOptions, call: CallRequest, received: string, attaches: boolean) => {
+	const [result] = await Promise.all([
+		attaches ? client.attach(pick(random, entries), call, received) : client.call(pick(random, entries), call),
+		random() < DUPLICATE_SHARE ? client.call(pick(random, entries), call) : undefined,
+	]);
+	return result;
+};
+
+/** Resolves with the last attempt, which is the first that was answered or refused for good. */
+export const settleRequest = async (options: ProgramOptions, call: CallRequest): Promise<Operation> => {
+	const {random, giveUpAt} = options;
+	let {operation, text} = await attempt(options, call, '', false);
+	while (!isOver(operation) && Date.now() <= giveUpAt) {
+		await sleep(RETRY_DELAY_MS * random());
+		const attaches = random() < ATTACH_SHARE;
+		({operation, text} = await attempt(options, call, attaches ? text : '', attaches));
+	}
+
+	return operation;
+};
--- /dev/null
+++ b/packages/prove/src/cluster/cluster.ts
@@ -0,0 +1,34 @@
+/**
+The processes of one proof.
+*/
+import type {PlatformHost} from '@siskinhub/platform/platform-host.js';
+import type {ManagedProcess} from './managed-process.js';
+import type {TcpCutter} from './create-tcp-cutter.js';
+
+/** An entry and where clients reach it, through its relay. */
+type EntryNode = {readonly name: string; readonly address: string; readonly process: ManagedProcess};
+
+/** An upstream with its sidecar; `address` reaches the upstream itself, not through the relay. */
+type UpstreamNode = {
+	readonly id: string;
+	readonly kind: 'model' | 'service';
+	readonly target: string;
+	readonly address: string;
+	readonly upstream: ManagedProcess;
+	readonly sidecar: ManagedProcess;
+};
+
+/** Everything runs on the loopback interface under one temporary folder. */
+export type Cluster = {
+	readonly folder: string;
+	readonly platform: {readonly address: string; readonly process: ManagedProcess};
+	readonly entries: readonly EntryNode[];
+	readonly upstreams: readonly UpstreamNode[];
+	readonly processes: ReadonlyMap<string, ManagedProcess>;
+	readonly cutters: ReadonlyMap<string, TcpCutter>;
+	readonly hosts: readonly PlatformHost[];
+	/** Publishes the platform's list of hosts after `lagMs`. */
+	readonly publishHosts: (hosts: readonly PlatformHost[], lagMs: number) => Promise<void>;
+	/** Ends every process and removes the folder, unless `keepFolder`. */
+	readonly close: (keepFolder: boolean) => Promise<void>;
+};
--- /dev/null
+++ b/packages/prove/src/cluster/create-tcp-cutter.ts
@@ -0,0 +1,72 @@
+/**
+A TCP relay whose open connections can go silent without closing, while new
+ones work, as when something between two hosts has lost track of them.
+*/
+import {once} from 'node:events';
+import {
+	createServer, connect, type AddressInfo, type Socket,
+} from 'node:net';
+
+/** A relay before one address. */
+export type TcpCutter = {
+	readonly port: number;
+	/** Stops forwarding on every open connection, for good; returns how many there were. */
+	readonly silence: () => number;
+	readonly close: () => void;
+};
+
+const forward = (from: Socket, to: Socket): void => {
+	from.pipe(to);
+	from.on('error', () => to.destroy());
+	from.on('close', () => to.destroy());
+};
+
+/** Neither end learns of the other's end any more. */
+const mute = (socket: Socket): void => {
+	socket.unpipe();
+	socket.removeAllListeners('error').removeAllListeners('close');
+	socket.on('error', () => socket.destroy());
+	// Reading on keeps the peer from noticing a full buffer.
+	socket.resume();
+};
+
+/** Starts the relay on a free port of the loopback interface. */
+export const createTcpCutter = async (targetPort: number): Promise<TcpCutter> => {
+	const open = new Set<Socket>();
+	const all = new Set<Socket>();
+	const track = (socket: Socket): void => {
+		open.add(socket);
+		all.add(socket);
+		socket.on('close', () => {
+			open.delete(socket);
+		});
+	};
+
+	const server = createServer(client => {
+		const target = connect(targetPort, '127.0.0.1');
+		track(client);
+		track(target);
+		forward(client, target);
+		forward(target, client);
+	});
+	server.listen(0, '127.0.0.1');
+	await once(server, 'listening');
+	return {
+		port: (server.address() as AddressInfo).port,
+		silence() {
+			const count = open.size / 2;
+			for (const socket of open) {
+				mute(socket);
+			}
+
+			open.clear();
+			return count;
+		},
+		close() {
+			server.close();
+			for (const socket of all) {
+				socket.destroy();
+			}
+		},
+	};
+};
--- /dev/null
+++ b/packages/prove/src/cluster/start-cluster.ts
@@ -0,0 +1,152 @@
+/**
+Starts the processes of a proof from the built bundles: a platform stand-in,
+engines and a plain service with a sidecar each, and entries. Relays stand
+before every listener, so that open connections can go silent.
+*/
+import {mkdirSync, mkdtempSync, rmSync} from 'node:fs';
+import {tmpdir} from 'node:os';
+import path from 'node:path';
+import type {PlatformHost} from '@siskinhub/platform/platform-host.js';
+import {allocatePorts} from './allocate-ports.js';
+import {canConnect} from './can-connect.js';
+import type {Cluster} from './cluster.js';
+import type {ClusterOptions} from './cluster-options.js';
+import {createManagedProcess} from './create-managed-process.js';
+import {createTcpCutter, type TcpCutter} from './create-tcp-cutter.js';
+import type {ManagedProcess} from './managed-process.js';
+import {sendJsonRequest} from './send-json-request.js';
+import {writeSettings} from './write-settings.js';
+
+const BUNDLES = {
+	platform: 'packages/standins/dist/platform-server.js',
+	engine: 'packages/standins/dist/engine-server.js',
+	service: 'packages/standins/dist/service-server.js',
+	entry: 'packages/entry/dist/siskinhub-entry.js',
+	sidecar: 'packages/sidecar/dist/siskinhub-sidecar.js',
+};
+const DATA_CENTRES = ['centre-1', 'centre-2', 'centre-3'] as const;
+const STOP_TIMEOUT_MS = 500;
+
+const dataCentreOf = (index: number): string => DATA_CENTRES[index % DATA_CENTRES.length]!;
+
+/** Builds processes and relays under one folder. */
+const createNodeBuilder = (folder: string, root: string) => {
+	const processes = new Map<string, ManagedProcess>();
+	const cutters = new Map<string, TcpCutter>();
+	return {
+		processes,
+		cutters,
+		addProcess(name: string, bundle: keyof typeof BUNDLES, args: readonly string[], port: number): ManagedProcess {
+			const managed = createManagedProcess({
+				name,
+				args: [path.join(root, BUNDLES[bundle]), ...args],
+				logFile: path.join(folder, 'logs', `${name}.log`),
+				isReady: async () => canConnect(port),
+			});
+			processes.set(name, managed);
+			return managed;
+		},
+		/** Returns the port of the relay before `port`. */
+		async addCutter(name: string, port: number): Promise<number> {
+			const cutter = await createTcpCutter(port);
+			cutters.set(name, cutter);
+			return cutter.port;
+		},
+	};
+};
+
+type NodeBuilder = ReturnType<typeof createNodeBuilder>;
+
+const addEntry = async (builder: NodeBuilder, folder: string, index: number, platformPort: number) => {
+	const name = `entry-${index + 1}`;
+	const [httpPort, peerPort] = await allocatePorts(2) as [number, number];
+	const advertised = await builder.addCutter(`${name}/peer`, peerPort);
+	const file = writeSettings.entry(folder, {
+		name,
+		dataCentre: dataCentreOf(index),
+		httpPort,
+		peer: {listen: peerPort, advertised},
+		platformPort: await builder.addCutter(`${name}/platform`, platformPort),
+	});
+	const host: PlatformHost = {
+		id: name, role: 'entry', peerAddress: `http://127.0.0.1:${advertised}`, dataCentre: dataCentreOf(index), state: 'live', holdsHistory: true,
+	};
+	const httpCutter = await builder.addCutter(`${name}/http`, httpPort);
+	return {
+		host, name, address: `http://127.0.0.1:${httpCutter}`, process: builder.addProcess(name, 'entry', ['--settings', file], httpPort),
+	};
+};
+
+const addUpstream = async (builder: NodeBuilder, folder: string, index: number, options: ClusterOptions) => {
+	const kind = index < options.engines ? 'model' as const : 'service' as const;
+	const id = kind === 'model' ? `engine-${index + 1}` : `service-${index - options.engines + 1}`;
+	const target = kind === 'model' ? 'modelos-trenza' : 'booking-core';
+	const [port, peerPort] = await allocatePorts(2) as [number, number];
+	const records = path.join(folder, `${id}-records.jsonl`);
+	const common = ['--port', String(port), '--name', id, '--records', records, ...options.crashOn === undefined ? [] : ['--crash-on', options.crashOn]];
+	const slots = options.slots ?? 4;
+	// Every second engine checks fencing numbers, as some of the platform's engines do.
+	const checksFencingNumbers = kind === 'model' && index % 2 === 1;
+	const engineArgs = [
+		...common, '--slots', String(slots), '--token-delay-ms', String(options.tokenDelayMs ?? 5), '--cache-tokens', '50000', ...checksFencingNumbers ? ['--checks-fencing'] : [],
+	];
+	const upstream = kind === 'model'
+		? builder.addProcess(id, 'engine', engineArgs, port)
+		: builder.addProcess(id, 'service', [...common, '--delay-ms', '20'], port);
+	const advertised = await builder.addCutter(`${id}/peer`, peerPort);
+	const sidecarName = `sidecar-of-${id}`;
+	const file = writeSettings.sidecar(folder, {
+		name: sidecarName,
+		dataCentre: dataCentreOf(index),
+		peer: {listen: peerPort, advertised},
+		upstream: {
+			id, kind, target, slots, checksFencingNumbers, port: await builder.addCutter(id, port),
+		},
+	});
+	const host: PlatformHost = {
+		id: sidecarName, role: 'sidecar', peerAddress: `http://127.0.0.1:${advertised}`, dataCentre: dataCentreOf(index), state: 'live', upstream: {id, kind, target},
+	};
+	return {
+		host, id, kind, target, address: `http://127.0.0.1:${port}`, upstream, sidecar: builder.addProcess(sidecarName, 'sidecar', ['--settings', file], peerPort),
+	};
+};
+
+/** Resolves when every process accepts connections. `root` is the workspace's folder with the built bundles. */
+export const startCluster = async (root: string, options: ClusterOptions): Promise<Cluster> => {
+	const folder = mkdtempSync(path.join(tmpdir(), 'siskinhub-prove-'));
+	mkdirSync(path.join(folder, 'logs'));
+	const builder = createNodeBuilder(folder, root);
+	const [platformPort] = await allocatePorts(1) as [number];
+	const platform = {
+		address: `http://127.0.0.1:${platformPort}`,
+		process: builder.addProcess('platform', 'platform', ['--port', String(platformPort)], platformPort),
+	};
+	const entries = await Promise.all(Array.from({length: options.entries}, async (_, index) => addEntry(builder, folder, index, platformPort)));
+	const upstreams = await Promise.all(Array.from({length: options.engines + options.services}, async (_, index) => addUpstream(builder, folder, index, options)));
+	const hosts = [...entries, ...upstreams].map(({host}) => host);
+	const publishHosts: Cluster['publishHosts'] = async (list, lagMs) => {
+		await sendJsonRequest('PUT', `${platform.address}/hosts?lagMs=${lagMs}`, {body: list});
+	};
+
+	await platform.process.start();
+	await publishHosts(hosts, 0);
+	await Promise.all(Array.from(builder.processes.values(), async managed => managed.start()));
+	return {
+		folder, platform, entries, upstreams, hosts, processes: builder.processes, cutters: builder.cutters, publishHosts,
+		async close(keepFolder) {
+			for (const managed of builder.processes.values()) {
+				managed.thaw();
+				managed.kill();
+			}
+
+			await Promise.all(Array.from(builder.processes.values(), async managed => managed.stop(STOP_TIMEOUT_MS)));
+			for (const cutter of builder.cutters.values()) {
+				cutter.close();
+			}
+
+			if (!keepFolder) {
+				rmSync(folder, {recursive: true, force: true});
+			}
+		},
+	};
+};
--- /dev/null
+++ b/packages/prove/src/format-verdict.ts
@@ -0,0 +1,27 @@
+/**
+Prints the result of a run.
+*/
+import type {ProofVerdict} from './proof-verdict.js';
+
+const MOST_VIOLATIONS = 10;
+
+const judge = ({violations, isTelling}: ProofVerdict): string => {
+	if (violations.length > 0) {
+		return 'VIOLATED';
+	}
+
+	return isTelling ? 'held' : 'held, but the run met too little of what it is about';
+};
+
+/** Several lines, without a line break at the end. */
+export const formatVerdict = (verdict: ProofVerdict): string => {
+	const {point, seed, operations, executions, faults, outcomes, violations, timeline, logs} = verdict;
+	return [
+		`${point}: ${judge(verdict)} (seed ${seed}, ${operations} operations, ${executions} runs on upstreams, ${faults} faults)`,
+		`  ${Object.entries(outcomes).map(([name, count]) => `${name} ${count}`).join(', ')}`,
+		...violations.slice(0, MOST_VIOLATIONS).map(message => `  ${message}`),
+		...violations.length > MOST_VIOLATIONS ? [`  and ${violations.length - MOST_VIOLATIONS} more`] : [],
+		...timeline === undefined ? [] : ['', timeline],
+		...logs === undefined ? [] : ['', `logs: ${logs}`],
+	].join('\n');
+};
--- /dev/null
+++ b/packages/prove/src/points/drive-programs.ts
@@ -0,0 +1,39 @@
+/**
+Runs many programs at the same time.
+*/
+import type {ProgramOptions} from '../client/program-options.js';
+import {runProgram} from '../client/run-program.js';
+import type {ProofContext} from './proof-context.js';
+
+// Clients go on after the last fault, so that what was interrupted can finish.
+const SETTLE_MS = 10_000;
+
+type DriveOptions = {
+	/** Programs at any one time. */
+	readonly programs: number;
+	readonly turns: number;
+} & Partial<Pick<ProgramOptions, 'pipeline' | 'serviceShare' | 'endsProgram'>>;
+
+/** A program of one of the clients. */
+type DrivenProgram = {readonly alias: string; readonly program?: string; readonly answered: number};
+
+/** Each client runs one program after the other until the time is over. */
+export const drivePrograms = async (context: ProofContext, {programs, ...options}: DriveOptions): Promise<DrivenProgram[]> => {
+	const {client, cluster, seconds, createRandom} = context;
+	const until = Date.now() + (seconds * 1000);
+	const runClient = async (index: number): Promise<DrivenProgram[]> => {
+		const driven: DrivenProgram[] = [];
+		while (Date.now() < until) {
+			const alias = `c${index}-${driven.length}`;
+			const result = await runProgram({
+				...options, client, entries: cluster.entries, random: createRandom(alias), alias, until, giveUpAt: until + SETTLE_MS,
+			});
+			driven.push({alias, ...result});
+		}
+
+		return driven;
+	};
+
+	const all = await Promise.all(Array.from({length: programs}, async (_, index) => runClient(index)));
+	return all.flat();
+};
--- /dev/null
+++ b/packages/prove/src/points/list-points.ts
@@ -0,0 +1,21 @@
+/**
+The points that can be proved.
+*/
+import type {Point} from './point.js';
+import {createRequestPoint} from './create-request-point.js';
+
+const ALL_FAULTS = ['kill', 'freeze', 'silence', 'platform-down', 'platform-slow', 'platform-lose-answers', 'upstream-cut', 'upstream-slow'] as const;
+
+const hasRefusal = (code: string): Parameters<typeof createRequestPoint>[0]['isTelling'] => ({operations}) =>
+	operations.some(({outcome}) => outcome?.kind === 'refused' && outcome.code === code);
+
+/** In the order in which they are run. */
+export const listPoints = (): Point[] => [
+	createRequestPoint({name: 'at-most-once', kinds: ALL_FAULTS, drive: {programs: 10, turns: 8, serviceShare: 0.8}}),
+	createRequestPoint({
+		name: 'not-run', kinds: ['kill', 'freeze', 'silence', 'platform-down', 'upstream-slow'], drive: {programs: 24, turns: 6}, isTelling: hasRefusal('not-run'),
+	}),
+	createRequestPoint({name: 'order', kinds: ['kill', 'freeze', 'silence'], drive: {programs: 8, turns: 24, pipeline: 4}}),
+	createRequestPoint({name: 'history', kinds: ALL_FAULTS, drive: {programs: 20, turns: 30}}),
+	createRequestPoint({name: 'whole-answer', kinds: ['kill', 'silence', 'upstream-cut', 'upstream-slow', 'freeze'], drive: {programs: 12, turns: 20, serviceShare: 0.1}}),
+] as Point[];
--- /dev/null
+++ b/packages/prove/src/points/prepare-table.ts
@@ -0,0 +1,45 @@
+/**
+Writes the rows that a proof's programs name.
+*/
+import {setTimeout as sleep} from 'node:timers/promises';
+import type {Cluster} from '../cluster/cluster.js';
+import {sendJsonRequest} from '../cluster/send-json-request.js';
+
+const ATTEMPTS = 40;
+const RETRY_DELAY_MS = 250;
+const HEADERS = {'siskinhub-operator': 'prove'};
+
+const addMissingRows = async (address: string, rows: readonly string[]): Promise<boolean> => {
+	const table = await sendJsonRequest('GET', `${address}/v1/table`, {headers: HEADERS});
+	const {revision, rows: known} = table.body as {readonly revision: number; readonly rows: Readonly<Record<string, unknown>>};
+	const missing = rows.filter(row => !(row in known));
+	if (missing.length > 0) {
+		const changes = missing.map(row => ({kind: 'add-row', row}));
+		await sendJsonRequest('POST', `${address}/v1/table/edits`, {headers: HEADERS, body: {editId: `prepare-${Date.now()}`, against: revision, changes}});
+	}
+
+	return missing.length === 0;
+};
+
+/** An entry that does not answer yet counts as one without the rows. */
+const hasRows = async (address: string, rows: readonly string[]): Promise<boolean> => {
+	try {
+		return await addMissingRows(address, rows);
+	} catch {
+		return false;
+	}
+};
+
+/** Resolves when every entry has the rows; throws if they do not come. */
+export const prepareTable = async ({entries}: Cluster, workspace: string): Promise<void> => {
+	const rows = ['deployment/proof', 'kind/agent', `workspace/${workspace}`];
+	for (const {name, address} of entries) {
+		for (let attempt = 0; !await hasRows(address, rows); attempt++) {
+			if (attempt === ATTEMPTS) {
+				throw new Error(`${name} never had the rows of the proof; see its log`);
+			}
+
+			await sleep(RETRY_DELAY_MS);
+		}
+	}
+};
--- /dev/null
+++ b/packages/prove/src/run-proof.ts
@@ -0,0 +1,101 @@
+/**
+One run of a proof: a cluster, its clients, a fault schedule and the checks.
+*/
+import {setTimeout as sleep} from 'node:timers/promises';
+import {createRandom} from '@siskinhub/core/decide/create-random.js';
+import type {Random} from '@siskinhub/core/decide/random.js';
+import {createEntryClient} from './client/create-entry-client.js';
+import type {Cluster} from './cluster/cluster.js';
+import {collectExecutions} from './cluster/collect-executions.js';
+import {injectFault} from './cluster/inject-fault.js';
+import {startCluster} from './cluster/start-cluster.js';
+import {createRecorder} from './history/create-recorder.js';
+import {formatTimeline} from './history/format-timeline.js';
+import type {RecordedRun} from './history/recorded-run.js';
+import type {Violation} from './history/violation.js';
+import type {Point} from './points/point.js';
+import type {ProofContext} from './points/proof-context.js';
+import {prepareTable} from './points/prepare-table.js';
+import type {ProofVerdict} from './proof-verdict.js';
+import {drawSchedule} from './schedule/draw-schedule.js';
+import type {Fault} from './schedule/fault.js';
+
+const WORKSPACE = 'proof';
+const HASH_FACTOR = 31;
+
+/** A seed for each name, so that programs draw independently of one another. */
+const createSeededRandom = (seed: number, name: string): Random => {
+	let hash = seed;
+	for (const character of name) {
+		hash = (Math.imul(hash, HASH_FACTOR) + (character.codePointAt(0) ?? 0)) % 2_147_483_647;
+	}
+
+	return createRandom(hash);
+};
+
+const runSchedule = async (context: ProofContext, faults: readonly Fault[]): Promise<void> => {
+	const startedAt = Date.now();
+	const running: Array<Promise<void>> = [];
+	for (const fault of faults) {
+		await sleep(Math.max(0, fault.atMs - (Date.now() - startedAt)));
+		running.push(injectFault(context.cluster, fault, context.recorder));
+	}
+
+	await Promise.all(running);
+};
+
+const drive = async (point: Point, context: ProofContext): Promise<{readonly run: RecordedRun; readonly evidence: unknown}> => {
+	const faults = drawSchedule(context.createRandom('faults'), {
+		seconds: context.seconds, faultsPerSecond: point.faultsPerSecond, targets: point.targets(context), durationMs: point.faultDurationMs,
+	});
+	const [evidence] = await Promise.all([point.drive(context), runSchedule(context, faults)]);
+	const executions = await collectExecutions(context.cluster);
+	return {run: {operations: context.recorder.operations, faults: context.recorder.faults, executions}, evidence};
+};
+
+const findCrashes = (cluster: Cluster): Violation[] => [...cluster.processes.values()]
+	.filter(managed => managed.name.startsWith('entry') || managed.name.startsWith('sidecar'))
+	.filter(managed => managed.crashes() > 0)
+	.map(managed => ({message: `${managed.name} exited ${managed.crashes()} times without being told to`, at: Date.now()}));
+
+const countOutcomes = (run: RecordedRun): Record<string, number> => {
+	const counts: Record<string, number> = {};
+	for (const {kind, outcome} of run.operations) {
+		const name = `${kind} ${outcome?.kind === 'refused' ? outcome.code : outcome?.kind ?? 'pending'}`;
+		counts[name] = (counts[name] ?? 0) + 1;
+	}
+
+	return counts;
+};
+
+/** `root` is the workspace's folder with the built bundles. Nothing is left running; logs are kept if the run found a violation. */
+export const runProof = async (point: Point, {root, seed, seconds}: {readonly root: string; readonly seed: number; readonly seconds: number}): Promise<ProofVerdict> => {
+	const cluster = await startCluster(root, point.cluster);
+	const recorder = createRecorder();
+	const client = createEntryClient(recorder, WORKSPACE);
+	const context: ProofContext = {
+		cluster, recorder, client, seconds, createRandom: name => createSeededRandom(seed, name),
+	};
+	let hasFailed = true;
+	try {
+		await prepareTable(cluster, WORKSPACE);
+		const {run, evidence} = await drive(point, context);
+		const violations = [...point.check(run, evidence), ...findCrashes(cluster)].toSorted((a, b) => a.at - b.at);
+		hasFailed = violations.length > 0;
+		return {
+			point: point.name,
+			seed,
+			operations: run.operations.length,
+			executions: run.executions.length,
+			faults: run.faults.filter(({kind}) => !kind.endsWith(' over')).length,
+			outcomes: countOutcomes(run),
+			violations: violations.map(({message}) => message),
+			timeline: violations[0] && formatTimeline(run, violations[0]),
+			isTelling: point.isTelling(run, evidence),
+			logs: hasFailed ? cluster.folder : undefined,
+		};
+	} finally {
+		await client.close();
+		await cluster.close(hasFailed);
+	}
+};
--- /dev/null
+++ b/packages/prove/src/schedule/draw-schedule.ts
@@ -0,0 +1,41 @@
+/**
+Draws a fault schedule from a seed.
+*/
+import type {Random} from '@siskinhub/core/decide/random.js';
+import type {Fault, FaultKind} from './fault.js';
+
+const TOGETHER_SHARE = 0.3;
+const TWICE_SHARE = 0.2;
+const TWICE_WITHIN_MS = 400;
+
+type ScheduleOptions = {
+	readonly seconds: number;
+	readonly faultsPerSecond: number;
+	/** Targets for each kind that may be drawn. */
+	readonly targets: Readonly<Partial<Record<FaultKind, readonly string[]>>>;
+	/** Shortest and longest duration of a fault, in milliseconds. */
+	readonly durationMs: readonly [number, number];
+};
+
+const pick = <Item>(random: Random, items: readonly Item[]): Item => items[Math.floor(random() * items.length)]!;
+
+/** Faults in order of time; some come together with the one before, some strike the same target twice. */
+export const drawSchedule = (random: Random, {seconds, faultsPerSecond, targets, durationMs: [least, most]}: ScheduleOptions): Fault[] => {
+	const kinds = Object.keys(targets) as FaultKind[];
+	const faults: Fault[] = [];
+	const lastMs = seconds * 1000;
+	for (let atMs = 0; kinds.length > 0 && faults.length < seconds * faultsPerSecond;) {
+		const gapMs = random() < TOGETHER_SHARE ? 0 : random() * 2 * 1000 / faultsPerSecond / (1 - TOGETHER_SHARE);
+		atMs += gapMs;
+		const kind = pick(random, kinds);
+		const fault = {
+			atMs: Math.round(Math.min(atMs, lastMs)), kind, target: pick(random, targets[kind]!), durationMs: Math.round(least + (random() * (most - least))),
+		};
+		faults.push(fault);
+		if (random() < TWICE_SHARE) {
+			faults.push({...fault, atMs: Math.round(Math.min(fault.atMs + (random() * TWICE_WITHIN_MS), lastMs))});
+		}
+	}
+
+	return faults.toSorted((a, b) => a.atMs - b.atMs);
+};
