feat(prove): points graceful-stop, table, leaving, budget, engine-memory, crashing-request

Each drives its own faults beside the drawn schedule and says whether a run met enough of what it is about, so that an idle run does not count as proof. Not run against entries yet.

--- a/packages/prove/src/checkers/__tests__/check-requests.test.ts
+++ b/packages/prove/src/checkers/__tests__/check-requests.test.ts
@@ -68,6 +68,7 @@
 
 test.each([
 	['two crashes and a served neighbour', run([call(A1, [0, 9], cut), call(A1, [10, 12], final())], [lost(1, 'e1'), lost(2, 'e2')]), 0],
+	['a neighbour served under a new request id', run([call(A1, [0, 9], cut), call('a.t1.r2', [10, 12], final())], [lost(1, 'e1')]), 0],
 	['three crashes', run([call(A1, [0, 9], final())], [lost(1, 'e1'), lost(2, 'e2'), lost(3, 'e1')]), 1],
 	['a neighbour that was never served', run([call(A1, [0, 9], cut)], [lost(1, 'e1')]), 1],
 ])('crashing request: %s', (_, recorded, violations) => {
--- a/packages/prove/src/checkers/__tests__/check-state.test.ts
+++ b/packages/prove/src/checkers/__tests__/check-state.test.ts
@@ -65,9 +65,10 @@
 test.each([
 	['work before the bound', [ran('a.t1.r1', 15, 30)], 0],
 	['work on another upstream', [ran('a.t1.r1', 25, 30, {upstream: 'engine-2'})], 0],
+	['work after it came back', [ran('a.t1.r1', 51, 60)], 0],
 	['new work after the bound', [ran('a.t1.r1', 21, 30)], 1],
 ])('leaving: %s', (_, executions, violations) => {
-	expect(checkLeaving(executions, [{upstream: 'engine-1', at: 10}], 10)).toHaveLength(violations);
+	expect(checkLeaving(executions, [{upstream: 'engine-1', at: 10, until: 50}], 10)).toHaveLength(violations);
 });
 
 const stop = {
--- a/packages/prove/src/checkers/check-crashing-request.ts
+++ b/packages/prove/src/checkers/check-crashing-request.ts
@@ -2,20 +2,35 @@
 A request that crashes every upstream that runs it takes down at most two, and
 the innocent requests beside it are served.
 */
+import type {Operation} from '../history/operation.js';
 import type {RecordedRun} from '../history/recorded-run.js';
+import {requestMark} from '../history/request-mark.js';
 import type {Violation} from '../history/violation.js';
-import {groupByMark} from './group-by-mark.js';
 
 const MOST_CRASHES = 2;
 
+/** A turn is served if any of its request ids was. */
+const groupByTurn = (operations: readonly Operation[]): Map<string, Operation[]> => {
+	const turns = new Map<string, Operation[]>();
+	for (const operation of operations) {
+		const parsed = requestMark.parse(operation.mark ?? '');
+		const turn = `${parsed?.alias}.t${parsed?.turn}`;
+		if (parsed) {
+			turns.set(turn, [...turns.get(turn) ?? [], operation]);
+		}
+	}
+
+	return turns;
+};
+
 /** `isCrashing` recognises the marks of the crashing request, under whatever request id it was sent. */
 export const checkCrashingRequest = ({operations, executions}: RecordedRun, isCrashing: (mark: string) => boolean): Violation[] => {
 	const crashes = executions.filter(({mark, fate}) => isCrashing(mark) && fate === 'lost').toSorted((a, b) => a.startedAt - b.startedAt);
 	const third = crashes[MOST_CRASHES];
-	const unserved = [...groupByMark(operations.filter(({kind}) => kind === 'call' || kind === 'attach'))]
-		.filter(([mark, attempts]) => !isCrashing(mark) && attempts.every(({outcome}) => outcome?.kind !== 'final'));
+	const unserved = [...groupByTurn(operations)]
+		.filter(([, attempts]) => attempts.every(({mark, outcome}) => !isCrashing(mark ?? '') && outcome?.kind !== 'final'));
 	return [
 		...third ? [{message: `the crashing request took down ${crashes.length} upstreams`, at: third.startedAt, marks: crashes.map(({mark}) => mark)}] : [],
-		...unserved.map(([mark, attempts]) => ({message: `${mark} is innocent and was never served`, at: attempts.at(-1)?.completedAt ?? 0, marks: [mark]})),
+		...unserved.map(([turn, attempts]) => ({message: `${turn} is innocent and was never served`, at: attempts.at(-1)?.completedAt ?? 0, marks: attempts.map(({mark}) => mark ?? '')})),
 	];
 };
--- a/packages/prove/src/client/build-call.ts
+++ b/packages/prove/src/client/build-call.ts
@@ -14,7 +14,7 @@
 /** The input names its logical request, so that upstreams record it. */
 export const buildCall = (options: ProgramOptions, program: string, turn: number, request: number, kind: CallKind): CallRequest => {
 	const mark = requestMark.build(options.alias, turn, request);
-	const text = `[[mark=${mark}]] [[tokens=${kind.tokens}]] ${options.extraText ?? ''}`;
+	const text = options.fixedText ?? `[[mark=${mark}]] [[tokens=${kind.tokens}]] ${options.extraText ?? ''}`;
 	return {
 		program,
 		mark,
--- a/packages/prove/src/client/program-options.ts
+++ b/packages/prove/src/client/program-options.ts
@@ -18,8 +18,15 @@
 	/** Turns that are posted at once, each through an entry of its own. */
 	readonly pipeline?: number;
 	readonly serviceShare?: number;
-	/** Text that is put into every input, for example to crash upstreams. */
+	/** Share of the model calls that are non-idempotent. */
+	readonly nonIdempotentShare?: number;
+	/** Text that is put into every input. */
 	readonly extraText?: string;
+	/** The whole text of every input, equal for all requests. */
+	readonly fixedText?: string;
+	readonly parent?: string;
+	/** Sub-agents that the program starts after its first turn and waits for. */
+	readonly subAgents?: number;
 	/** Whether the program is ended after its last turn. */
 	readonly endsProgram?: boolean;
 };
--- a/packages/prove/src/client/run-program.ts
+++ b/packages/prove/src/client/run-program.ts
@@ -18,11 +18,11 @@
 /** Refusals after which the turn is tried with a new request id. */
 const RENEWED_CODES = new Set(['not-run', 'outcome-unknown', 'cancelled']);
 
-const drawKind = ({random, serviceShare = SERVICE_SHARE}: ProgramOptions) => {
+const drawKind = ({random, serviceShare = SERVICE_SHARE, nonIdempotentShare = NON_IDEMPOTENT_MODEL_SHARE}: ProgramOptions) => {
 	const service = random() < serviceShare;
 	return {
 		service,
-		isIdempotent: !service && random() >= NON_IDEMPOTENT_MODEL_SHARE,
+		isIdempotent: !service && random() >= nonIdempotentShare,
 		tokens: LEAST_TOKENS + Math.floor(random() * TOKENS_SPREAD),
 	};
 };
@@ -42,9 +42,9 @@
 	return false;
 };
 
-const startProgram = async ({client, entries, random, alias, giveUpAt}: ProgramOptions): Promise<string | undefined> => {
+const startProgram = async ({client, entries, random, alias, giveUpAt, parent}: ProgramOptions): Promise<string | undefined> => {
 	while (Date.now() < giveUpAt) {
-		const {outcome} = await client.startProgram(pick(random, entries), {kind: 'agent', deployment: 'proof'}, alias);
+		const {outcome} = await client.startProgram(pick(random, entries), {kind: 'agent', deployment: 'proof', parent}, alias);
 		if (outcome?.kind === 'done') {
 			return (outcome.value as {program: string}).program;
 		}
@@ -55,6 +55,12 @@
 	return undefined;
 };
 
+const runSubAgents = async (options: ProgramOptions, parent: string): Promise<void> => {
+	await Promise.all(Array.from({length: options.subAgents ?? 0}, async (_, index) => runProgram({
+		...options, alias: `${options.alias}s${index}`, parent, subAgents: 0, endsProgram: true,
+	})));
+};
+
 /** Sends batches of turns until one fails or the time is over; returns how many turns were answered. */
 const runTurns = async (options: ProgramOptions, program: string): Promise<number> => {
 	const {client, entries, random, alias, turns, until, pipeline = 1} = options;
@@ -67,6 +73,10 @@
 			break;
 		}
 
+		if (turn === 1) {
+			await runSubAgents(options, program);
+		}
+
 		if (random() < HISTORY_SHARE) {
 			await client.readHistory(pick(random, entries), program, alias);
 		}
--- /dev/null
+++ b/packages/prove/src/points/budget-point.ts
@@ -0,0 +1,70 @@
+/**
+Many programs and their sub-agents spend one row together; the budget is lowered
+in mid-run, answers are longer than asked, owners die holding reservations.
+*/
+import {setTimeout as sleep} from 'node:timers/promises';
+import {checkBudget} from '../checkers/check-budget.js';
+import {checkRequests} from './check-requests.js';
+import {drivePrograms} from './drive-programs.js';
+import {editCell} from './edit-cell.js';
+import {listFaultTargets} from './list-fault-targets.js';
+import type {Point} from './point.js';
+import type {ProofContext} from './proof-context.js';
+import {readTable} from './read-table.js';
+
+const FIRST_BUDGET = 60_000;
+const LOWERED_BUDGET = 40_000;
+const IN_FORCE_BOUND_MS = 11_000;
+const ATTEMPTS = 20;
+const OVERRUNNING_CLIENTS = 3;
+
+type Limits = Parameters<typeof checkBudget>[1];
+
+/** Resolves with the time at which the edit was accepted. */
+const setBudget = async ({cluster, recorder}: ProofContext, value: number, name: string): Promise<number | undefined> => {
+	for (let attempt = 0; attempt < ATTEMPTS; attempt++) {
+		const entry = cluster.entries[attempt % cluster.entries.length]!;
+		const table = await readTable(entry.address);
+		const entries = [entry, ...cluster.entries.filter(other => other !== entry)];
+		const answer = table && await editCell({
+			recorder, entries, operator: 'prove', editId: `${name}-${attempt}`, against: table.revision, row: 'workspace/proof', cell: 'budget', value,
+		});
+		if (answer?.revision !== undefined) {
+			return answer.answeredAt;
+		}
+
+		await sleep(250);
+	}
+
+	return undefined;
+};
+
+/** A limit that was never accepted is left out. */
+const lowerInMidRun = async (context: ProofContext): Promise<number | undefined> => {
+	await sleep(context.seconds * 500);
+	return setBudget(context, LOWERED_BUDGET, 'lower');
+};
+
+/** The first limit is set before the first program starts. */
+export const budgetPoint: Point<Limits> = {
+	name: 'budget',
+	cluster: {entries: 3, engines: 2, services: 0},
+	faultsPerSecond: 0.5,
+	faultDurationMs: [200, 3000],
+	targets: context => listFaultTargets(context, ['kill', 'freeze', 'platform-down', 'platform-lose-answers', 'upstream-cut']),
+	async drive(context) {
+		const firstAt = await setBudget(context, FIRST_BUDGET, 'first');
+		const [loweredAt] = await Promise.all([
+			lowerInMidRun(context),
+			drivePrograms(context, {
+				programs: 12, turns: 12, serviceShare: 0, subAgents: 2, endsProgram: true, extraTextOf: client => client < OVERRUNNING_CLIENTS ? '[[overrun]] [[tokens=400]]' : '',
+			}),
+		]);
+		return [
+			...firstAt === undefined ? [] : [{tokens: FIRST_BUDGET, from: 0}],
+			...loweredAt === undefined ? [] : [{tokens: LOWERED_BUDGET, from: loweredAt + IN_FORCE_BOUND_MS}],
+		];
+	},
+	check: (run, limits) => [...checkBudget(run.executions, limits), ...checkRequests(run)],
+	isTelling: ({operations}, limits) => limits.length > 0 && operations.some(({outcome}) => outcome?.kind === 'refused' && outcome.code === 'budget-exhausted'),
+};
--- a/packages/prove/src/points/list-points.ts
+++ b/packages/prove/src/points/list-points.ts
@@ -1,7 +1,13 @@
 /**
 The points that can be proved.
 */
+import {budgetPoint} from './budget-point.js';
+import {crashingRequestPoint} from './crashing-request-point.js';
+import {engineMemoryPoint} from './engine-memory-point.js';
+import {gracefulStopPoint} from './graceful-stop-point.js';
+import {leavingPoint} from './leaving-point.js';
 import type {Point} from './point.js';
+import {tablePoint} from './table-point.js';
 import {createRequestPoint} from './create-request-point.js';
 
 const ALL_FAULTS = ['kill', 'freeze', 'silence', 'platform-down', 'platform-slow', 'platform-lose-answers', 'upstream-cut', 'upstream-slow'] as const;
@@ -18,4 +24,10 @@
 	createRequestPoint({name: 'order', kinds: ['kill', 'freeze', 'silence'], drive: {programs: 8, turns: 24, pipeline: 4}}),
 	createRequestPoint({name: 'history', kinds: ALL_FAULTS, drive: {programs: 20, turns: 30}}),
 	createRequestPoint({name: 'whole-answer', kinds: ['kill', 'silence', 'upstream-cut', 'upstream-slow', 'freeze'], drive: {programs: 12, turns: 20, serviceShare: 0.1}}),
+	gracefulStopPoint,
+	tablePoint,
+	leavingPoint,
+	budgetPoint,
+	engineMemoryPoint,
+	crashingRequestPoint,
 ] as Point[];
--- a/packages/prove/src/prove.ts
+++ b/packages/prove/src/prove.ts
@@ -17,6 +17,7 @@
 	static override readonly description = 'Proves points by history checking of concurrent runs under faults.';
 
 	static override readonly flags = {
+		help: Flags.help(),
 		point: Flags.string({multiple: true, options: listPoints().map(({name}) => name), description: 'point to prove; all without it'}),
 		seed: Flags.integer({description: 'seed of clients and faults; drawn anew without it'}),
 		seconds: Flags.integer({default: DEFAULT_SECONDS, min: 1, description: 'seconds during which clients begin new turns'}),
