--- a/packages/prove/src/client/read-answer.ts
+++ b/packages/prove/src/client/read-answer.ts
@@ -41,6 +41,12 @@
 				break;
 			}
 
+			case 'restart': {
+				text = '';
+				bytes = 0;
+				break;
+			}
+
 			case 'final': {
 				const {bytes: stated, digest, promptTokens, outputTokens} = value as FinalData;
 				outcome = {
--- a/packages/prove/src/cluster/collect-executions.ts
+++ b/packages/prove/src/cluster/collect-executions.ts
@@ -21,7 +21,7 @@
 	fate: FINISHED.has(record.fate) ? 'finished' : record.fate as Execution['fate'],
 	promptTokens: record.promptTokens,
 	outputTokens: record.outputTokens,
-	text: generateTokens(record.promptSha256, record.outputTokens).join(''),
+	text: generateTokens(record.answerKey, record.outputTokens).join(''),
 });
 
 const fromEffect = (record: EffectRecord, upstream: string): Execution => ({
--- a/packages/prove/src/cluster/start-cluster.ts
+++ b/packages/prove/src/cluster/start-cluster.ts
@@ -88,7 +88,7 @@
 	// Every second engine checks fencing numbers, as some of the platform's engines do.
 	const checksFencingNumbers = kind === 'model' && index % 2 === 1;
 	const engineArgs = [
-		...common, '--slots', String(slots), '--token-delay-ms', String(options.tokenDelayMs ?? 5), '--cache-tokens', '50000', ...checksFencingNumbers ? ['--checks-fencing'] : [],
+		...common, '--slots', String(slots), '--token-delay-ms', String(options.tokenDelayMs ?? 5), '--cache-tokens', '50000', '--vary-answers', ...checksFencingNumbers ? ['--checks-fencing'] : [],
 	];
 	const upstream = kind === 'model'
 		? builder.addProcess(id, 'engine', engineArgs, port)
--- a/packages/prove/src/prove.ts
+++ b/packages/prove/src/prove.ts
@@ -8,9 +8,12 @@
 } from '@oclif/core';
 import {formatVerdict} from './format-verdict.js';
 import {listPoints} from './points/list-points.js';
+import type {ProofVerdict} from './proof-verdict.js';
 import {runProof} from './run-proof.js';
+import {summarizeSoak} from './summarize-soak.js';
 
 const DEFAULT_SECONDS = 20;
+const MS_PER_MINUTE = 60_000;
 const MOST_SEED = 2_147_483_647;
 
 class Prove extends Command {
@@ -22,19 +25,32 @@
 		seed: Flags.integer({description: 'seed of clients and faults; drawn anew without it'}),
 		seconds: Flags.integer({default: DEFAULT_SECONDS, min: 1, description: 'seconds during which clients begin new turns'}),
 		runs: Flags.integer({default: 1, min: 1, description: 'runs of each point, each with the next seed'}),
+		minutes: Flags.integer({min: 1, description: 'goes on with the next seeds for so long'}),
 	};
 
 	async run(): Promise<void> {
-		const {flags} = await this.parse(Prove);
-		const first = flags.seed ?? Math.floor(Math.random() * MOST_SEED);
-		const points = listPoints().filter(({name}) => flags.point?.includes(name) ?? true);
-		for (const point of points) {
-			for (let run = 0; run < flags.runs; run++) {
-				const verdict = await runProof(point, {root: process.cwd(), seed: first + run, seconds: flags.seconds});
+		const {flags: {seed, seconds, point: names, runs, minutes}} = await this.parse(Prove);
+		const first = seed ?? Math.floor(Math.random() * MOST_SEED);
+		const endsAt = Date.now() + ((minutes ?? 0) * MS_PER_MINUTE);
+		const points = listPoints().filter(({name}) => names?.includes(name) ?? true);
+		const verdicts: ProofVerdict[] = [];
+		for (let run = 0; run < runs || Date.now() < endsAt; run++) {
+			for (const point of points) {
+				if (run >= runs && Date.now() >= endsAt) {
+					break;
+				}
+
+				const verdict = await runProof(point, {root: process.cwd(), seed: first + run, seconds});
+				verdicts.push(verdict);
 				this.log(formatVerdict(verdict));
-				process.exitCode = verdict.violations.length > 0 ? 1 : process.exitCode;
 			}
 		}
+
+		if (verdicts.length > 1) {
+			this.log(`\n${summarizeSoak(verdicts)}`);
+		}
+
+		process.exitCode = verdicts.some(({violations}) => violations.length > 0) ? 1 : 0;
 	}
 }
 
--- a/packages/standins/src/__tests__/engine-server.test.ts
+++ b/packages/standins/src/__tests__/engine-server.test.ts
@@ -51,6 +51,14 @@
 	expect(answer).toBe(generateTokens(record!.promptSha256, 40).join(''));
 });
 
+test('answers vary from run to run where asked, and the record still tells them', async () => {
+	const {base, records} = await start({variesAnswers: true});
+	const first = readAnswer(await readText(complete(base, 'r1', '[[tokens=40]]')));
+	const second = readAnswer(await readText(complete(base, 'r2', '[[tokens=40]]')));
+	expect(second).not.toBe(first);
+	expect(records().map(({answerKey}) => generateTokens(answerKey, 40).join(''))).toEqual([first, second]);
+});
+
 test('max_tokens cuts the answer unless the prompt makes the engine overrun', async () => {
 	const {base, records} = await start();
 	await readText(complete(base, 'r1', '[[tokens=40]]', {body: {max_tokens: 7}}));
--- a/packages/standins/src/create-engine-server.ts
+++ b/packages/standins/src/create-engine-server.ts
@@ -12,7 +12,7 @@
 import {createRoutedServer} from './http/create-routed-server.js';
 
 const DEFAULTS = {
-	model: 'modelos-trenza', slots: 8, tokenDelayMs: 5, cacheTokens: 200_000, checksFencing: false,
+	model: 'modelos-trenza', slots: 8, tokenDelayMs: 5, cacheTokens: 200_000, checksFencing: false, variesAnswers: false,
 };
 
 /** An engine that is not listening yet. */
--- a/packages/standins/src/engine/create-run.ts
+++ b/packages/standins/src/engine/create-run.ts
@@ -19,21 +19,25 @@
 	/** Tokens that the cache holds of the request's group. */
 	readonly heldTokens: number;
 	readonly crashes: boolean;
+	readonly variesAnswers: boolean;
 };
 
-/** The answer is settled here: its length and its tokens depend only on the prompt and `maxTokens`. */
+/** The answer is settled here: it depends only on the prompt and `maxTokens`, unless answers vary. */
 export const createRun = (prompt: Prompt, request: RunRequest): Run => {
-	const {engine, requestId, group, fencingNumber, priority, maxTokens, heldTokens, crashes} = request;
+	const {engine, requestId, group, fencingNumber, priority, maxTokens, heldTokens, crashes, variesAnswers} = request;
+	const run = randomUUID();
+	const answerKey = variesAnswers ? `${prompt.sha256}/${run}` : prompt.sha256;
 	const limit = prompt.overruns ? Infinity : maxTokens ?? Infinity;
 	const cachedTokens = Math.min(heldTokens, prompt.tokens);
 	return {
 		record: {
-			run: randomUUID(),
+			run,
 			engine,
 			requestId,
 			group,
 			fencingNumber,
 			promptSha256: prompt.sha256,
+			answerKey,
 			mark: prompt.mark,
 			promptTokens: prompt.tokens,
 			startedAt: Date.now(),
@@ -41,7 +45,7 @@
 			fate: 'running',
 		},
 		priority,
-		tokens: generateTokens(prompt.sha256, Math.min(prompt.wantedTokens, limit)),
+		tokens: generateTokens(answerKey, Math.min(prompt.wantedTokens, limit)),
 		finish: prompt.wantedTokens > limit ? 'length' : 'stop',
 		crashes,
 		cachedTokens,
--- a/packages/standins/src/engine/create-stream-routes.ts
+++ b/packages/standins/src/engine/create-stream-routes.ts
@@ -46,6 +46,7 @@
 		maxTokens: data.max_tokens,
 		heldTokens: cache.get(group),
 		crashes: faults.crashOn !== '' && prompt.text.includes(faults.crashOn),
+		variesAnswers: options.variesAnswers,
 	});
 	engine.start(run);
 	streamRun(run, res, 0, faults.cutStreamAt);
--- a/packages/standins/src/engine/engine-options.ts
+++ b/packages/standins/src/engine/engine-options.ts
@@ -16,6 +16,8 @@
 	readonly cacheTokens: number;
 	/** Whether lower fencing numbers than those seen are refused. */
 	readonly checksFencing: boolean;
+	/** Whether two runs of one prompt answer differently, as sampling engines do. */
+	readonly variesAnswers: boolean;
 	/** File to which records are appended, so that they survive a crash. */
 	readonly recordsFile?: string;
 	/** Text in a prompt that crashes the engine from the start. */
--- a/packages/standins/src/engine/generate-tokens.ts
+++ b/packages/standins/src/engine/generate-tokens.ts
@@ -1,6 +1,7 @@
 /**
-The stand-in engine's "model": tokens that depend on nothing but the prompt's
-hash, so that a checker can compute the answer that an engine must have given.
+The stand-in engine's "model": tokens that depend on nothing but a key, which
+is the prompt's hash unless answers vary, so that a checker can compute from a
+record the answer that an engine must have given.
 */
 import {createHash} from 'node:crypto';
 
@@ -42,13 +43,13 @@
 
 const TOKENS_PER_BLOCK = 32;
 
-const generateBlock = (promptSha256: string, block: number): string[] => {
-	const bytes = createHash('sha256').update(`${promptSha256}/${block}`).digest();
+const generateBlock = (key: string, block: number): string[] => {
+	const bytes = createHash('sha256').update(`${key}/${block}`).digest();
 	return Array.from(bytes, byte => VOCABULARY[byte % VOCABULARY.length] ?? '');
 };
 
-/** Returns the first `count` tokens of the answer to the prompt with this hash. */
-export const generateTokens = (promptSha256: string, count: number): string[] => {
+/** Returns the first `count` tokens of the answer with this key. */
+export const generateTokens = (key: string, count: number): string[] => {
 	const blocks = Math.ceil(count / TOKENS_PER_BLOCK);
-	return Array.from({length: blocks}, (_, block) => generateBlock(promptSha256, block)).flat().slice(0, count);
+	return Array.from({length: blocks}, (_, block) => generateBlock(key, block)).flat().slice(0, count);
 };
--- a/packages/standins/src/engine/run-record.ts
+++ b/packages/standins/src/engine/run-record.ts
@@ -12,6 +12,8 @@
 	readonly group: string;
 	readonly fencingNumber?: number;
 	readonly promptSha256: string;
+	/** What `generateTokens` makes the answer from. */
+	readonly answerKey: string;
 	/** The request's name, if its prompt gave one. */
 	readonly mark: string;
 	readonly promptTokens: number;
