feat(entry): the operators' table over HTTP, on heartbeats and in every grant

Rows decide about programs: an unknown row is refused, limits come from the newest table that the owner's process knows. Neighbours tell each other their revision on heartbeats; the side that knows less asks.

--- a/packages/entry/src/create-entry.ts
+++ b/packages/entry/src/create-entry.ts
@@ -13,7 +13,6 @@
 import type {ProgramId} from '@siskinhub/core/ids/program-id.js';
 import type {ShardId} from '@siskinhub/core/ids/shard-id.js';
 import {shardOfProgram} from '@siskinhub/core/ids/shard-of-program.js';
-import type {RowKey} from '@siskinhub/core/table/row-key.js';
 import type {Logger} from '@siskinhub/observe/logger.js';
 import type {Metrics} from '@siskinhub/observe/metrics.js';
 import type {Tracer} from '@siskinhub/observe/tracer.js';
@@ -26,6 +25,7 @@
 import type {LinkSettings} from '@siskinhub/peer/link-settings.js';
 import type {PeerPool} from '@siskinhub/peer/peer-pool.js';
 import type {PlatformClient} from '@siskinhub/platform/platform-client.js';
+import {createTable} from '@siskinhub/platform/table/create-table.js';
 import {Role} from '@siskinhub/proto/gen/siskinhub/peer/v1/peer_pb.js';
 import type {ResolvedEntryConfig} from '@siskinhub/settings/resolved-entry-config.js';
 import {createCallRunner} from './calls/create-call-runner.js';
@@ -40,6 +40,7 @@
 import {createHttpServer} from './http/create-http-server.js';
 import {createOperatorRoutes} from './http/create-operator-routes.js';
 import {createProgramRoutes} from './http/create-program-routes.js';
+import {createTableRoutes} from './http/create-table-routes.js';
 import {createCrashRegister} from './owner/create-crash-register.js';
 import {createOwnerRouter} from './owner/create-owner-router.js';
 import {createOwnerService} from './owner/create-owner-service.js';
@@ -50,6 +51,10 @@
 import type {Ownership} from './ownership/ownership.js';
 import {rankCandidates} from './ownership/rank-candidates.js';
 import {takeOverShard} from './ownership/take-over-shard.js';
+import {chooseNeighbours} from './table/choose-neighbours.js';
+import {createRowLimits} from './table/create-row-limits.js';
+import {createTableExchange} from './table/create-table-exchange.js';
+import {isTableWatcher} from './table/is-table-watcher.js';
 
 const MAX_SEED = 2 ** 31;
 const TIME_LIMIT_INTERVAL_MS = 500;
@@ -98,6 +103,9 @@
 
 	const hosts = createHostDirectory(platform, () => {
 		upstreams.sync();
+		for (const neighbour of chooseNeighbours(cfg.host, cfg.dataCentre, hosts.entries())) {
+			pool().get(neighbour.peerAddress);
+		}
 	});
 	const upstreams = createUpstreamDirectory({hosts, pool, silenceMs: cfg.heartbeat.silenceMs});
 	const map = createShardMap();
@@ -108,12 +116,22 @@
 			}
 		}
 	});
+	const table = createTable({
+		client: platform,
+		writer: `${cfg.host}/${instance}`,
+		createCommitId: createId,
+		isWatcher: () => isTableWatcher(cfg.host, cfg.dataCentre, hosts.entries()),
+	});
+	const exchange = createTableExchange(table);
 	const answerAsOwner = createOwnerService({
 		ownership, map, crashes, shardOf,
 	});
 
+	const answerAboutTable = (body: Body): BodyInit | undefined => body.case === 'tableSince' ? exchange.answer(Number(body.value.revision)) : undefined;
+
 	const answer = async (body: Body): Promise<BodyInit> => await holderService.answer(body)
 		?? await answerAsOwner(body)
+		?? answerAboutTable(body)
 		?? {case: 'refused', value: {code: 'bad-request', message: `This entry does not answer ${body.case}.`}};
 
 	const onMessage = async ({body, reply}: IncomingMessage) => {
@@ -131,11 +149,14 @@
 		},
 		heartbeatIntervalMs: cfg.heartbeat.intervalMs,
 		silenceMs: cfg.heartbeat.silenceMs,
-		describeSelf: () => ({leaving: isLeaving}),
+		describeSelf: () => ({leaving: isLeaving, tableRevision: BigInt(table.revision())}),
 		onMessage(message) {
 			void onMessage(message);
 		},
-		onHeartbeat: upstreams.receiveHeartbeat,
+		onHeartbeat(link, heartbeat) {
+			upstreams.receiveHeartbeat(link, heartbeat);
+			exchange.receiveRevision(link, Number(heartbeat.tableRevision));
+		},
 		pauseDetector: createPauseDetector(cfg.heartbeat.silenceMs, () => {
 			log.warn('the process was paused; links are opened anew');
 		}),
@@ -197,7 +218,7 @@
 			});
 			return taken.map(({shardLog, epoch, holders, sources}) => createShardOwner({
 				shard, epoch, shardLog, holders, sources, histories, upstreams, orders, crashes, chooseUpstream, random, createId, log,
-				limitsOf: ({workspace}) => ok({row: `workspace/${workspace}` as RowKey, limits: {weight: 1, priority: 0}}),
+				limitsOf: createRowLimits(() => table.state().table),
 				reserveTokens: async () => ok({settle() {/* Budgets follow. */}, release() {/* Budgets follow. */}}),
 			}));
 		},
@@ -216,7 +237,7 @@
 	const context = {
 		cfg, instance, version, router, calls, histories, upstreams, ownership: ownership(), random, createId, shardOf, log,
 		isLeaving: () => isLeaving,
-		tableRevision: () => 0,
+		tableRevision: table.revision,
 		async drainUpstream(address: string) {
 			const reply = await ask(address, {case: 'drainUpstream', value: {}}, {timeoutMs: DRAIN_TIMEOUT_MS});
 			return reply.isOk() && reply.value.case === 'acknowledged';
@@ -224,10 +245,11 @@
 	};
 	const peerServer = await createPeerServer({ip: cfg.peer.ip, port: cfg.peer.port, settings});
 	await hosts.refresh();
+	await table.refresh();
 	const http = await createHttpServer({
 		ip: cfg.http.ip,
 		port: cfg.http.port,
-		routes: [...createProgramRoutes(context), ...createCallRoutes(context), ...createOperatorRoutes(context)],
+		routes: [...createProgramRoutes(context), ...createCallRoutes(context), ...createOperatorRoutes(context), ...createTableRoutes(context, table)],
 		log,
 	});
 	const limitTimer = setInterval(() => {
@@ -257,6 +279,7 @@
 			}
 
 			clearInterval(limitTimer);
+			table.close();
 			hosts.stop();
 			pool().closeAll('the process is stopping');
 			await peerServer.close();
--- /dev/null
+++ b/packages/entry/src/table/create-row-limits.ts
@@ -0,0 +1,25 @@
+/**
+Reads a program's limits from the operators' table.
+*/
+import {err, ok, type Result} from 'neverthrow';
+import type {ProgramHeader} from '@siskinhub/core/history/program-header.js';
+import type {Refusal} from '@siskinhub/core/refusal/refusal.js';
+import {resolveLimits} from '@siskinhub/core/table/resolve-limits.js';
+import type {RowKey} from '@siskinhub/core/table/row-key.js';
+import type {TableState} from '@siskinhub/core/table/table-state.js';
+import type {RowLimits} from '../owner/row-limits.js';
+
+type ProgramRows = Pick<ProgramHeader, 'workspace' | 'kind' | 'deployment'>;
+
+/** Creates the function that an owner asks; it always reads the newest table that this process knows. */
+export const createRowLimits = (table: () => TableState) => (rows: ProgramRows): Result<RowLimits, Refusal> => {
+	const resolved = resolveLimits(table(), rows);
+	if (resolved.isErr()) {
+		return err({
+			code: 'unknown-row',
+			message: `The table has no row ${resolved.error.rows.join(', ')}; ask the operator to add it, or correct the name.`,
+		});
+	}
+
+	return ok({row: `workspace/${rows.workspace}` as RowKey, limits: resolved.value});
+};
