fix(sidecar): probe the upstream; start nothing on waking from a pause

Cause: a sidecar whose upstream had crashed reported it down until a run succeeded, and owners sent it no runs, so it stayed down. And a run that ended while the process slept started the next queued call before the timers had noticed the pause, although its owner may have called it unknown meanwhile.

--- a/packages/sidecar/src/create-engine-client.ts
+++ b/packages/sidecar/src/create-engine-client.ts
@@ -8,6 +8,7 @@
 import {Agent, request} from 'undici';
 import * as z from 'zod';
 import {isConnectFailure} from './is-connect-failure.js';
+import {probeHttp} from './probe-http.js';
 import {readEngineStream} from './read-engine-stream.js';
 import type {RunOutcome} from './run-outcome.js';
 import type {RunRequest} from './run-request.js';
@@ -126,6 +127,7 @@
 
 	return {
 		run,
+		probe: async () => probeHttp(`${address}/load`, dispatcher),
 		async releasePrefix(program, fencingNumber) {
 			try {
 				const res = await request(`${address}/cache/${encodeURIComponent(program)}`, {
--- a/packages/sidecar/src/create-run-scheduler.ts
+++ b/packages/sidecar/src/create-run-scheduler.ts
@@ -37,6 +37,10 @@
 	readonly slots: number;
 	readonly order: QueueOrder;
 	readonly admission: AdmissionDecision;
+	/** False while the process has just woken from a pause: whoever waits for a queued call may have given it up. */
+	readonly mayStart: () => boolean;
+	/** Called when a run could not reach the upstream or lost it. */
+	readonly onUpstreamFailure: () => void;
 };
 
 const createRun = (dispatch: Dispatch, grant: Grant, traceparent: string): Run => {
@@ -91,7 +95,7 @@
 };
 
 /** Creates an empty queue that accepts calls. */
-export const createRunScheduler = ({upstream, registry, slots, order, admission}: SchedulerOptions): RunScheduler => {
+export const createRunScheduler = ({upstream, registry, slots, order, admission, mayStart, onUpstreamFailure}: SchedulerOptions): RunScheduler => {
 	const runs = new Map<ClaimId, Run>();
 	const waiting: Run[] = [];
 	const running = new Set<Run>();
@@ -138,7 +142,7 @@
 
 	const takeNext = (): Run | undefined => {
 		const runningAlone = [...running].some(run => grantOf(run).runAlone);
-		if (waiting.length === 0 || running.size >= slots || runningAlone) {
+		if (waiting.length === 0 || running.size >= slots || runningAlone || !mayStart()) {
 			return undefined;
 		}
 
@@ -181,7 +185,11 @@
 		running.delete(run);
 		const servedMs = Date.now() - run.startedAt;
 		rows = chargeRow(rows, run.queued, servedMs);
-		statistics.record(servedMs, outcome, grant.program);
+		statistics.record(servedMs, outcome);
+		if (outcome.kind === 'not-sent' || (outcome.kind === 'lost' && outcome.isCrash)) {
+			onUpstreamFailure();
+		}
+
 		if (outcome.kind === 'not-sent') {
 			registry.refuseLater(run.claim);
 		}
@@ -374,7 +382,6 @@
 			queued: waiting.length,
 			callMs: statistics.callMs(),
 			tokenMs: statistics.tokenMs(),
-			upstreamUp: statistics.isUp(),
 		}),
 		activePrograms: () => new Set([...waiting, ...running].map(run => run.program)),
 		onChange(listener) {
--- a/packages/sidecar/src/create-run-statistics.ts
+++ b/packages/sidecar/src/create-run-statistics.ts
@@ -13,11 +13,9 @@
 export const createRunStatistics = (): RunStatistics => {
 	let callMs = FIRST_CALL_MS;
 	let tokenMs = FIRST_TOKEN_MS;
-	let isUp = true;
 	const blend = (mean: number, sample: number) => mean + (NEWEST_SHARE * (sample - mean));
 	return {
 		record(servedMs, outcome) {
-			isUp = outcome.kind !== 'not-sent' && !(outcome.kind === 'lost' && outcome.isCrash);
 			if (outcome.kind !== 'finished') {
 				return;
 			}
@@ -29,6 +27,5 @@
 		},
 		callMs: () => callMs,
 		tokenMs: () => tokenMs,
-		isUp: () => isUp,
 	};
 };
--- a/packages/sidecar/src/create-service-client.ts
+++ b/packages/sidecar/src/create-service-client.ts
@@ -3,6 +3,7 @@
 */
 import {Agent, request} from 'undici';
 import {isConnectFailure} from './is-connect-failure.js';
+import {probeHttp} from './probe-http.js';
 import type {UpstreamClient} from './upstream-client.js';
 
 const CONNECT_TIMEOUT_MS = 3000;
@@ -46,6 +47,7 @@
 					: {kind: 'lost', reason: String(error), isCrash: true};
 			}
 		},
+		probe: async () => probeHttp(`${address}/`, dispatcher),
 		releasePrefix: async () => true,
 		listPrefixes: async () => [],
 	};
--- a/packages/sidecar/src/create-sidecar.ts
+++ b/packages/sidecar/src/create-sidecar.ts
@@ -22,6 +22,7 @@
 import {createPrefixKeeper} from './create-prefix-keeper.js';
 import {createRunScheduler} from './create-run-scheduler.js';
 import {createServiceClient} from './create-service-client.js';
+import {createUpstreamMonitor} from './create-upstream-monitor.js';
 import type {Sidecar} from './sidecar.js';
 
 const STOP_POLL_MS = 20;
@@ -39,20 +40,38 @@
 	const instance = randomUUID() as InstanceId;
 	const upstream = cfg.upstream.kind === 'model' ? createEngineClient(cfg.upstream.address) : createServiceClient(cfg.upstream.address);
 	const registry = createGrantRegistry({instance, maxRecords: cfg.recordRetention.maxRequests});
+	const links = new Set<PeerLink>();
+	const announce = () => {
+		for (const link of links) {
+			link.send({case: 'heartbeat', value: describeSelf()});
+		}
+	};
+
+	const monitor = createUpstreamMonitor(upstream, () => {
+		log.warn(monitor.isUp() ? 'the upstream is up again' : 'the upstream does not answer');
+		announce();
+	});
+	const pauseDetector = createPauseDetector(cfg.heartbeat.silenceMs, () => {
+		log.warn('the process was paused; calls that had not started are dropped');
+		scheduler.dropQueued('the sidecar was paused while the call waited');
+	});
 	const scheduler = createRunScheduler({
-		upstream, registry, slots: cfg.upstream.slots, order: chooseNextCall, admission: decideAdmission,
+		upstream,
+		registry,
+		slots: cfg.upstream.slots,
+		order: chooseNextCall,
+		admission: decideAdmission,
+		mayStart: () => !pauseDetector.isWaking(),
+		onUpstreamFailure() {
+			monitor.noteFailure();
+		},
 	});
-	const links = new Set<PeerLink>();
 	const keeper = createPrefixKeeper({
 		upstream, scheduler, links, intervalMs: cfg.reconcileIntervalMs, log,
 	});
 	const describeSelf = () => ({
 		leaving: !scheduler.isAccepting(),
-		load: {...scheduler.describeLoad(), ...keeper.describeHeld()},
-	});
-	const pauseDetector = createPauseDetector(cfg.heartbeat.silenceMs, () => {
-		log.warn('the process was paused; calls that had not started are dropped');
-		scheduler.dropQueued('the sidecar was paused while the call waited');
+		load: {...scheduler.describeLoad(), ...keeper.describeHeld(), upstreamUp: monitor.isUp()},
 	});
 	const settings: LinkSettings = {
 		hello: {
@@ -66,12 +85,6 @@
 		}),
 		pauseDetector,
 	};
-	const announce = () => {
-		for (const link of links) {
-			link.send({case: 'heartbeat', value: describeSelf()});
-		}
-	};
-
 	const server = await createPeerServer({
 		ip: cfg.peer.ip,
 		port: cfg.peer.port,
@@ -100,6 +113,7 @@
 
 			const isClean = scheduler.openRuns() === 0;
 			keeper.stop();
+			monitor.stop();
 			await delay(LAST_REPLIES_MS);
 			await server.close();
 			pauseDetector.stop();
--- a/packages/sidecar/src/upstream-client.ts
+++ b/packages/sidecar/src/upstream-client.ts
@@ -15,6 +15,8 @@
 	readonly run: (request: RunRequest, onText: (text: string) => void, signal: AbortSignal) => Promise<RunOutcome>;
 	/** Releases a program's prefix; true once the upstream no longer holds it. */
 	readonly releasePrefix: (program: string, fencingNumber: bigint) => Promise<boolean>;
+	/** Whether the upstream answers at all. */
+	readonly probe: () => Promise<boolean>;
 	/** What the upstream says it holds; undefined while it does not answer. */
 	readonly listPrefixes: () => Promise<readonly HeldPrefix[] | undefined>;
 };
