feat(entry): history holders are replaced and refilled by the owner

Why: with two holders a dead one blocks every turn, and a replaced data folder would count as a copy that it is not. The owner takes its own shard over again with the holders that can be reached; the earlier set stays a source with its own quorum until every program has been copied.

--- a/packages/entry/src/create-entry.ts
+++ b/packages/entry/src/create-entry.ts
@@ -46,6 +46,7 @@
 import {createOwnerService} from './owner/create-owner-service.js';
 import {createShardOwner} from './owner/create-shard-owner.js';
 import {chooseHolders} from './ownership/choose-holders.js';
+import {createHolderWatch} from './ownership/create-holder-watch.js';
 import {createOwnership} from './ownership/create-ownership.js';
 import {createShardMap} from './ownership/create-shard-map.js';
 import type {Ownership} from './ownership/ownership.js';
@@ -182,6 +183,10 @@
 		return link.remote()?.dataFolderId ?? '';
 	};
 
+	const knownFolderId = (address: string): string => address === ownAddress
+		? holderService.dataFolderId
+		: (pool().get(address).remote()?.dataFolderId ?? '');
+
 	const findHolders = async (shard: ShardId) => {
 		const candidates = await Promise.all(rank(shard).map(async entry => ({
 			host: entry.id as HostId,
@@ -222,6 +227,10 @@
 				reserveTokens: async () => ok({settle() {/* Budgets follow. */}, release() {/* Budgets follow. */}}),
 			}));
 		},
+		needsOtherHolders: createHolderWatch({
+			isUsable: holder => knownFolderId(holder.peerAddress) === holder.dataFolderId,
+			countCandidates: () => hosts.entries().filter(entry => knownFolderId(entry.peerAddress) !== '').length,
+		}),
 		log,
 	});
 
--- a/packages/entry/src/history/create-history-client.ts
+++ b/packages/entry/src/history/create-history-client.ts
@@ -6,6 +6,7 @@
 import {chooseLongestValidChain} from '@siskinhub/core/history/choose-longest-valid-chain.js';
 import type {ProgramHistory} from '@siskinhub/core/history/program-history.js';
 import type {ProgramId} from '@siskinhub/core/ids/program-id.js';
+import type {ShardId} from '@siskinhub/core/ids/shard-id.js';
 import {countReadQuorum} from '@siskinhub/core/owner/count-read-quorum.js';
 import {countWriteQuorum} from '@siskinhub/core/owner/count-write-quorum.js';
 import type {HistoryHolder} from '@siskinhub/core/owner/history-holder.js';
@@ -72,6 +73,21 @@
 		return err(tooFew('read the history'));
 	};
 
+	const listHolder = async (holder: HistoryHolder, shard: ShardId): Promise<readonly ProgramId[] | undefined> => {
+		const programs: ProgramId[] = [];
+		for (;;) {
+			const page = await askHolder(holder, {case: 'listShard', value: {shard, afterProgram: programs.at(-1) ?? ''}});
+			if (page?.body.case !== 'shardCopy') {
+				return undefined;
+			}
+
+			programs.push(...page.body.value.programs.map(copy => copy.program as ProgramId));
+			if (!page.body.value.more) {
+				return programs;
+			}
+		}
+	};
+
 	return {
 		writeHeader: async ({shard, epoch, holders}, header) => write(holders, {case: 'writeHeader', value: {shard, epoch: BigInt(epoch), header}}, 'store the program'),
 		appendTurn: async ({shard, epoch, holders}, turn) => write(holders, {case: 'appendTurn', value: {shard, epoch: BigInt(epoch), turn: encodeTurn(turn)}}, 'store the turn'),
@@ -103,6 +119,13 @@
 
 			return err({code: 'history-mismatch', message: 'No holder has the history that the program\'s owner names; send the whole history with the call.'});
 		},
+		async listPrograms(holders, shard) {
+			const lists = await Promise.all(holders.map(async holder => listHolder(holder, shard)));
+			const answered = lists.filter(list => list !== undefined);
+			return answered.length >= countReadQuorum(holders.length)
+				? ok([...new Set(answered.flat())])
+				: err(tooFew('list the programs'));
+		},
 		async fence({shard, epoch, holders}) {
 			const replies = await Promise.all(holders.map(async holder => askHolder(holder, {
 				case: 'fenceShard',
--- a/packages/entry/src/history/history-client.ts
+++ b/packages/entry/src/history/history-client.ts
@@ -28,6 +28,8 @@
 	readonly readLongest: (holders: readonly HistoryHolder[], program: ProgramId) => Promise<Result<ProgramHistory | undefined, Refusal>>;
 	/** Reads from the first holder that has the program up to `digest`. */
 	readonly readAt: (holders: readonly HistoryHolder[], program: ProgramId, digest: string) => Promise<Result<ProgramHistory, Refusal>>;
+	/** Programs of the shard that any of a read quorum of holders has. */
+	readonly listPrograms: (holders: readonly HistoryHolder[], shard: ShardId) => Promise<Result<readonly ProgramId[], Refusal>>;
 	/** Makes a read quorum refuse lower epochs; returns the holders that did. */
 	readonly fence: (place: Place) => Promise<Result<readonly HistoryHolder[], Refusal>>;
 };
--- a/packages/entry/src/owner/create-shard-owner.ts
+++ b/packages/entry/src/owner/create-shard-owner.ts
@@ -23,6 +23,7 @@
 import {createGrantGiver} from './create-grant-giver.js';
 import {createProgramBook} from './create-program-book.js';
 import {endPrograms} from './end-programs.js';
+import {refillHolders} from './refill-holders.js';
 import {refuse} from './refuse.js';
 import type {ShardOwner} from './shard-owner.js';
 import type {ShardOwnerOptions} from './shard-owner-options.js';
@@ -241,11 +242,19 @@
 		return written.isErr() ? refuse(written.error) : viewProgram(book.add(header), epoch, holders);
 	};
 
+	const retire = () => {
+		isLeaving = true;
+		for (const program of book.all()) {
+			book.signal(program.header.program);
+		}
+	};
+
 	const ender = endPrograms({...options, book});
 
 	return {
 		shard,
 		epoch,
+		holders,
 		startProgram,
 		grant,
 		settle,
@@ -348,12 +357,10 @@
 		runningCalls: () => [...book.all()].filter(program => program.current !== undefined).length,
 		enforceTimeLimits: ender.enforceTimeLimits,
 		isFenced: shardLog.isFenced,
+		refill: async () => refillHolders(options, book),
+		retire,
 		async handOver() {
-			isLeaving = true;
-			for (const program of book.all()) {
-				book.signal(program.header.program);
-			}
-
+			retire();
 			const handedOver = await append({kind: 'hand-over'}, HAND_OVER_TIMEOUT_MS);
 			log.info('shard handed over', {shard, ok: handedOver.isOk()});
 		},
--- a/packages/entry/src/owner/shard-owner.ts
+++ b/packages/entry/src/owner/shard-owner.ts
@@ -6,12 +6,15 @@
 	AttachCall, CancelCall, EndProgram, GetProgram, GrantRequest, Release, Settle, StartProgram,
 } from '@siskinhub/proto/gen/siskinhub/peer/v1/peer_pb.js';
 import type {Epoch} from '@siskinhub/core/ids/epoch.js';
+import type {HistoryHolder} from '@siskinhub/core/owner/history-holder.js';
 import type {ShardId} from '@siskinhub/core/ids/shard-id.js';
 
 /** Answers each message with the reply to send; no method rejects. */
 export type ShardOwner = {
 	readonly shard: ShardId;
 	readonly epoch: Epoch;
+	/** Where the shard's histories are kept. */
+	readonly holders: readonly HistoryHolder[];
 	readonly startProgram: (message: StartProgram) => Promise<BodyInit>;
 	readonly getProgram: (message: GetProgram) => Promise<BodyInit>;
 	readonly endProgram: (message: EndProgram) => Promise<BodyInit>;
@@ -29,6 +32,10 @@
 	readonly enforceTimeLimits: () => Promise<void>;
 	/** True once another owner has taken the shard over. */
 	readonly isFenced: () => boolean;
-	/** Takes no new grants, and says so in the log. */
+	/** Copies every program of earlier holders to the present ones; does nothing without earlier holders. */
+	readonly refill: () => Promise<void>;
+	/** Answers `not-owner` from now on. */
+	readonly retire: () => void;
+	/** Retires, and says so in the log. */
 	readonly handOver: () => Promise<void>;
 };
--- /dev/null
+++ b/packages/entry/src/ownership/create-holder-watch.ts
@@ -0,0 +1,45 @@
+/**
+Notices when a shard has fewer usable history holders than it could have.
+*/
+import {countWriteQuorum} from '@siskinhub/core/owner/count-write-quorum.js';
+import type {HistoryHolder} from '@siskinhub/core/owner/history-holder.js';
+import type {ShardId} from '@siskinhub/core/ids/shard-id.js';
+import type {ShardOwner} from '../owner/shard-owner.js';
+
+const COPIES = 3;
+/** Beats without a write quorum after which the shard gets other holders; turns cannot be stored meanwhile. */
+const BEATS_WITHOUT_QUORUM = 4;
+/** Beats with a missing copy after which the shard gets other holders; a restarted host is back sooner. */
+const BEATS_WITH_MISSING_COPY = 20;
+
+type WatchOptions = {
+	/** Whether the holder answers and still has the folder that the shard's log names. */
+	readonly isUsable: (holder: HistoryHolder) => boolean;
+	/** Entries with a data folder that can be reached now. */
+	readonly countCandidates: () => number;
+};
+
+/** Creates the watch; the returned function is called once a beat for each owned shard and tells whether its holders are to change. */
+export const createHolderWatch = ({isUsable, countCandidates}: WatchOptions) => {
+	const beatsMissing = new Map<ShardId, number>();
+
+	return ({shard, holders}: ShardOwner): boolean => {
+		const usable = holders.filter(holder => isUsable(holder)).length;
+		const quorum = countWriteQuorum(holders.length);
+		const possible = Math.min(COPIES, countCandidates());
+		if (usable >= possible && usable >= quorum) {
+			beatsMissing.delete(shard);
+			return false;
+		}
+
+		const beats = (beatsMissing.get(shard) ?? 0) + 1;
+		beatsMissing.set(shard, beats);
+		const patience = usable < quorum ? BEATS_WITHOUT_QUORUM : BEATS_WITH_MISSING_COPY;
+		if (beats < patience) {
+			return false;
+		}
+
+		beatsMissing.delete(shard);
+		return true;
+	};
+};
--- a/packages/entry/src/ownership/create-ownership.ts
+++ b/packages/entry/src/ownership/create-ownership.ts
@@ -37,6 +37,8 @@
 	readonly leaseRenewEveryMs: number;
 	/** Takes one shard over; fails with the reason. */
 	readonly takeOver: (shard: ShardId, isAlive: (instance: string) => boolean) => Promise<Result<ShardOwner, string>>;
+	/** Whether the shard's history holders are to change; asked once a beat. */
+	readonly needsOtherHolders: (owner: ShardOwner) => boolean;
 	readonly log: Logger;
 };
 
@@ -146,7 +148,9 @@
 			return;
 		}
 
+		owned.get(shard)?.retire();
 		owned.set(shard, taken.value);
+		void taken.value.refill();
 		beatsWithoutOwner.delete(shard);
 		map.note(shard, {host, peerAddress, epoch: taken.value.epoch});
 		log.info('shard taken over', {shard, epoch: taken.value.epoch});
@@ -195,6 +199,16 @@
 		await announce();
 	};
 
+	/** Takes own shards over again where that gives them other holders. */
+	const renewHolders = async (): Promise<void> => {
+		for (const [shard, owner] of owned) {
+			if (!isLeaving && options.needsOtherHolders(owner)) {
+				log.warn('the history holders of a shard are to change', {shard});
+				await tryShard(shard);
+			}
+		}
+	};
+
 	const beat = async (): Promise<void> => {
 		if (isBusy) {
 			return;
@@ -203,6 +217,7 @@
 		isBusy = true;
 		dropFenced();
 		await search();
+		await renewHolders();
 		isBusy = false;
 	};
 
--- a/packages/entry/src/ownership/take-over-shard.ts
+++ b/packages/entry/src/ownership/take-over-shard.ts
@@ -49,7 +49,8 @@
 	const opened = await openLog<ShardLogItem, ShardLogState>({
 		client: platform,
 		log: `shard-${shard}`,
-		writer: `${host}/${instance}`,
+		// A fresh name for each takeover, so that this process fences its own earlier epochs too.
+		writer: `${host}/${instance}/${createId()}`,
 		createCommitId: createId,
 		mode: 'exclusive',
 		initialState: EMPTY_SHARD_LOG_STATE,
