--- a/packages/prove/src/points/prepare-table.ts
+++ b/packages/prove/src/points/prepare-table.ts
@@ -7,10 +7,16 @@
 
 const ATTEMPTS = 40;
 const RETRY_DELAY_MS = 250;
+const HTTP_BAD_REQUEST = 400;
 const HEADERS = {'siskinhub-operator': 'prove'};
 
 const addMissingRows = async (address: string, rows: readonly string[]): Promise<boolean> => {
 	const table = await sendJsonRequest('GET', `${address}/v1/table`, {headers: HEADERS});
+	if (table.status === HTTP_BAD_REQUEST) {
+		// An entry without the table's interface checks no rows.
+		return true;
+	}
+
 	const {revision, rows: known} = table.body as {readonly revision: number; readonly rows: Readonly<Record<string, unknown>>};
 	const missing = rows.filter(row => !(row in known));
 	if (missing.length > 0) {
--- a/packages/prove/src/prove.ts
+++ b/packages/prove/src/prove.ts
@@ -24,12 +24,13 @@
 		point: Flags.string({multiple: true, options: listPoints().map(({name}) => name), description: 'point to prove; all without it'}),
 		seed: Flags.integer({description: 'seed of clients and faults; drawn anew without it'}),
 		seconds: Flags.integer({default: DEFAULT_SECONDS, min: 1, description: 'seconds during which clients begin new turns'}),
+		keep: Flags.boolean({description: 'keeps logs and records even if nothing was found'}),
 		runs: Flags.integer({default: 1, min: 1, description: 'runs of each point, each with the next seed'}),
 		minutes: Flags.integer({min: 1, description: 'goes on with the next seeds for so long'}),
 	};
 
 	async run(): Promise<void> {
-		const {flags: {seed, seconds, point: names, runs, minutes}} = await this.parse(Prove);
+		const {flags: {seed, seconds, point: names, runs, minutes, keep}} = await this.parse(Prove);
 		const first = seed ?? Math.floor(Math.random() * MOST_SEED);
 		const endsAt = Date.now() + ((minutes ?? 0) * MS_PER_MINUTE);
 		const points = listPoints().filter(({name}) => names?.includes(name) ?? true);
@@ -40,7 +41,9 @@
 					break;
 				}
 
-				const verdict = await runProof(point, {root: process.cwd(), seed: first + run, seconds});
+				const verdict = await runProof(point, {
+					root: process.cwd(), seed: first + run, seconds, keepsLogs: keep,
+				});
 				verdicts.push(verdict);
 				this.log(formatVerdict(verdict));
 			}
