--- a/packages/core/src/table/cell-rules.ts
+++ b/packages/core/src/table/cell-rules.ts
@@ -1,27 +1,27 @@
 /**
-Which values each cell may hold. All are whole numbers.
+What values the cells of the operators' table take.
 */
 import type {CellName} from './cell-name.js';
 
 type CellRule = {
-	readonly min: number;
-	readonly max: number;
-	readonly unit: string;
+	/** Unit in words; absent where the number has none. */
+	readonly unit?: 'tokens' | 'calls' | 'turns' | 'seconds';
+	/** Whether fractions are refused. */
+	readonly isWhole: boolean;
+	/** Whether 0 is refused. */
+	readonly isPositive: boolean;
 };
 
-const MAX_TOKENS = 1_000_000_000_000_000;
-const MAX_SECONDS = 31_536_000;
-
-/** One rule for each cell. */
-export const cellRules: Readonly<Record<CellName, CellRule>> = {
-	weight: {min: 1, max: 10_000, unit: 'shares'},
-	priority: {min: 0, max: 100, unit: 'levels'},
-	budget: {min: 0, max: MAX_TOKENS, unit: 'tokens'},
-	'program-budget': {min: 0, max: MAX_TOKENS, unit: 'tokens'},
-	concurrency: {min: 0, max: 1_000_000, unit: 'calls'},
-	turns: {min: 1, max: 1_000_000, unit: 'turns'},
-	'wall-time': {min: 1, max: MAX_SECONDS, unit: 'seconds'},
-	'tool-time': {min: 1, max: MAX_SECONDS, unit: 'seconds'},
-	'idle-time': {min: 1, max: MAX_SECONDS, unit: 'seconds'},
-	'output-tokens': {min: 1, max: 1_000_000_000, unit: 'tokens'},
+/** A rule for each cell, in the order in which the table shows them. Values are finite and never negative. */
+export const CELL_RULES: Readonly<Record<CellName, CellRule>> = {
+	weight: {isWhole: false, isPositive: true},
+	priority: {isWhole: true, isPositive: false},
+	budget: {unit: 'tokens', isWhole: true, isPositive: false},
+	'program-budget': {unit: 'tokens', isWhole: true, isPositive: false},
+	concurrency: {unit: 'calls', isWhole: true, isPositive: false},
+	turns: {unit: 'turns', isWhole: true, isPositive: false},
+	'wall-time': {unit: 'seconds', isWhole: false, isPositive: false},
+	'tool-time': {unit: 'seconds', isWhole: false, isPositive: false},
+	'idle-time': {unit: 'seconds', isWhole: false, isPositive: false},
+	'output-tokens': {unit: 'tokens', isWhole: true, isPositive: false},
 };
--- a/packages/platform/src/create-platform-client.ts
+++ b/packages/platform/src/create-platform-client.ts
@@ -5,7 +5,7 @@
 import {Buffer} from 'node:buffer';
 import {err, ok, type Result} from 'neverthrow';
 import {Agent} from 'undici';
-import {z} from 'zod';
+import * as z from 'zod';
 import type {KeyValue} from './key-value.js';
 import type {PlatformClient} from './platform-client.js';
 import type {PlatformError} from './platform-error.js';
@@ -90,7 +90,7 @@
 		watch: async ({prefix, after, timeoutMs}) => readFirstChange({
 			dispatcher,
 			url: `${address}/v3/watch`,
-			body: {create_request: {...toRange(prefix), start_revision: String(after + 1)}},
+			body: {create_request: {...toRange(prefix), ...(after !== undefined && {start_revision: String(after + 1)})}},
 			after,
 			timeoutMs,
 			openTimeoutMs: callTimeoutMs,
