fix(entry): begin an answer anew when its turn was recorded meanwhile

Cause: a copy of a request that had streamed chunks lost its sidecar, asked the owner again, found the turn recorded by the other copy, and sent the recorded answer from byte 0 behind the chunks already sent. Also, a stream attached at byte N kept leaving out N bytes after a restart.

Ruled out: sending only the bytes that are missing, because the recorded answer of a repeatable call may come from another run than the chunks.

--- a/packages/entry/src/calls/create-call-runner.ts
+++ b/packages/entry/src/calls/create-call-runner.ts
@@ -130,7 +130,16 @@
 		}, progress.deadlineAt, progress.traceparent);
 	};
 
-	const sendRecorded = async ({call, events}: CallProgress, recorded: Recorded) => {
+	/** What was sent so far is sent anew, because it may come from another run. */
+	const restart = (progress: CallProgress) => {
+		if (progress.sentBytes > 0) {
+			progress.events.onRestart();
+			progress.sentBytes = 0;
+		}
+	};
+
+	const sendRecorded = async (progress: CallProgress, recorded: Recorded) => {
+		const {call, events} = progress;
 		const read = await histories.readLongest(decodeHolders(recorded.holders), call.program);
 		const turn = read.isOk() ? read.value?.turns.find(stored => stored.turn === recorded.turn) : undefined;
 		if (!turn) {
@@ -138,6 +147,7 @@
 			return;
 		}
 
+		restart(progress);
 		events.onChunk({offset: 0, text: turn.output});
 		events.onFinal({
 			requestId: call.requestId,
@@ -160,11 +170,7 @@
 		}
 
 		const span = tracer.startSpan('entry.run', {traceparent: progress.traceparent, attributes: {upstream: grant.upstream}});
-		if (progress.sentBytes > 0) {
-			events.onRestart();
-			progress.sentBytes = 0;
-		}
-
+		restart(progress);
 		const result = await followRun({
 			getLink: options.getLink,
 			grant: {...grant, startWithinMs: Math.max(1, progress.deadlineAt - Date.now())},
@@ -373,6 +379,7 @@
 
 	/** Follows the run behind a grant that another request was given; true if the owner is to be asked again. */
 	const observeGrant = async (progress: CallProgress, grant: Grant): Promise<boolean> => {
+		restart(progress);
 		const result = await followRun({
 			getLink: options.getLink,
 			grant,
@@ -383,6 +390,7 @@
 			observe: true,
 			patienceMs: IDEMPOTENT_PATIENCE_MS,
 			onText(offset, text) {
+				progress.sentBytes = offset + Buffer.byteLength(text);
 				progress.events.onChunk({offset, text});
 			},
 			traceparent: progress.traceparent,
--- a/packages/entry/src/http/create-event-stream.ts
+++ b/packages/entry/src/http/create-event-stream.ts
@@ -17,6 +17,7 @@
 
 /** Creates the stream; the response's head leaves with the first event. */
 export const createEventStream = ({res, from, gatherMs}: StreamOptions): EventStream => {
+	let firstByte = from;
 	let gathered = '';
 	let gatheredOffset = 0;
 	let timer: NodeJS.Timeout | undefined;
@@ -45,7 +46,7 @@
 				write('accepted', event);
 			},
 			onChunk({offset, text}) {
-				const wanted = sliceAnswer(offset, text, from);
+				const wanted = sliceAnswer(offset, text, firstByte);
 				if (wanted.text === '') {
 					return;
 				}
@@ -59,6 +60,7 @@
 			},
 			onRestart() {
 				gathered = '';
+				firstByte = 0;
 				write('restart', {offset: 0});
 			},
 			onFinal(event) {
