--- a/packages/cli/src/table/parse-cell-target.ts
+++ b/packages/cli/src/table/parse-cell-target.ts
@@ -3,7 +3,7 @@
 */
 import {err, ok, type Result} from 'neverthrow';
 import type {CellName} from '@siskinhub/core/table/cell-name.js';
-import {CELL_RULES} from '@siskinhub/core/table/cell-rules.js';
+import {cellRules} from '@siskinhub/core/table/cell-rules.js';
 import {describeCellValues} from '@siskinhub/core/table/describe-cell-values.js';
 import {isCellName} from '@siskinhub/core/table/is-cell-name.js';
 import {isCellValue} from '@siskinhub/core/table/is-cell-value.js';
@@ -28,7 +28,7 @@
 
 	return isCellName(cell)
 		? ok({row, cell})
-		: err(`"${cell}" is no cell of the table. The cells are ${Object.keys(CELL_RULES).join(', ')}.`);
+		: err(`"${cell}" is no cell of the table. The cells are ${Object.keys(cellRules).join(', ')}.`);
 };
 
 /** Returns the change, or a sentence that says what was expected. */
--- a/packages/core/src/table/__tests__/is-cell-value.test.ts
+++ b/packages/core/src/table/__tests__/is-cell-value.test.ts
@@ -1,13 +1,13 @@
 import {fc, test} from '@fast-check/vitest';
 import {expect} from 'vitest';
 import type {CellName} from '../cell-name.js';
-import {CELL_RULES} from '../cell-rules.js';
+import {cellRules} from '../cell-rules.js';
 import {describeCellValues} from '../describe-cell-values.js';
 import {isCellName} from '../is-cell-name.js';
 import {isCellValue} from '../is-cell-value.js';
 import {isRowKey} from '../is-row-key.js';
 
-const cellNames = Object.keys(CELL_RULES) as CellName[];
+const cellNames = Object.keys(cellRules) as CellName[];
 
 test.prop([fc.constantFrom(...cellNames), fc.double({max: -Number.MIN_VALUE, noNaN: true})])('no cell takes a negative number', (cell, value) => {
 	expect(isCellValue(cell, value)).toBe(false);
@@ -18,21 +18,24 @@
 });
 
 test.each([
-	['weight', 0.5, true],
+	['weight', 1, true],
 	['weight', 0, false],
+	['weight', 0.5, false],
 	['weight', Number.POSITIVE_INFINITY, false],
 	['weight', Number.NaN, false],
 	['concurrency', 0, true],
 	['turns', 1.5, false],
-	['wall-time', 1.5, true],
+	['wall-time', 1.5, false],
+	['turns', 0, false],
+	['turns', 210, true],
 	['budget', Number.MAX_VALUE, false],
 ] as const)('%s takes %d: %s', (cell, value, expected) => {
 	expect(isCellValue(cell, value)).toBe(expected);
 });
 
 test('values are described in words', () => {
-	expect(describeCellValues('budget')).toBe('a whole number of tokens, 0 or more');
-	expect(describeCellValues('weight')).toBe('a number, above 0');
+	expect(describeCellValues('budget')).toBe('a whole number of tokens from 0 to 1000000000000000');
+	expect(describeCellValues('weight')).toBe('a whole number of shares from 1 to 10000');
 });
 
 test('names that no code knows are no cells', () => {
@@ -44,7 +47,8 @@
 test.each([
 	['workspace/a', true],
 	['kind/splice-check.v2', true],
-	['deployment/cordelería', true],
+	['deployment/cordelería', false],
+	['deployment/delta-a', true],
 	['workspace/', false],
 	['workspace/a b', false],
 	['workspace/a/b', false],
--- a/packages/core/src/table/describe-cell-values.ts
+++ b/packages/core/src/table/describe-cell-values.ts
@@ -2,11 +2,10 @@
 Says in words which values a cell takes.
 */
 import type {CellName} from './cell-name.js';
-import {CELL_RULES} from './cell-rules.js';
+import {cellRules} from './cell-rules.js';
 
-/** For messages to operators, such as `a whole number of tokens, 0 or more`. */
+/** For messages to operators, such as `a whole number of tokens from 0 to 1000`. */
 export const describeCellValues = (cell: CellName): string => {
-	const {unit, isWhole, isPositive} = CELL_RULES[cell];
-	const number = isWhole ? 'a whole number' : 'a number';
-	return `${number}${unit ? ` of ${unit}` : ''}, ${isPositive ? 'above 0' : '0 or more'}`;
+	const {min, max, unit} = cellRules[cell];
+	return `a whole number of ${unit} from ${min} to ${max}`;
 };
