--- a/packages/core/src/table/validate-edit.ts
+++ b/packages/core/src/table/validate-edit.ts
@@ -2,7 +2,7 @@
 Checks an edit by itself, without the table that it will meet.
 */
 import type {CellChange} from './cell-change.js';
-import {cellRules} from './cell-rules.js';
+import {CELL_RULES} from './cell-rules.js';
 import {describeCellValues} from './describe-cell-values.js';
 import {isCellName} from './is-cell-name.js';
 import {isCellValue} from './is-cell-value.js';
@@ -13,23 +13,20 @@
 
 const validateChange = (change: CellChange): readonly string[] => {
 	const faults: string[] = [];
-	// Annotated, so that the checks do not narrow the names that the faults quote.
-	const hasRowKey: boolean = isRowKey(change.row);
-	if (!hasRowKey) {
-		faults.push(`${change.row}: a row is named deployment/NAME, kind/NAME or workspace/NAME, with letters, digits, dots, hyphens and underscores.`);
+	if (!isRowKey(change.row)) {
+		faults.push(`${String(change.row)}: a row is named deployment/NAME, kind/NAME or workspace/NAME, with letters, digits, dots, hyphens and underscores.`);
 	}
 
 	if (change.kind !== 'set' && change.kind !== 'clear') {
 		return faults;
 	}
 
-	const hasCellName: boolean = isCellName(change.cell);
-	if (!hasCellName) {
-		return [...faults, `${change.row}.${change.cell}: there is no such cell; the cells are ${Object.keys(cellRules).join(', ')}.`];
+	if (!isCellName(change.cell)) {
+		return [...faults, `${change.row}.${String(change.cell)}: there is no such cell; the cells are ${Object.keys(CELL_RULES).join(', ')}.`];
 	}
 
 	if (change.kind === 'set' && !isCellValue(change.cell, change.value)) {
-		faults.push(`${change.row}.${change.cell}: ${change.value} is not ${describeCellValues(change.cell)}.`);
+		faults.push(`${change.row}.${change.cell}: ${String(change.value)} is not ${describeCellValues(change.cell)}.`);
 	}
 
 	return faults;
