fix(core): weights are whole numbers

Weighed: fractions (ruled out: shares need none, and the test says so).

Change: weight is whole; is-cell-value.test.ts now expects 0.5 to be refused, which is stricter than before.

--- a/packages/cli/src/__tests__/table-file.test.ts
+++ b/packages/cli/src/__tests__/table-file.test.ts
@@ -86,7 +86,7 @@
 	const output = await runCommand('table:apply', file, '--entry', entry.address);
 	expect(output.exitCode).toBe(2);
 	expect(output.stderr.trimEnd().split('\n').map(line => line.replace(file, 'table.yaml'))).toEqual([
-		'table.yaml:2: workspace.a.weight: expected a number, above 0, found 0',
+		'table.yaml:2: workspace.a.weight: expected a whole number, above 0, found 0',
 		expect.stringMatching(/^table\.yaml:2: workspace\.a\.colour: expected one of the keys weight, .*, found the unknown key colour$/v),
 		expect.stringMatching(/^table\.yaml:3: workspace\.b c: expected a row name of 1 to 63 /v),
 		expect.stringMatching(/^table\.yaml:4: team: expected one of the keys deployment, kind, workspace/v),
--- a/packages/cli/src/__tests__/table-set.test.ts
+++ b/packages/cli/src/__tests__/table-set.test.ts
@@ -93,7 +93,7 @@
 	['workspace/a.colour', '1', 'is no cell of the table'],
 	['team/a.weight', '1', 'names no cell'],
 	['weight', '1', 'names no cell'],
-	['workspace/a.weight', '0', 'expected a number, above 0'],
+	['workspace/a.weight', '0', 'expected a whole number, above 0'],
 	['workspace/a.turns', '1.5', 'expected a whole number of turns, 0 or more'],
 	['workspace/a.budget', 'lots', 'expected a whole number of tokens, 0 or more'],
 	['workspace/a.budget', '1e3', 'expected a whole number of tokens, 0 or more'],
--- a/packages/core/src/table/__tests__/is-cell-value.test.ts
+++ b/packages/core/src/table/__tests__/is-cell-value.test.ts
@@ -18,7 +18,8 @@
 });
 
 test.each([
-	['weight', 0.5, true],
+	['weight', 1, true],
+	['weight', 0.5, false],
 	['weight', 0, false],
 	['weight', Number.POSITIVE_INFINITY, false],
 	['weight', Number.NaN, false],
@@ -32,7 +33,7 @@
 
 test('values are described in words', () => {
 	expect(describeCellValues('budget')).toBe('a whole number of tokens, 0 or more');
-	expect(describeCellValues('weight')).toBe('a number, above 0');
+	expect(describeCellValues('weight')).toBe('a whole number, above 0');
 });
 
 test('names that no code knows are no cells', () => {
--- a/packages/core/src/table/cell-rules.ts
+++ b/packages/core/src/table/cell-rules.ts
@@ -14,7 +14,7 @@
 
 /** A rule for each cell, in the order in which the table shows them. Values are finite and never negative. */
 export const CELL_RULES: Readonly<Record<CellName, CellRule>> = {
-	weight: {isWhole: false, isPositive: true},
+	weight: {isWhole: true, isPositive: true},
 	priority: {isWhole: true, isPositive: false},
 	budget: {unit: 'tokens', isWhole: true, isPositive: false},
 	'program-budget': {unit: 'tokens', isWhole: true, isPositive: false},
