--- a/packages/cli/src/entry/find-edit-fate.ts
+++ b/packages/cli/src/entry/find-edit-fate.ts
@@ -9,6 +9,8 @@
 
 type FateOptions = {
 	readonly editId: string;
+	/** The revision that the edit was made against. */
+	readonly against: number;
 	/** What went wrong with the answer. */
 	readonly message: string;
 	/** Milliseconds for which the entries are asked. */
@@ -19,11 +21,11 @@
 const MAX_RETRY_DELAY_MS = 2000;
 
 /** Asks every entry in turn, again and again until one knows or `waitMs` have passed. */
-export const findEditFate = async (client: EntryClient, {editId, message, waitMs}: FateOptions): Promise<Result<number, EditFailure>> => {
+export const findEditFate = async (client: EntryClient, {editId, against, message, waitMs}: FateOptions): Promise<Result<number, EditFailure>> => {
 	const deadline = Date.now() + waitMs;
 	let delayMs = FIRST_RETRY_DELAY_MS;
 	for (;;) {
-		const fate = await client.ask({method: 'GET', path: `/v1/table/edits/${encodeURIComponent(editId)}`, schema: RevisionSchema});
+		const fate = await client.ask({method: 'GET', path: `/v1/table/edits/${encodeURIComponent(editId)}?against=${against}`, schema: RevisionSchema});
 		if (fate.isOk()) {
 			return ok(fate.value.revision);
 		}
--- a/packages/cli/src/entry/submit-edit.ts
+++ b/packages/cli/src/entry/submit-edit.ts
@@ -38,7 +38,7 @@
 
 		message = describeLoss(error);
 		if (error.kind !== 'not-sent') {
-			return findEditFate(client, {editId: edit.editId, message, waitMs});
+			return findEditFate(client, {...edit, message, waitMs});
 		}
 	}
 
