--- a/packages/cli/src/table/table-file-schema.ts
+++ b/packages/cli/src/table/table-file-schema.ts
@@ -9,7 +9,7 @@
 import {isRowKey} from '@siskinhub/core/table/is-row-key.js';
 import {buildSection} from '@siskinhub/settings/schema/build-section.js';
 
-const NAME_ERROR = 'a row name of 1 to 63 letters, digits, dots, hyphens and underscores that begins with a letter or digit';
+const NAME_ERROR = 'a row name of 1 to 63 letters without accents, digits, dots, hyphens and underscores that begins with a letter or digit';
 
 const buildCell = (cell: CellName) => z.unknown()
 	.refine(value => isCellValue(cell, value), {error: describeCellValues(cell)})
--- a/packages/entry/src/create-entry.ts
+++ b/packages/entry/src/create-entry.ts
@@ -258,7 +258,7 @@
 	const http = await createHttpServer({
 		ip: cfg.http.ip,
 		port: cfg.http.port,
-		routes: [...createProgramRoutes(context), ...createCallRoutes(context), ...createOperatorRoutes(context), ...createTableRoutes(context, table)],
+		routes: [...createProgramRoutes(context), ...createCallRoutes(context), ...createOperatorRoutes(context), ...createTableRoutes({table, maxBodyBytes: cfg.limits.maxBodyBytes})],
 		log,
 	});
 	const limitTimer = setInterval(() => {
