feat(bench): a bench for the decisions, in virtual time

The bench prints the floor too: the latency with no waiting and every prefix held, which no policy can beat.

Load 1 is what slots and memory can do when no prefix is computed twice. Ruled out: load over slots alone with 400,000 tokens of memory an engine, where memory bound long before slots and "0.8" meant overload; an engine of eight accelerators holds about three times that.

Calls to the platform's service are not measured here.

--- /dev/null
+++ b/packages/bench/src/measure/latency-recorder.ts
@@ -0,0 +1,21 @@
+/**
+Records latencies.
+*/
+import {build} from 'hdr-histogram-js';
+import type {Latency} from './latency.js';
+
+const HIGHEST_LATENCY_MS = 36_000_000;
+
+/** A histogram with three significant digits. */
+export class LatencyRecorder {
+	readonly #histogram = build({lowestDiscernibleValue: 1, highestTrackableValue: HIGHEST_LATENCY_MS, numberOfSignificantValueDigits: 3});
+
+	record(ms: number): void {
+		this.#histogram.recordValue(Math.round(ms));
+	}
+
+	summarise(): Latency {
+		const [p50, p95, p99] = [50, 95, 99].map(percentile => this.#histogram.getValueAtPercentile(percentile)) as [number, number, number];
+		return {p50, p95, p99};
+	}
+}
--- /dev/null
+++ b/packages/bench/src/plan/row-plan.ts
@@ -0,0 +1,13 @@
+/**
+A row of the table as a workload sets it.
+*/
+import type {RowKey} from '@siskinhub/core/table/row-key.js';
+
+/** A workspace row and its part of the offered load. */
+export type RowPlan = {
+	readonly row: RowKey;
+	readonly weight: number;
+	readonly priority: number;
+	/** Share of the offered work, from 0 to 1. */
+	readonly demand: number;
+};
--- /dev/null
+++ b/packages/bench/src/plan/sum-work.ts
@@ -0,0 +1,19 @@
+/**
+The work in a chain of steps.
+*/
+import type {Step} from './step.js';
+import type {UpstreamSpec} from './upstream-spec.js';
+
+/** Returns the slot time of model engines that the steps need if every prefix is held, in milliseconds. */
+export const sumWork = (steps: readonly Step[], spec: UpstreamSpec): number => {
+	let workMs = 0;
+	for (const step of steps) {
+		if (step.kind === 'model') {
+			workMs += (step.newTokens / spec.prefillTokensPerMs) + (step.outputTokens * spec.tokenMs);
+		} else if (step.kind === 'agents') {
+			workMs += step.agents.reduce((sum, agent) => sum + sumWork(agent, spec), 0);
+		}
+	}
+
+	return workMs;
+};
--- /dev/null
+++ b/packages/bench/src/report/render-table.ts
@@ -0,0 +1,36 @@
+/**
+Renders figures as a text table.
+*/
+import type {Latency} from '../measure/latency.js';
+import type {RunMeasure} from '../measure/run-measure.js';
+
+const formatSeconds = (ms: number): string => (ms / 1000).toFixed(1);
+const formatPercent = (share: number): string => `${(share * 100).toFixed(1)}%`;
+
+const COLUMNS: ReadonlyArray<readonly [string, (run: RunMeasure) => string]> = [
+	['policy', run => run.policy],
+	['p50 s', run => formatSeconds(run.p50)],
+	['p95 s', run => formatSeconds(run.p95)],
+	['p99 s', run => formatSeconds(run.p99)],
+	['wasted', run => formatPercent(run.wasted)],
+	['goodput', run => formatPercent(run.goodput)],
+	['unfair', run => formatPercent(run.unfairness)],
+	['started', run => `${run.programs.started}`],
+	['finished', run => `${run.programs.finished}`],
+	['refused', run => `${run.programs.refused}`],
+	['failed', run => `${run.programs.failed}`],
+	['died', run => `${run.programs.died}`],
+	['open', run => `${run.programs.open}`],
+	['refusals', run => `${run.counts.refusals}`],
+	['retries/call', run => (run.counts.retries / Math.max(1, run.counts.calls)).toFixed(4)],
+	['imports', run => `${run.counts.imports}`],
+	['platform calls', () => 'not measured'],
+];
+
+/** Returns one line a policy under a line of headings, columns aligned. */
+export const renderTable = (runs: readonly RunMeasure[], floor: Latency): string => {
+	const lines = [COLUMNS.map(([heading]) => heading), ...runs.map(run => COLUMNS.map(([, format]) => format(run)))];
+	const widths = COLUMNS.map((_column, index) => Math.max(...lines.map(line => line[index]!.length)));
+	const table = lines.map(line => line.map((cell, index) => index === 0 ? cell.padEnd(widths[index]!) : cell.padStart(widths[index]!)).join('  ')).join('\n');
+	return `${table}\n\nfloor (no waiting, every prefix held): p50 ${formatSeconds(floor.p50)} s, p95 ${formatSeconds(floor.p95)} s, p99 ${formatSeconds(floor.p99)} s`;
+};
--- /dev/null
+++ b/packages/bench/src/run-policy.ts
@@ -0,0 +1,95 @@
+/**
+Runs one policy over one plan.
+*/
+import {createRandom} from '@siskinhub/core/decide/create-random.js';
+import type {ProgramId} from '@siskinhub/core/ids/program-id.js';
+import type {UpstreamId} from '@siskinhub/core/ids/upstream-id.js';
+import {Recorder} from './measure/recorder.js';
+import type {RunMeasure} from './measure/run-measure.js';
+import {WasteMeter} from './measure/waste-meter.js';
+import type {ProgramPlan} from './plan/program-plan.js';
+import type {RunOptions} from './plan/run-options.js';
+import {createTrackers} from './sim/create-trackers.js';
+import {policies} from './sim/policies.js';
+import {PrefixIndex} from './sim/prefix-index.js';
+import {ProgramRunner} from './sim/program-runner.js';
+import {scheduleFault} from './sim/schedule-fault.js';
+import type {SimCall} from './sim/sim-call.js';
+import {SimHub} from './sim/sim-hub.js';
+import {VirtualClock} from './sim/virtual-clock.js';
+
+/** Virtual time after the window in which programs may still end. */
+const DRAIN_MS = 21_600_000;
+const CACHE_EVENT_LAG_MS = 1000;
+const CACHE_EVENT_LOSS = 0.1;
+const RELEASE_NOTE_LAG_MS = 50;
+/** Mean of a log-normal spread over its median, for what the hub expects of calls it has not seen. */
+const MEAN_OVER_MEDIAN = 1.5;
+
+/** Plays the plan against the named policy and returns what it showed; the same arguments give the same figures. */
+export const runPolicy = (name: string, options: RunOptions, plans: readonly ProgramPlan[]): RunMeasure => {
+	const {workload, seed, windowMs} = options;
+	const {models, services, shape} = workload;
+	const clock = new VirtualClock();
+	const policy = policies[name]!();
+	const random = createRandom(seed + 1);
+	const waste = new WasteMeter(windowMs, models.count * models.spec.memoryTokens);
+	const recorder = new Recorder(options, plans);
+	const prefixes = new PrefixIndex();
+	const expectedOutputTokens = shape.outputTokens * MEAN_OVER_MEDIAN;
+
+	const forgetLater = (program: ProgramId, upstream: UpstreamId, lagMs: number): void => {
+		const evictedAt = clock.now;
+		clock.schedule(lagMs, () => {
+			prefixes.remove(program, upstream, evictedAt);
+		});
+	};
+
+	const createPool = (pool: typeof models, typicalCallMs: number) => createTrackers({
+		clock,
+		policy,
+		waste,
+		hooks: {
+			onEnd(call, end) {
+				hub.handleEnd(call, end);
+			},
+			onServed(call, slotMs) {
+				recorder.recordServed(call, slotMs, clock.now);
+			},
+			onRelease(call: SimCall) {
+				forgetLater(call.program, call.upstream!, RELEASE_NOTE_LAG_MS);
+			},
+			medianPauseMs: shape.pauseMs,
+			typicalCallMs,
+		},
+		onEvict(program, upstream) {
+			if (random() >= CACHE_EVENT_LOSS) {
+				forgetLater(program, upstream, CACHE_EVENT_LAG_MS);
+			}
+		},
+	}, workload, pool);
+
+	const pools = {models: createPool(models, expectedOutputTokens * models.spec.tokenMs), services: createPool(services, shape.serviceMs * MEAN_OVER_MEDIAN)};
+	const hub = new SimHub(clock, policy, pools, prefixes, random);
+	const runner = new ProgramRunner(clock, hub, random, expectedOutputTokens, (plan, end) => {
+		recorder.recordEnd(plan, end, clock.now);
+	});
+	const trackers = [...pools.models.values()];
+	scheduleFault({clock, hub, trackers: [...trackers, ...pools.services.values()]}, options);
+	for (const plan of plans) {
+		clock.schedule(plan.arrivesAt, () => {
+			recorder.recordStart(plan);
+			runner.start(plan);
+		});
+	}
+
+	while ((clock.now < windowMs || recorder.open.size > 0) && clock.now < windowMs + DRAIN_MS) {
+		clock.step();
+	}
+
+	for (const tracker of trackers) {
+		tracker.sidecar.engine.memory.clear(clock.now);
+	}
+
+	return recorder.summarise(name, waste, hub.counts, Math.max(...trackers.map(tracker => tracker.sidecar.engine.maxRuns)));
+};
