fix(bench): a prefix whose next call waits is kept

Cause: the time a prefix is kept ran on while the program's next call waited in the queue, so a long queue dropped the prefixes of the very calls in it.

--- a/packages/bench/src/sim/sim-sidecar.ts
+++ b/packages/bench/src/sim/sim-sidecar.ts
@@ -6,6 +6,7 @@
 import type {RowService} from '@siskinhub/core/decide/row-service.js';
 import type {AdmissionDecision} from '@siskinhub/core/decide/admission-decision.js';
 import type {QueuedCall} from '@siskinhub/core/decide/queued-call.js';
+import type {ProgramId} from '@siskinhub/core/ids/program-id.js';
 import type {UpstreamId} from '@siskinhub/core/ids/upstream-id.js';
 import type {LoadReport} from './load-report.js';
 import {PaceMeter} from './pace-meter.js';
@@ -169,8 +170,9 @@
 		}
 
 		const {idleSince} = group;
+		const isUnused = () => memory.groups.get(call.program) === group && group.idleSince === idleSince && !group.pinned;
 		this.cfg.clock.schedule(keepMs, () => {
-			if (memory.groups.get(call.program) === group && group.idleSince === idleSince && !group.pinned) {
+			if (isUnused() && !this.#isWaiting(call.program)) {
 				memory.release(call.program, this.cfg.clock.now);
 				this.cfg.onRelease(call);
 				this.dispatch();
@@ -178,6 +180,11 @@
 		});
 	}
 
+	/** A prefix whose next call already waits here is sure of its reuse. */
+	#isWaiting(program: ProgramId): boolean {
+		return this.#waiting.some(waiting => waiting.call.program === program);
+	}
+
 	#decideRetention(prefixTokens: number, ended: boolean): number {
 		const {memory, spec} = this.engine;
 		return this.cfg.policy.retain({
