feat(entry): budgets and concurrency cells are enforced by the owner

The worst case of a call is reserved in the blocks of each of its rows before it runs; a budget that cannot be taken by the deadline is not-run with a tombstone. A row's concurrency is counted by the owner of the shard that its name hashes to. An operator's header no longer hides the caller's workspace on routes for callers: calls were refused as wrong-workspace.

--- a/packages/entry/src/create-entry.ts
+++ b/packages/entry/src/create-entry.ts
@@ -4,7 +4,6 @@
 */
 import {randomInt, randomUUID} from 'node:crypto';
 import {setTimeout as delay} from 'node:timers/promises';
-import {ok} from 'neverthrow';
 import createXxhash from 'xxhash-wasm';
 import {chooseUpstream} from '@siskinhub/core/decide/choose-upstream.js';
 import {createRandom} from '@siskinhub/core/decide/create-random.js';
@@ -25,6 +24,7 @@
 import type {LinkSettings} from '@siskinhub/peer/link-settings.js';
 import type {PeerPool} from '@siskinhub/peer/peer-pool.js';
 import type {PlatformClient} from '@siskinhub/platform/platform-client.js';
+import {createShardBudgets} from '@siskinhub/platform/budget/create-shard-budgets.js';
 import {createTable} from '@siskinhub/platform/table/create-table.js';
 import {Role} from '@siskinhub/proto/gen/siskinhub/peer/v1/peer_pb.js';
 import type {ResolvedEntryConfig} from '@siskinhub/settings/resolved-entry-config.js';
@@ -44,6 +44,9 @@
 import {createCrashRegister} from './owner/create-crash-register.js';
 import {createOwnerRouter} from './owner/create-owner-router.js';
 import {createOwnerService} from './owner/create-owner-service.js';
+import {createSlotClient} from './owner/create-slot-client.js';
+import {createSlotTable} from './owner/create-slot-table.js';
+import {createTokenReserver} from './owner/create-token-reserver.js';
 import {createShardOwner} from './owner/create-shard-owner.js';
 import {chooseHolders} from './ownership/choose-holders.js';
 import {createHolderWatch} from './ownership/create-holder-watch.js';
@@ -55,6 +58,7 @@
 import {chooseNeighbours} from './table/choose-neighbours.js';
 import {createRowLimits} from './table/create-row-limits.js';
 import {createTableExchange} from './table/create-table-exchange.js';
+import {heedBudgetCells} from './table/heed-budget-cells.js';
 import {isTableWatcher} from './table/is-table-watcher.js';
 
 const MAX_SEED = 2 ** 31;
@@ -62,6 +66,7 @@
 const HELLO_TIMEOUT_MS = 500;
 const HELLO_POLL_MS = 10;
 const STOP_POLL_MS = 20;
+const BUDGET_RETURN_TIMEOUT_MS = 2000;
 const DRAIN_TIMEOUT_MS = 2000;
 
 type EntryDependencies = {
@@ -125,7 +130,7 @@
 	});
 	const exchange = createTableExchange(table);
 	const answerAsOwner = createOwnerService({
-		ownership, map, crashes, shardOf,
+		ownership, map, crashes, slots: createSlotTable(), shardOf,
 	});
 
 	const answerAboutTable = (body: Body): BodyInit | undefined => body.case === 'tableSince' ? exchange.answer(Number(body.value.revision)) : undefined;
@@ -168,6 +173,13 @@
 	const rank = (shard: ShardId) => rankCandidates(shard, hosts.entries(), h32);
 	const router = createOwnerRouter({ask, map, rank});
 	const orders = createSidecarOrders(pool(), hosts);
+	const acquireSlots = createSlotClient({router, homeOf: row => h32(row) % cfg.shards as ShardId, createId});
+	const shardBudgets = new Map<ShardId, ReturnType<typeof createShardBudgets>>();
+	table.subscribe(({table: state}) => {
+		for (const budgets of shardBudgets.values()) {
+			heedBudgetCells(budgets, state);
+		}
+	});
 
 	const readFolderId = async (address: string): Promise<string> => {
 		if (address === ownAddress) {
@@ -221,11 +233,19 @@
 				findHolders: async () => findHolders(shard),
 				isAlive: owner => isAlive(owner.instance),
 			});
-			return taken.map(({shardLog, epoch, holders, sources}) => createShardOwner({
-				shard, epoch, shardLog, holders, sources, histories, upstreams, orders, crashes, chooseUpstream, random, createId, log,
-				limitsOf: createRowLimits(() => table.state().table),
-				reserveTokens: async () => ok({settle() {/* Budgets follow. */}, release() {/* Budgets follow. */}}),
-			}));
+			return taken.map(({shardLog, epoch, holders, sources}) => {
+				shardBudgets.get(shard)?.close();
+				const budgets = createShardBudgets({
+					client: platform, shard, epoch, createChangeId: createId,
+				});
+				return createShardOwner({
+					shard, epoch, shardLog, holders, sources, histories, upstreams, orders, crashes, chooseUpstream, random, createId, log,
+					limitsOf: createRowLimits(() => table.state().table),
+					acquireSlots,
+					reserveTokens: createTokenReserver(budgets, createId),
+					returnBudgets: async () => Promise.race([budgets.returnAll(), delay(BUDGET_RETURN_TIMEOUT_MS)]),
+				});
+			});
 		},
 		needsOtherHolders: createHolderWatch({
 			isUsable: holder => knownFolderId(holder.peerAddress) === holder.dataFolderId,
--- a/packages/entry/src/http/create-http-server.ts
+++ b/packages/entry/src/http/create-http-server.ts
@@ -80,9 +80,10 @@
 			return;
 		}
 
-		// An operator may see every program, so the workspace is left out for them.
+		// An operator may see every program, so the workspace is left out for them; only callers make calls.
+		const seesAll = operator !== '' && route.audience !== 'caller';
 		await route.handle({
-			req, res, url, params, workspace: operator === '' ? workspace : '', operator, traceparent: readHeader(req, 'traceparent'),
+			req, res, url, params, workspace: seesAll ? '' : workspace, operator, traceparent: readHeader(req, 'traceparent'),
 		});
 	};
 
--- a/packages/entry/src/owner/create-grant-giver.ts
+++ b/packages/entry/src/owner/create-grant-giver.ts
@@ -34,6 +34,7 @@
 type CallAccount = {
 	readonly limits: RowLimits;
 	readonly reservation?: TokenReservation;
+	readonly releaseSlots?: () => void;
 };
 
 /** Creates the giver of one shard's owner. */
@@ -84,7 +85,6 @@
 				deployment: program.header.deployment,
 				programAgeMs: BigInt(Math.max(0, Date.now() - root.header.startedAt)),
 				row: account?.limits.row ?? `workspace/${program.header.workspace}`,
-				rowConcurrency: account?.limits.concurrency ?? 0,
 				startsProgram: call.turn === 1 && !program.header.parent,
 			},
 		};
@@ -150,11 +150,28 @@
 	}, {timeoutMs: Math.max(1, deadlineAt - Date.now())});
 
 	const abandon = (program: OpenProgram, call: OwnedCall) => {
-		accounts.get(call)?.reservation?.release();
+		const account = accounts.get(call);
+		account?.reservation?.release();
+		account?.releaseSlots?.();
 		program.current = undefined;
 		book.signal(program.header.program);
 	};
 
+	const openAccount = async (limits: RowLimits, tokens: number, deadlineAt: number): Promise<Result<CallAccount, Refusal>> => {
+		const reserved = await options.reserveTokens(limits, tokens, Math.max(1, deadlineAt - Date.now()));
+		if (reserved.isErr()) {
+			return err(reserved.error);
+		}
+
+		const slots = await options.acquireSlots(limits, deadlineAt);
+		if (slots.isErr()) {
+			reserved.value.release();
+			return err(slots.error);
+		}
+
+		return ok({limits, reservation: reserved.value, releaseSlots: slots.value});
+	};
+
 	const give: GrantGiver['give'] = async (program, message, deadlineAt, closeRequest) => {
 		const resolved = options.limitsOf(program.header);
 		if (resolved.isErr()) {
@@ -183,13 +200,17 @@
 		};
 		program.current = call;
 		accounts.set(call, {limits: resolved.value});
-		const reserved = await options.reserveTokens(program.header, worstCase, Math.max(1, deadlineAt - Date.now()));
-		if (reserved.isErr()) {
+		const opened = await openAccount(resolved.value, worstCase, deadlineAt);
+		if (opened.isErr()) {
+			if (opened.error.code === 'not-run') {
+				await closeRequest(program, call.requestId, call.turn, 'not-run');
+			}
+
 			abandon(program, call);
-			return refuse(reserved.error);
+			return refuse(opened.error);
 		}
 
-		accounts.set(call, {limits: resolved.value, reservation: reserved.value});
+		accounts.set(call, opened.value);
 		const upstream = await waitForUpstream(program, call, message, deadlineAt);
 		if (upstream.isErr()) {
 			await closeRequest(program, call.requestId, call.turn, upstream.error.code === 'cancelled' ? 'cancelled' : 'not-run');
@@ -233,12 +254,16 @@
 		give,
 		repeat: describeGrant,
 		settle(program, call, tokens, slotMs) {
-			accounts.get(call)?.reservation?.settle(tokens);
+			const account = accounts.get(call);
+			account?.reservation?.settle(tokens);
+			account?.releaseSlots?.();
 			const root = rootOf(program).header.program;
 			attainedMs.set(root, (attainedMs.get(root) ?? 0) + slotMs);
 		},
 		release(program, call, mayHaveRun, usedTokens) {
-			const reservation = accounts.get(call)?.reservation;
+			const account = accounts.get(call);
+			account?.releaseSlots?.();
+			const reservation = account?.reservation;
 			if (mayHaveRun) {
 				// What a lost run used is unknown, so its worst case counts.
 				const spent = usedTokens || (call.grant?.reservedTokens ?? 0);
--- a/packages/entry/src/owner/create-owner-service.ts
+++ b/packages/entry/src/owner/create-owner-service.ts
@@ -4,22 +4,25 @@
 */
 import type {ProgramId} from '@siskinhub/core/ids/program-id.js';
 import type {ShardId} from '@siskinhub/core/ids/shard-id.js';
+import type {RowKey} from '@siskinhub/core/table/row-key.js';
 import type {Body} from '@siskinhub/peer/body.js';
 import type {BodyInit} from '@siskinhub/peer/body-init.js';
 import type {Ownership} from '../ownership/ownership.js';
 import type {ShardMap} from '../ownership/shard-map.js';
 import type {CrashRegister} from './crash-register.js';
+import type {SlotTable} from './slot-table.js';
 import type {ShardOwner} from './shard-owner.js';
 
 type ServiceOptions = {
 	readonly ownership: () => Ownership;
 	readonly map: ShardMap;
 	readonly crashes: CrashRegister;
+	readonly slots: SlotTable;
 	readonly shardOf: (program: ProgramId) => ShardId | undefined;
 };
 
 /** Answers a message; undefined for one that is about something else. */
-export const createOwnerService = ({ownership, map, crashes, shardOf}: ServiceOptions) => {
+export const createOwnerService = ({ownership, map, crashes, slots, shardOf}: ServiceOptions) => {
 	const withOwner = async (program: string, ask: (owner: ShardOwner) => Promise<BodyInit>): Promise<BodyInit> => {
 		const shard = shardOf(program as ProgramId);
 		const owner = shard === undefined ? undefined : ownership().get(shard);
@@ -90,6 +93,22 @@
 				return withOwner(body.value.program, async owner => owner.cancel(body.value));
 			}
 
+			case 'acquireSlot': {
+				const {shard, row, slot, limit} = body.value;
+				if (!ownership().get(shard as ShardId)) {
+					return {case: 'notOwner', value: {shard}};
+				}
+
+				return slots.acquire(row as RowKey, slot, limit)
+					? {case: 'acknowledged', value: {}}
+					: {case: 'refused', value: {code: 'limit-reached', message: 'All slots of the row are taken.'}};
+			}
+
+			case 'releaseSlot': {
+				slots.release(body.value.row as RowKey, body.value.slot);
+				return {case: 'acknowledged', value: {}};
+			}
+
 			case 'programsAlive': {
 				return listAlive(body.value.programs);
 			}
--- a/packages/entry/src/owner/create-shard-owner.ts
+++ b/packages/entry/src/owner/create-shard-owner.ts
@@ -361,6 +361,7 @@
 		retire,
 		async handOver() {
 			retire();
+			await options.returnBudgets();
 			const handedOver = await append({kind: 'hand-over'}, HAND_OVER_TIMEOUT_MS);
 			log.info('shard handed over', {shard, ok: handedOver.isOk()});
 		},
--- /dev/null
+++ b/packages/entry/src/owner/create-slot-client.ts
@@ -0,0 +1,61 @@
+/**
+Takes slots of rows whose concurrency is limited from the one process that
+counts them.
+*/
+import {setTimeout as delay} from 'node:timers/promises';
+import {err, ok, type Result} from 'neverthrow';
+import type {ShardId} from '@siskinhub/core/ids/shard-id.js';
+import type {Refusal} from '@siskinhub/core/refusal/refusal.js';
+import type {RowKey} from '@siskinhub/core/table/row-key.js';
+import type {OwnerRouter} from './owner-router.js';
+import type {RowLimits} from './row-limits.js';
+
+const POLL_MS = 50;
+const RETRY_AFTER_MS = 500;
+const RELEASE_TIMEOUT_MS = 5000;
+
+type SlotClientOptions = {
+	readonly router: OwnerRouter;
+	/** The shard whose owner counts the row. */
+	readonly homeOf: (row: RowKey) => ShardId;
+	readonly createId: () => string;
+};
+
+/** Waits for a slot of each limited row until `deadlineAt`; the returned function releases them. */
+export const createSlotClient = ({router, homeOf, createId}: SlotClientOptions) => async (limits: RowLimits, deadlineAt: number): Promise<Result<() => void, Refusal>> => {
+	const slot = createId();
+	const held: RowKey[] = [];
+	const release = () => {
+		for (const row of held) {
+			void router.ask(homeOf(row), {case: 'releaseSlot', value: {shard: homeOf(row), row, slot}}, Date.now() + RELEASE_TIMEOUT_MS);
+		}
+	};
+
+	const acquire = async (row: RowKey, limit: number): Promise<boolean> => {
+		do {
+			const answer = await router.ask(homeOf(row), {
+				case: 'acquireSlot', value: {
+					shard: homeOf(row), row, slot, limit,
+				},
+			}, deadlineAt);
+			if (answer.isOk() && answer.value.body.case === 'acknowledged') {
+				return true;
+			}
+
+			await delay(POLL_MS);
+		} while (Date.now() < deadlineAt);
+
+		return false;
+	};
+
+	for (const {row, limit} of limits.concurrency) {
+		if (!await acquire(row, limit)) {
+			release();
+			return err({code: 'limit-reached', message: `All ${limit} calls that ${row} may run at the same time are taken; send the same request again.`, retryAfterMs: RETRY_AFTER_MS});
+		}
+
+		held.push(row);
+	}
+
+	return ok(release);
+};
--- a/packages/entry/src/owner/row-limits.ts
+++ b/packages/entry/src/owner/row-limits.ts
@@ -1,13 +1,23 @@
 /**
 What the table says about one program.
 */
+import type {Revision} from '@siskinhub/core/ids/revision.js';
 import type {ProgramLimits} from '@siskinhub/core/program/program-limits.js';
 import type {RowKey} from '@siskinhub/core/table/row-key.js';
 
-/** The row that the program is accounted to, and its effective limits. */
+type RowLimit = {
+	readonly row: RowKey;
+	readonly limit: number;
+};
+
+/** The row that the program is accounted to, its effective limits, and the cells that several programs share. */
 export type RowLimits = {
 	readonly row: RowKey;
 	readonly limits: ProgramLimits;
-	/** Calls of the row that may run on one upstream at the same time. */
-	readonly concurrency?: number;
+	/** Budget cells, in tokens, of those of the three rows that have one. */
+	readonly budgets: readonly RowLimit[];
+	/** Concurrency cells, in calls, of those of the three rows that have one. */
+	readonly concurrency: readonly RowLimit[];
+	/** Revision of the table that all this was read from. */
+	readonly revision: Revision;
 };
--- a/packages/entry/src/owner/shard-owner-options.ts
+++ b/packages/entry/src/owner/shard-owner-options.ts
@@ -36,7 +36,12 @@
 	readonly createId: () => string;
 	/** Fails with `unknown-row` if a row is missing from the table. */
 	readonly limitsOf: (header: Pick<ProgramHeader, 'workspace' | 'kind' | 'deployment'>) => Result<RowLimits, Refusal>;
-	readonly reserveTokens: (header: ProgramHeader, tokens: number, deadlineMs: number) => Promise<Result<TokenReservation, Refusal>>;
+	/** Fails with `budget-exhausted`, or with `not-run` if no budget could be taken within `timeoutMs`. */
+	readonly reserveTokens: (limits: RowLimits, tokens: number, timeoutMs: number) => Promise<Result<TokenReservation, Refusal>>;
+	/** Waits for a slot of each row whose concurrency is limited; the returned function releases them. */
+	readonly acquireSlots: (limits: RowLimits, deadlineAt: number) => Promise<Result<() => void, Refusal>>;
+	/** Gives unspent blocks of budget back before a handover. */
+	readonly returnBudgets: () => Promise<void>;
 	readonly onProgramEnded?: (program: ProgramId) => void;
 	readonly log: Logger;
 };
--- a/packages/entry/src/table/create-row-limits.ts
+++ b/packages/entry/src/table/create-row-limits.ts
@@ -4,6 +4,8 @@
 import {err, ok, type Result} from 'neverthrow';
 import type {ProgramHeader} from '@siskinhub/core/history/program-header.js';
 import type {Refusal} from '@siskinhub/core/refusal/refusal.js';
+import type {CellName} from '@siskinhub/core/table/cell-name.js';
+import {listRowKeys} from '@siskinhub/core/table/list-row-keys.js';
 import {resolveLimits} from '@siskinhub/core/table/resolve-limits.js';
 import type {RowKey} from '@siskinhub/core/table/row-key.js';
 import type {TableState} from '@siskinhub/core/table/table-state.js';
@@ -21,5 +23,18 @@
 		});
 	}
 
-	return ok({row: `workspace/${rows.workspace}` as RowKey, limits: resolved.value});
+	const state = table();
+	const keys = listRowKeys(rows);
+	const listCells = (cell: CellName) => keys.flatMap(row => {
+		const limit = state.rows[row]?.[cell]?.value;
+		return limit === undefined ? [] : [{row, limit}];
+	});
+
+	return ok({
+		row: `workspace/${rows.workspace}` as RowKey,
+		limits: resolved.value,
+		budgets: listCells('budget'),
+		concurrency: listCells('concurrency'),
+		revision: state.revision,
+	});
 };
--- a/packages/sidecar/src/create-run-scheduler.ts
+++ b/packages/sidecar/src/create-run-scheduler.ts
@@ -240,7 +240,6 @@
 			queued: waiting.length,
 			rowQueued: rowRuns.filter(run => run.state === 'queued').length,
 			rowOpen: rowRuns.length,
-			...(grant.rowConcurrency > 0 && {rowConcurrency: grant.rowConcurrency}),
 			rowShare: (grant.weight || 1) / totalWeight,
 		});
 	};
