refactor(platform): split the log's writer, separate connections for watches

And a waiting watch holds one of the client's eight connections: a process with several watches would make its other calls wait for them.

--- a/packages/platform/src/__tests__/open-log.test.ts
+++ b/packages/platform/src/__tests__/open-log.test.ts
@@ -23,6 +23,8 @@
 const SLOT_COUNT = 4;
 const APPEND_TIMEOUT_MS = 3000;
 const SETTLE_MS = 60_000;
+// Hundreds of scenarios on a busy machine.
+const MODEL_TIMEOUT_MS = 120_000;
 
 beforeEach(() => {
 	vi.useFakeTimers();
@@ -144,12 +146,12 @@
 		const {reader, outcomes, logs} = await runScenario('shared', {faults, steps});
 		checkOutcomes(reader.state(), outcomes);
 		checkViews(reader.state(), logs);
-	});
+	}, MODEL_TIMEOUT_MS);
 
 	test.prop(scenario, {numRuns: 300})('a fenced writer of an exclusive log never commits', async ({faults, steps}) => {
 		const {reader, outcomes, logs} = await runScenario('exclusive', {faults, steps});
 		checkOutcomes(reader.state(), outcomes);
 		checkViews(reader.state(), logs);
 		checkSuccession(reader.state());
-	});
+	}, MODEL_TIMEOUT_MS);
 });
--- a/packages/platform/src/budget/__tests__/create-shard-budgets.test.ts
+++ b/packages/platform/src/budget/__tests__/create-shard-budgets.test.ts
@@ -15,6 +15,8 @@
 
 const ROW = 'workspace/delta' as RowKey;
 const SETTLE_MS = 60_000;
+// Hundreds of scenarios on a busy machine.
+const MODEL_TIMEOUT_MS = 120_000;
 
 beforeEach(() => {
 	vi.useFakeTimers();
@@ -126,7 +128,7 @@
 	expect(sumSpent()).toBeLessThanOrEqual(outstanding);
 	const held = all.reduce((sum, {budgets}) => sum + budgets.totals(ROW).available, 0);
 	expect(sumSpent() + held).toBeLessThanOrEqual(outstanding);
-});
+}, MODEL_TIMEOUT_MS);
 
 test('calls are reserved from memory, and a lowered cell returns the rest and refuses', async () => {
 	const world = createWorld([]);
--- a/packages/platform/src/create-platform-client.ts
+++ b/packages/platform/src/create-platform-client.ts
@@ -36,6 +36,9 @@
 export const createPlatformClient = ({address, callTimeoutMs = DEFAULT_CALL_TIMEOUT_MS}: ClientOptions): PlatformClient & {readonly close: () => Promise<void>} => {
 	const dispatcher = new Agent({connections: MAX_CONNECTIONS, connect: {timeout: callTimeoutMs}});
 
+	// A waiting watch holds a connection, so that watches must not use up those of the calls.
+	const watchDispatcher = new Agent({connect: {timeout: callTimeoutMs}});
+
 	const call = async <Schema extends z.ZodType>(path: string, body: unknown, schema: Schema) => postJson({
 		dispatcher, url: address + path, body, schema, timeoutMs: callTimeoutMs,
 	});
@@ -88,7 +91,7 @@
 			return answer.map(() => undefined);
 		},
 		watch: async ({prefix, after, timeoutMs}) => readFirstChange({
-			dispatcher,
+			dispatcher: watchDispatcher,
 			url: `${address}/v3/watch`,
 			body: {create_request: {...toRange(prefix), ...(after !== undefined && {start_revision: String(after + 1)})}},
 			after,
@@ -96,6 +99,8 @@
 			openTimeoutMs: callTimeoutMs,
 		}),
 		listHosts: async () => call('/hosts', undefined, platformAnswers.hosts),
-		close: async () => dispatcher.destroy(),
+		async close() {
+			await Promise.all([dispatcher.destroy(), watchDispatcher.destroy()]);
+		},
 	};
 };
--- a/packages/platform/src/log/create-log-view.ts
+++ b/packages/platform/src/log/create-log-view.ts
@@ -79,6 +79,8 @@
 		index: () => index,
 		state: () => state,
 		snapshot: () => snapshot,
+		needsSnapshot: () => index + 1 - layout.slotCount > snapshot.through,
+		isHalfFull: () => index - snapshot.through >= layout.slotCount / 2,
 		slotVersion: wanted => slotVersions.get(layout.slotKey(wanted)) ?? 0,
 		applyEntry,
 		noteSnapshot(known) {
--- a/packages/platform/src/log/create-log-writer.ts
+++ b/packages/platform/src/log/create-log-writer.ts
@@ -11,7 +11,8 @@
 import type {LogLayout} from './log-layout.js';
 import type {LogOptions} from './log-options.js';
 import type {LogView} from './log-view.js';
-import {parseEntry} from './parse-entry.js';
+import {makeRoom} from './make-room.js';
+import {readNewEntries} from './read-new-entries.js';
 import {selectBatch} from './select-batch.js';
 import {writeEntry} from './write-entry.js';
 import {writeSnapshot} from './write-snapshot.js';
@@ -66,27 +67,34 @@
 		}
 	};
 
-	const needsSnapshot = () => view.index() + 1 - layout.slotCount > view.snapshot().through;
-
-	/** Makes the next slot's present entry part of the snapshot; gives up when nobody waits any more. */
-	const makeRoom = async (batch: ReadonlyArray<Pending<Item, Rejection>>) => {
-		const wait = createBackoff();
-		while (needsSnapshot() && !isClosed() && batch.some(append => !append.isSettled())) {
-			await writeSnapshot({client, layout, view});
-			if (needsSnapshot()) {
-				await wait();
+	const settleAll = (appends: ReadonlyArray<Pending<Item, Rejection>>, outcome: {readonly index: number} | 'fenced' | 'expired') => {
+		for (const append of appends) {
+			if (outcome === 'expired') {
+				append.expire();
+			} else {
+				append.settle(outcome === 'fenced' ? err({kind: 'fenced'}) : ok(outcome));
 			}
 		}
 	};
 
-	const settleAll = (batch: ReadonlyArray<Pending<Item, Rejection>>, kind: 'fenced' | 'expired') => {
-		for (const append of batch) {
-			if (kind === 'fenced') {
-				append.settle(err({kind: 'fenced'}));
-			} else {
-				append.expire();
-			}
+	const setInDoubt = (appends: ReadonlyArray<Pending<Item, Rejection>>, inDoubt: boolean) => {
+		for (const append of appends) {
+			append.setInDoubt(inDoubt);
+		}
+	};
+
+	const writeItems = async (index: number, items: readonly Item[]) => {
+		const entry = {
+			index, writer: options.writer, commitId: options.createCommitId(), items,
+		};
+		const outcome = await writeEntry({
+			client, key: layout.slotKey(index), entry, expectedVersion: view.slotVersion(index), isClosed,
+		});
+		if (outcome.kind === 'committed') {
+			view.applyEntry(entry, outcome.version);
 		}
+
+		return outcome;
 	};
 
 	/** Writes one entry; returns whether what is left of the batch should be tried at a later index. */
@@ -99,22 +107,10 @@
 			return false;
 		}
 
-		for (const append of appends) {
-			append.setInDoubt(true);
-		}
-
-		const entry = {
-			index, writer: options.writer, commitId: options.createCommitId(), items,
-		};
-		const outcome = await writeEntry({
-			client, key: layout.slotKey(index), entry, expectedVersion: view.slotVersion(index), isClosed,
-		});
+		setInDoubt(appends, true);
+		const outcome = await writeItems(index, items);
 		if (outcome.kind === 'committed') {
-			view.applyEntry(entry, outcome.version);
-			for (const append of appends) {
-				append.settle(ok({index}));
-			}
-
+			settleAll(appends, {index});
 			return false;
 		}
 
@@ -124,10 +120,7 @@
 			return false;
 		}
 
-		for (const append of appends) {
-			append.setInDoubt(false);
-		}
-
+		setInDoubt(appends, false);
 		if (outcome.kind === 'taken') {
 			applyForeign(outcome.entry, outcome.version);
 		} else {
@@ -137,41 +130,30 @@
 		return !isFenced;
 	};
 
-	const isFull = () => view.index() - view.snapshot().through >= layout.slotCount / 2;
-
 	return {
 		async commit(batch) {
+			const isAbandoned = () => isClosed() || batch.every(append => append.isSettled());
 			let isPending = !isFenced;
 			while (isPending) {
-				await makeRoom(batch);
-				isPending = !needsSnapshot() && await writeBatch(batch);
+				isPending = await makeRoom({
+					client, layout, view, isAbandoned,
+				}) && await writeBatch(batch);
 			}
 
 			settleAll(batch.filter(append => !append.isSettled()), isFenced ? 'fenced' : 'expired');
-			if (isFull() && !isFenced && !isClosed()) {
+			if (view.isHalfFull() && !isFenced && !isClosed()) {
 				await writeSnapshot({client, layout, view});
 			}
 		},
 		async catchUp() {
-			for (;;) {
-				const index = view.index() + 1;
-				const answer = await client.get(layout.slotKey(index));
-				if (answer.isErr()) {
-					return answer.error;
-				}
-
-				const stored = answer.value;
-				const entry = stored && parseEntry<Item>(stored.value);
-				if (!stored || (entry && entry.index < index)) {
-					return undefined;
-				}
-
-				if (entry?.index !== index) {
-					return load();
-				}
-
-				applyForeign(entry, stored.version);
+			const read = await readNewEntries<Item>({
+				client, layout, index: view.index, applyEntry: applyForeign,
+			});
+			if (read.isErr()) {
+				return read.error;
 			}
+
+			return read.value === 'passed' ? load() : undefined;
 		},
 		load,
 		isFenced: () => isFenced,
--- a/packages/platform/src/log/log-view.ts
+++ b/packages/platform/src/log/log-view.ts
@@ -17,6 +17,10 @@
 	readonly index: () => number;
 	readonly state: () => State;
 	readonly snapshot: () => KnownSnapshot;
+	/** Whether the next slot's entry is not part of the snapshot, so that it must not be replaced yet. */
+	readonly needsSnapshot: () => boolean;
+	/** Whether half of the slots are not part of the snapshot. */
+	readonly isHalfFull: () => boolean;
 	/** Version of the slot that entry `index` will be written to. */
 	readonly slotVersion: (index: number) => number;
 	/** Folds the next entry, which was stored under `version`. */
--- a/packages/platform/src/table/__tests__/create-table.test.ts
+++ b/packages/platform/src/table/__tests__/create-table.test.ts
@@ -11,6 +11,8 @@
 import {createTable} from '../create-table.js';
 
 const SETTLE_MS = 60_000;
+// Hundreds of scenarios on a busy machine.
+const MODEL_TIMEOUT_MS = 120_000;
 const ROWS = ['workspace/a', 'workspace/b', 'kind/c'] as RowKey[];
 
 type Table = ReturnType<typeof createTable>;
@@ -102,4 +104,4 @@
 	}
 
 	expect(edits.map(({revision}) => revision)).toEqual(edits.map((_, position) => position + 1));
-});
+}, MODEL_TIMEOUT_MS);
