--- a/packages/entry/src/http/__tests__/create-table-routes.test.ts
+++ b/packages/entry/src/http/__tests__/create-table-routes.test.ts
@@ -4,7 +4,8 @@
 import {emptyTable} from '@siskinhub/core/table/empty-table.js';
 import type {TableEdit} from '@siskinhub/core/table/table-edit.js';
 import {createLogger} from '@siskinhub/observe/create-logger.js';
-import type {ResolvedEntryConfig} from '@siskinhub/settings/resolved-entry-config.js';
+import {EntrySettingsSchema} from '@siskinhub/settings/entry-settings-schema.js';
+import {resolveEntryConfig} from '@siskinhub/settings/resolve-entry-config.js';
 import type {createTable} from '@siskinhub/platform/table/create-table.js';
 import {createHttpServer} from '../create-http-server.js';
 import {createTableRoutes} from '../create-table-routes.js';
@@ -12,8 +13,13 @@
 type Table = ReturnType<typeof createTable>;
 type Parts = Pick<Table, 'state' | 'submitEdit' | 'findEdit'>;
 
-const limits: Partial<ResolvedEntryConfig['limits']> = {maxBodyBytes: 10_000};
-const cfg = {limits} as ResolvedEntryConfig;
+const cfg = resolveEntryConfig(EntrySettingsSchema.parse({
+	host: 'entry-1',
+	dataCentre: 'delta-a',
+	http: {ip: '127.0.0.1', port: 1},
+	peer: {ip: '127.0.0.1', port: 2},
+	platform: {address: 'http://127.0.0.1:3'},
+}));
 const log = createLogger({level: 'silent', host: 'test'});
 
 /** A table without a log behind it. */
