--- a/packages/cli/src/__tests__/commands.test.ts
+++ b/packages/cli/src/__tests__/commands.test.ts
@@ -28,6 +28,7 @@
 			}],
 		}],
 	}],
+	'GET /v1/table/edits/*': [200, {revision: 7}],
 	'GET /v1/programs/p1-a': [200, PROGRAM],
 	'GET /v1/programs/p1-a/history': [200, {program: 'p1-a', digest: 'd', turns: [TURN]}],
 	'POST /v1/programs/p1-a/end': [200, {program: 'p1-a', state: 'ended'}],
@@ -41,6 +42,7 @@
 	['table:get', ['workspace/a'], [/budget\s*│ 300\s*│ tokens\s*│ ana\s*│ 5/v]],
 	['table:get', ['--yaml'], [/^kind:\n {2}k: \{\}\nworkspace:\n {2}a:\n {4}budget: 300\n$/v]],
 	['table:history', [], [/7\s*│ 1970-01-01 00:00:00Z │ ana │ workspace\/a\.budget = 300 │ e7/v]],
+	['table:history', ['--edit', 'e7'], [/edit e7 was accepted at revision 7/v]],
 	['program:show', ['p1-a'], [/p1-a\s*│ a\s*│ k\s*│ d/v, /1\s*│ r1\s*│ 30\s*│ 10/v]],
 	['program:end', ['p1-a'], [/Program p1-a has ended/v]],
 	['upstream:list', [], [/trenza-1\s*│ model\s*│ modelos-trenza/v]],
@@ -68,6 +70,14 @@
 	expect(unreachable).toMatchObject({stderr: expect.stringContaining('No entry gave an answer') as string, exitCode: 1});
 });
 
+test('an edit that never took effect and a table without rows are said to be so', async () => {
+	const entry = await startFakeEntry({'GET /v1/table': [200, {revision: 0, rows: {}}]});
+	const fate = await runCommand('table:history', '--edit', 'e9', '--entry', entry.address);
+	expect(fate).toMatchObject({stdout: expect.stringContaining('did not take effect and never will') as string, exitCode: 0});
+	const table = await runCommand('table:get', '--entry', entry.address);
+	expect(table.stdout).toContain('The table has no rows (revision 0)');
+});
+
 test('an entry that does not answer is named by status, beside those that do', async () => {
 	const entry = await startEntry();
 	const output = await runCommand('status', '--entry', `${entry.address},${ABSENT}`);
--- a/packages/cli/src/command/describe-edit-failure.ts
+++ b/packages/cli/src/command/describe-edit-failure.ts
@@ -61,7 +61,7 @@
 				code: 'outcome-unknown',
 				message: [
 					`The answer to the edit was lost (${failure.message}), and no entry could say whether the edit took effect.`,
-					`Do not give the command again yet. Once an entry answers, look for the edit ${failure.editId} in "siskinhub table history".`,
+					`Do not give the command again yet. Ask later: siskinhub table history --edit ${failure.editId}`,
 				].join('\n'),
 				exitCode: EXIT_CODE.UNKNOWN,
 				details: {editId: failure.editId},
--- a/packages/cli/src/commands/table-get.ts
+++ b/packages/cli/src/commands/table-get.ts
@@ -7,6 +7,11 @@
 import {renderRow} from '../format/render-row.js';
 import {renderTableFile} from '../format/render-table-file.js';
 import {renderTableView} from '../format/render-table-view.js';
+import type {TableView} from '../table/table-view.js';
+
+const describeTable = (view: TableView): string => Object.keys(view.rows).length === 0
+	? `The table has no rows (revision ${view.revision}). "siskinhub table apply FILE" or "siskinhub table set ROW.CELL VALUE --new-row" adds some.`
+	: `${renderTableView(view)}\nrevision ${view.revision}`;
 
 /** Shows the table, or one row of it. */
 export class TableGet extends TableCommand {
@@ -22,11 +27,11 @@
 			return this.showRow(args.row, view);
 		}
 
-		this.log(flags.yaml ? renderTableFile(view).trimEnd() : `${renderTableView(view)}\nrevision ${view.revision}`);
+		this.log(flags.yaml ? renderTableFile(view).trimEnd() : describeTable(view));
 		return view;
 	}
 
-	private showRow(row: string, {revision, rows}: Awaited<ReturnType<TableGet['readTable']>>): unknown {
+	private showRow(row: string, {revision, rows}: TableView): unknown {
 		const cells = rows[row];
 		if (!cells) {
 			return this.fail({code: 'unknown-row', message: `The table has no row ${row}. "siskinhub table get" lists the rows.`, exitCode: EXIT_CODE.FAILED});
--- a/packages/cli/src/commands/table-history.ts
+++ b/packages/cli/src/commands/table-history.ts
@@ -3,6 +3,8 @@
 */
 import {Flags} from '@oclif/core';
 import {TableCommand} from '../command/table-command.js';
+import type {EntryClient} from '../entry/entry-client.js';
+import {RevisionSchema} from '../entry/revision-schema.js';
 import {renderTableHistory} from '../format/render-table-history.js';
 import {TableHistorySchema} from '../table/table-history-schema.js';
 
@@ -16,13 +18,34 @@
 		limit: Flags.integer({
 			helpValue: 'EDITS', default: DEFAULT_EDITS, min: 1, max: MAX_EDITS, description: 'how many edits to show',
 		}),
+		edit: Flags.string({
+			helpValue: 'EDIT', description: 'say what became of one edit; an edit that has not taken effect by then never will',
+		}),
 	};
 
+	static override examples = ['<%= config.bin %> table history --limit 5', '<%= config.bin %> table history --edit 3805cb44-fb8c-497e-b3f0-b872ec2ea9ad'];
+
 	async run(): Promise<unknown> {
 		const {flags} = await this.parse(TableHistory);
 		const client = await this.connect(flags);
+		if (flags.edit !== undefined) {
+			return this.showFate(client, flags.edit);
+		}
+
 		const history = this.expectAnswer(await client.ask({method: 'GET', path: `/v1/table/history?limit=${flags.limit}`, schema: TableHistorySchema}));
 		this.log(history.edits.length === 0 ? 'The table has never been edited.' : renderTableHistory(history.edits));
 		return history;
 	}
+
+	private async showFate(client: EntryClient, editId: string): Promise<unknown> {
+		const fate = await client.ask({method: 'GET', path: `/v1/table/edits/${encodeURIComponent(editId)}`, schema: RevisionSchema});
+		if (fate.isErr() && fate.error.kind === 'refused' && fate.error.refusal.code === 'unknown-request') {
+			this.log(`The edit ${editId} did not take effect and never will. Give the command again if you still want it.`);
+			return {editId, accepted: false};
+		}
+
+		const {revision} = this.expectAnswer(fate);
+		this.log(`The edit ${editId} was accepted at revision ${revision}.`);
+		return {editId, accepted: true, revision};
+	}
 }
--- a/packages/cli/src/commands/table-set.ts
+++ b/packages/cli/src/commands/table-set.ts
@@ -36,7 +36,7 @@
 		const view = await this.readTable(client);
 		const changes = this.withRow(change.value, view, flags['new-row']);
 		const accepted = await this.submit(client, {against: flags.against ?? view.revision, changes, waitSeconds: flags.wait});
-		this.log(`Accepted at revision ${accepted.revision}: ${args.target} = ${args.value}`);
+		this.log(`Accepted at revision ${accepted.revision}: ${args.target} ${change.value.kind === 'clear' ? 'cleared' : `= ${args.value}`}`);
 		return {...accepted, changes};
 	}
 
--- a/packages/cli/src/entry/submit-edit.ts
+++ b/packages/cli/src/entry/submit-edit.ts
@@ -14,7 +14,9 @@
 // Refusals after which the edit may still take effect.
 const UNDECIDED_CODES = new Set(['unavailable', 'outcome-unknown']);
 
-const describeLoss = (error: EntryError): string => error.kind === 'refused' ? error.refusal.message : error.message;
+const describeLoss = (entry: string, error: EntryError): string => error.kind === 'refused'
+	? `${entry} could not tell, because the platform's service did not answer it`
+	: error.message;
 
 /**
 Posts the edit to the first entry that can be reached. Once it may have arrived
@@ -36,7 +38,7 @@
 			return err({kind: 'refused', refusal: error.refusal});
 		}
 
-		message = describeLoss(error);
+		message = describeLoss(entry, error);
 		if (error.kind !== 'not-sent') {
 			return findEditFate(client, {...edit, message, waitMs});
 		}
