--- a/packages/prove/src/client/build-call.ts
+++ b/packages/prove/src/client/build-call.ts
@@ -5,12 +5,14 @@
 import type {CallRequest} from './call-request.js';
 import type {ProgramOptions} from './program-options.js';
 
-const DEADLINE_MS = 5000;
+const DEADLINE_MS = [5000, 5000] as const;
 const MOST_OUTPUT_TOKENS = 128;
 
 /** What the call asks for. */
 type CallKind = {readonly service: boolean; readonly isIdempotent: boolean; readonly tokens: number};
 
+const drawDeadline = ({random, deadlineMs: [least, most] = DEADLINE_MS}: ProgramOptions): number => Math.round(least + (random() * (most - least)));
+
 /** The input names its logical request, so that upstreams record it. */
 export const buildCall = (options: ProgramOptions, program: string, turn: number, request: number, kind: CallKind): CallRequest => {
 	const mark = requestMark.build(options.alias, turn, request);
@@ -22,7 +24,7 @@
 		isIdempotent: kind.isIdempotent,
 		target: kind.service ? {service: 'booking-core', operation: 'book'} : {model: 'modelos-trenza'},
 		input: kind.service ? {text} : [{role: 'user', content: text}],
-		deadlineMs: DEADLINE_MS,
+		deadlineMs: drawDeadline(options),
 		maxOutputTokens: MOST_OUTPUT_TOKENS,
 	};
 };
--- a/packages/prove/src/client/program-options.ts
+++ b/packages/prove/src/client/program-options.ts
@@ -20,6 +20,8 @@
 	readonly serviceShare?: number;
 	/** Share of the model calls that are non-idempotent. */
 	readonly nonIdempotentShare?: number;
+	/** Shortest and longest deadline of a call, in milliseconds. */
+	readonly deadlineMs?: readonly [number, number];
 	/** Text that is put into every input. */
 	readonly extraText?: string;
 	/** The whole text of every input, equal for all requests. */
--- a/packages/prove/src/points/drive-programs.ts
+++ b/packages/prove/src/points/drive-programs.ts
@@ -15,7 +15,7 @@
 	/** Programs at any one time. */
 	readonly programs: number;
 	readonly turns: number;
-} & Partial<Pick<ProgramOptions, 'pipeline' | 'serviceShare' | 'nonIdempotentShare' | 'endsProgram' | 'subAgents'>> & {
+} & Partial<Pick<ProgramOptions, 'pipeline' | 'serviceShare' | 'nonIdempotentShare' | 'endsProgram' | 'subAgents' | 'deadlineMs'>> & {
 	/** Text for every input of a client's programs. */
 	readonly extraTextOf?: (client: number) => string;
 	/** Whether a client ends its programs after their last turn. */
--- a/packages/prove/src/points/list-points.ts
+++ b/packages/prove/src/points/list-points.ts
@@ -19,7 +19,7 @@
 export const listPoints = (): Point[] => [
 	createRequestPoint({name: 'at-most-once', kinds: ALL_FAULTS, drive: {programs: 10, turns: 8, serviceShare: 0.8}}),
 	createRequestPoint({
-		name: 'not-run', kinds: ['kill', 'freeze', 'silence', 'platform-down', 'upstream-slow'], drive: {programs: 24, turns: 6}, isTelling: hasRefusal('not-run'),
+		name: 'not-run', kinds: ['kill', 'freeze', 'silence', 'platform-down', 'upstream-slow'], drive: {programs: 24, turns: 6, deadlineMs: [150, 4000]}, isTelling: hasRefusal('not-run'),
 	}),
 	createRequestPoint({name: 'order', kinds: ['kill', 'freeze', 'silence'], drive: {programs: 8, turns: 24, pipeline: 4}}),
 	createRequestPoint({name: 'history', kinds: ALL_FAULTS, drive: {programs: 20, turns: 30}}),
