fix(entry): say not-run only if no earlier grant of the request may have run

Cause: an idempotent call whose sidecar froze was granted again elsewhere; the second grant waited too long and was refused, and the caller was told not-run. The first grant ran when the frozen sidecar woke. The same could follow a takeover, because grants of idempotent calls die with their owner, and a copy of a request whose other copy went on.

The owner keeps requests whose earlier grant may have run and the turn that it inherited; for these the refusal is unavailable, and the request stays open. The entry says not-run only once the owner has acknowledged it. Ruled out: a claim in the log for idempotent calls too, a write for each call.

--- a/packages/core/src/owner/create-open-program.ts
+++ b/packages/core/src/owner/create-open-program.ts
@@ -19,6 +19,7 @@
 	ended: false,
 	stored: new Map(),
 	closed: new Map(),
+	doubtful: new Set(),
 	children: new Set(),
 	lastSeenAt: now,
 });
--- a/packages/core/src/owner/open-program.ts
+++ b/packages/core/src/owner/open-program.ts
@@ -24,6 +24,10 @@
 	/** Stored requests and their turns, so that a repeated request id is answered from the history. */
 	readonly stored: Map<RequestId, TurnNumber>;
 	readonly closed: Map<RequestId, ClosedFate>;
+	/** Idempotent requests of which an earlier run may have taken place, so that they are never called not-run. */
+	readonly doubtful: Set<RequestId>;
+	/** The turn that was next when this owner read the program; an earlier owner may have let it run. */
+	inheritedTurn?: TurnNumber;
 	readonly children: Set<ProgramId>;
 	/** The upstream that holds the program's prefix, as far as the owner knows. */
 	prefixHolder?: UpstreamId;
--- a/packages/entry/src/calls/create-call-runner.ts
+++ b/packages/entry/src/calls/create-call-runner.ts
@@ -51,6 +51,12 @@
 	retryAfterMs: RETRY_AFTER_MS,
 };
 
+const NOT_VOUCHED: Refusal = {
+	code: 'unavailable',
+	message: 'No upstream took the call now, and another try of it may have run; send the same request again.',
+	retryAfterMs: RETRY_AFTER_MS,
+};
+
 type RunnerOptions = {
 	readonly shardOf: (program: ProgramId) => ShardId;
 	readonly router: OwnerRouter;
@@ -239,8 +245,9 @@
 		return true;
 	};
 
-	const release = async ({call, traceparent}: CallProgress, grant: Grant, fate: Fate, isFinal: boolean, done?: Done) => {
-		await router.ask(shardOf(call.program), {
+	/** Returns the owner's refusal if it cannot vouch for the fate. */
+	const release = async ({call, traceparent}: CallProgress, grant: Grant, fate: Fate, isFinal: boolean, done?: Done): Promise<Refusal | undefined> => {
+		const answer = await router.ask(shardOf(call.program), {
 			case: 'release',
 			value: {
 				program: call.program,
@@ -252,6 +259,11 @@
 				ranAlone: done?.ranAlone ?? false,
 			},
 		}, Date.now() + SETTLE_TIMEOUT_MS, traceparent);
+		if (answer.isErr()) {
+			return answer.error;
+		}
+
+		return answer.value.body.case === 'acknowledged' ? undefined : NOT_VOUCHED;
 	};
 
 	const describeFailure = (fate: Fate, call: CallRequest, reason: string, retryAfterMs: number): Refusal => {
@@ -294,9 +306,10 @@
 				...(done && done.retryAfterMs > 0 && {retryAfterMs: done.retryAfterMs}),
 			}, retryBudget, random);
 		retryBudget = retry.budget;
-		await release(progress, grant, fate, !retry.retry, done);
+		const released = await release(progress, grant, fate, !retry.retry, done);
 		if (!retry.retry) {
-			events.onRefused(describeFailure(fate, call, reason, done?.retryAfterMs ?? 0));
+			const isVouched = fate !== Fate.NOT_RUN || released === undefined;
+			events.onRefused(isVouched ? describeFailure(fate, call, reason, done?.retryAfterMs ?? 0) : released);
 			return false;
 		}
 
--- a/packages/entry/src/owner/create-grant-giver.ts
+++ b/packages/entry/src/owner/create-grant-giver.ts
@@ -8,6 +8,7 @@
 import type {InstanceId} from '@siskinhub/core/ids/instance-id.js';
 import type {RequestId} from '@siskinhub/core/ids/request-id.js';
 import type {TurnNumber} from '@siskinhub/core/ids/turn-number.js';
+import {mayHaveRun} from '@siskinhub/core/owner/may-have-run.js';
 import type {OpenProgram} from '@siskinhub/core/owner/open-program.js';
 import type {OwnedCall} from '@siskinhub/core/owner/owned-call.js';
 import type {Refusal} from '@siskinhub/core/refusal/refusal.js';
@@ -15,6 +16,7 @@
 import type {GrantRequest} from '@siskinhub/proto/gen/siskinhub/peer/v1/peer_pb.js';
 import type {UpstreamEntry} from '../directory/upstream-entry.js';
 import {checkLimits} from './check-limits.js';
+import {EARLIER_RUN_POSSIBLE} from './earlier-run-possible.js';
 import type {GrantGiver} from './grant-giver.js';
 import type {ProgramBook} from './program-book.js';
 import {refuse} from './refuse.js';
@@ -192,6 +194,11 @@
 		accounts.set(call, {limits: resolved.value, reservation: reserved.value});
 		const upstream = await waitForUpstream(program, call, message, deadlineAt);
 		if (upstream.isErr()) {
+			if (upstream.error.code === 'not-run' && mayHaveRun(program, call)) {
+				abandon(program, call);
+				return refuse(EARLIER_RUN_POSSIBLE);
+			}
+
 			await closeRequest(program, call.requestId, call.turn, upstream.error.code === 'cancelled' ? 'cancelled' : 'not-run');
 			abandon(program, call);
 			return refuse(upstream.error);
--- a/packages/entry/src/owner/create-shard-owner.ts
+++ b/packages/entry/src/owner/create-shard-owner.ts
@@ -15,6 +15,7 @@
 import type {ProgramHeader} from '@siskinhub/core/history/program-header.js';
 import type {ClosedFate} from '@siskinhub/core/owner/closed-fate.js';
 import {decideGrant} from '@siskinhub/core/owner/decide-grant.js';
+import {mayHaveRun} from '@siskinhub/core/owner/may-have-run.js';
 import type {OpenProgram} from '@siskinhub/core/owner/open-program.js';
 import type {OwnedCall} from '@siskinhub/core/owner/owned-call.js';
 import type {ShardLogItem} from '@siskinhub/core/owner/shard-log-item.js';
@@ -22,6 +23,7 @@
 import {Fate, type Release, type StartProgram} from '@siskinhub/proto/gen/siskinhub/peer/v1/peer_pb.js';
 import {createGrantGiver} from './create-grant-giver.js';
 import {createProgramBook} from './create-program-book.js';
+import {EARLIER_RUN_POSSIBLE} from './earlier-run-possible.js';
 import {endPrograms} from './end-programs.js';
 import {refillHolders} from './refill-holders.js';
 import {refuse} from './refuse.js';
@@ -172,7 +174,9 @@
 		const program = found.value;
 		const call = program.current;
 		if (call?.grant?.claim !== message.claim) {
-			return ACKNOWLEDGED;
+			// Another copy of the request may still go on, unless it was closed.
+			const isOpen = message.fate === Fate.NOT_RUN && program.closed.get(message.requestId as RequestId) !== 'not-run';
+			return isOpen ? refuse(EARLIER_RUN_POSSIBLE) : ACKNOWLEDGED;
 		}
 
 		if (message.upstreamCrashed) {
@@ -180,6 +184,14 @@
 		}
 
 		giver.release(program, call, isMayHaveRun(message), Number(message.usedTokens));
+		if (call.idempotent && isMayHaveRun(message)) {
+			program.doubtful.add(call.requestId);
+		} else if (message.fate === Fate.NOT_RUN && mayHaveRun(program, call)) {
+			// Only this grant did not run.
+			freeTurn(program, call);
+			return refuse(EARLIER_RUN_POSSIBLE);
+		}
+
 		const isUncertain = !call.idempotent && isMayHaveRun(message);
 		const fate = isUncertain ? 'outcome-unknown' : FATES[message.fate];
 		if (isUncertain || (message.final && fate)) {
--- a/packages/entry/src/owner/restore-program.ts
+++ b/packages/entry/src/owner/restore-program.ts
@@ -60,6 +60,7 @@
 export const restoreProgram = (history: ProgramHistory, entry: ProgramEntry | undefined, now: number): OpenProgram => {
 	const program = createOpenProgram(history.header, now);
 	addTurns(program, history);
+	program.inheritedTurn = program.nextTurn;
 	program.ended = history.ended;
 	if (entry) {
 		addClaims(program, entry);
