feat(core): hold starts back for memory, keep prefixes whose reuse is certain

Starts also pushed out prefixes of programs under way.

The bench now prints busy slots and prompt tokens computed for each new one.

--- a/packages/bench/src/measure/recorder.ts
+++ b/packages/bench/src/measure/recorder.ts
@@ -5,6 +5,7 @@
 import type {ProgramPlan} from '../plan/program-plan.js';
 import type {RunOptions} from '../plan/run-options.js';
 import type {HubCounts} from '../sim/hub-counts.js';
+import type {SimEngine} from '../sim/sim-engine.js';
 import type {SimCall} from '../sim/sim-call.js';
 import {LatencyRecorder} from './latency-recorder.js';
 import {computeFairShares} from './compute-fair-shares.js';
@@ -13,6 +14,8 @@
 import type {RunMeasure} from './run-measure.js';
 import type {WasteMeter} from './waste-meter.js';
 
+const sumValues = (values: ReadonlyMap<string, number>): number => [...values.values()].reduce((sum, value) => sum + value, 0);
+
 /** Hears of starts, service and ends; figures count from the warm-up to the end of the window. */
 export class Recorder {
 	readonly open = new Set<ProgramPlan>();
@@ -24,6 +27,7 @@
 	readonly #from: number;
 	readonly #served = new Map<string, number>();
 	#finishedWorkMs = 0;
+	#newTokens = 0;
 
 	constructor(private readonly options: RunOptions, private readonly plans: readonly ProgramPlan[]) {
 		this.#from = warmUpEnd(options);
@@ -53,6 +57,10 @@
 		}
 	}
 
+	recordNewTokens(tokens: number): void {
+		this.#newTokens += tokens;
+	}
+
 	recordServed(call: SimCall, slotMs: number, now: number): void {
 		if (call.pool === 'models' && this.#counts(now)) {
 			const {row} = call.root.row;
@@ -60,19 +68,23 @@
 		}
 	}
 
-	summarise(policy: string, waste: WasteMeter, counts: HubCounts, maxRuns: number): RunMeasure {
+	summarise(policy: string, waste: WasteMeter, counts: HubCounts, engines: readonly SimEngine[]): RunMeasure {
+		const {models} = this.options.workload;
+		const countedMs = this.options.windowMs - this.#from;
 		const rows = this.#measureRows();
 		return {
 			policy,
 			...this.#latencies.summarise(),
 			wasted: waste.share,
 			wastedSeries: waste.series,
-			goodput: this.#finishedWorkMs / (measureCapacity(this.options.workload) * (this.options.windowMs - this.#from)),
+			goodput: this.#finishedWorkMs / (measureCapacity(this.options.workload) * countedMs),
+			recomputed: engines.reduce((sum, engine) => sum + engine.computedTokens, 0) / Math.max(1, this.#newTokens),
+			busy: sumValues(this.#served) / (models.count * models.spec.slots * countedMs),
 			rows,
 			unfairness: Math.max(...rows.map(({served, fair}) => Math.abs((served / fair) - 1))),
 			programs: {...this.#programs, open: this.open.size},
 			counts,
-			maxRuns,
+			maxRuns: Math.max(...engines.map(engine => engine.maxRuns)),
 		};
 	}
 
--- a/packages/bench/src/measure/run-measure.ts
+++ b/packages/bench/src/measure/run-measure.ts
@@ -12,6 +12,10 @@
 	readonly wastedSeries: readonly number[];
 	/** Work of the programs that finished within the window, over what the engines could do in it. */
 	readonly goodput: number;
+	/** Prompt tokens computed for each new one; 1 if no prefix was computed twice. */
+	readonly recomputed: number;
+	/** Mean share of slots busy within the window. */
+	readonly busy: number;
 	readonly rows: readonly RowMeasure[];
 	/** The largest distance of a row from its fair share, relative to that share. */
 	readonly unfairness: number;
--- a/packages/bench/src/report/render-table.ts
+++ b/packages/bench/src/report/render-table.ts
@@ -14,6 +14,8 @@
 	['p99 s', run => formatSeconds(run.p99)],
 	['wasted', run => formatPercent(run.wasted)],
 	['goodput', run => formatPercent(run.goodput)],
+	['busy', run => formatPercent(run.busy)],
+	['computed', run => run.recomputed.toFixed(2)],
 	['unfair', run => formatPercent(run.unfairness)],
 	['started', run => `${run.programs.started}`],
 	['finished', run => `${run.programs.finished}`],
--- a/packages/bench/src/sim/create-trackers.ts
+++ b/packages/bench/src/sim/create-trackers.ts
@@ -21,7 +21,7 @@
 	readonly clock: VirtualClock;
 	readonly policy: Policy;
 	readonly waste: WasteMeter;
-	readonly hooks: Pick<ConstructorParameters<typeof SimSidecar>[0], 'onEnd' | 'onServed' | 'onRelease' | 'medianPauseMs' | 'typicalCallMs'>;
+	readonly hooks: Pick<ConstructorParameters<typeof SimSidecar>[0], 'onEnd' | 'onServed' | 'onRelease' | 'hasAgents' | 'medianPauseMs' | 'meanProgramMs' | 'typicalCallMs'>;
 	readonly onEvict: (program: ProgramId, upstream: UpstreamId) => void;
 };
 
--- a/packages/bench/src/sim/load-report.ts
+++ b/packages/bench/src/sim/load-report.ts
@@ -6,6 +6,8 @@
 export type LoadReport = {
 	readonly running: number;
 	readonly queued: number;
+	readonly queuedStarts: number;
+	readonly usedTokens: number;
 	readonly callMs: number;
 	readonly tokenMs: number;
 	/** When it was taken, in virtual milliseconds. */
--- a/packages/bench/src/sim/sim-engine.ts
+++ b/packages/bench/src/sim/sim-engine.ts
@@ -23,6 +23,8 @@
 	readonly runs = new Set<Run>();
 	/** The most runs at once, for checking the model. */
 	maxRuns = 0;
+	/** Prompt tokens computed so far, again or for the first time. */
+	computedTokens = 0;
 	#prefillFreeAt = 0;
 
 	constructor(
@@ -82,6 +84,7 @@
 		}
 
 		const {now} = this.clock;
+		this.computedTokens += missingTokens;
 		const prefillEndsAt = Math.max(now, this.#prefillFreeAt) + (missingTokens / this.spec.prefillTokensPerMs * this.slowFactor);
 		this.#prefillFreeAt = prefillEndsAt;
 		return prefillEndsAt - now + (call.outputTokens * this.spec.tokenMs * this.slowFactor);
--- a/packages/bench/src/sim/upstream-tracker.ts
+++ b/packages/bench/src/sim/upstream-tracker.ts
@@ -30,13 +30,16 @@
 
 	view(heldTokens: number): UpstreamView {
 		const {id, engine: {spec}} = this.sidecar;
-		const {running, queued, callMs, tokenMs} = this.#report;
+		const {running, queued, queuedStarts, usedTokens, callMs, tokenMs} = this.#report;
 		return {
 			id,
 			state: this.state,
 			slots: spec.slots,
 			running,
 			queued,
+			queuedStarts,
+			memoryTokens: spec.memoryTokens,
+			usedTokens,
 			reportedAt: this.#receivedAt,
 			sentSinceReport: this.#placedAt.length,
 			outstanding: this.outstanding,
--- a/packages/core/src/decide/admission-view.ts
+++ b/packages/core/src/decide/admission-view.ts
@@ -12,10 +12,13 @@
 	readonly running: number;
 	/** Recent mean time of a call in its slot, in milliseconds. */
 	readonly callMs: number;
+	/** Recent mean slot time of a whole program, in milliseconds. */
+	readonly programMs: number;
 	/** Calls of any row that wait. */
 	readonly queued: number;
-	/** Calls of the call's row that wait. */
+	/** Calls of the call's row that wait, and those of them that start a program. */
 	readonly rowQueued: number;
+	readonly rowQueuedStarts: number;
 	/** Calls of the call's row that run or wait, and the row's `concurrency` cell, where it has one. */
 	readonly rowOpen: number;
 	readonly rowConcurrency?: number;
--- a/packages/core/src/decide/choose-next-call.ts
+++ b/packages/core/src/decide/choose-next-call.ts
@@ -1,15 +1,20 @@
 /**
 Chooses the next call of an upstream's queue.
 
-Three rules in order. Priority: the highest goes first, and a waiting call
-gains a step with time, up to the highest that waits. Weight: a row that is
-further ahead of the least served waiting row than a fixed slack waits, so
-shares follow weights under backlog. Least attained service: among the rest,
-the program that has had least goes first, in geometric levels, so that the
-few very long programs do not delay the many short ones; waiting lowers a
-call's level, so that a long program moves on too. Within a level the program
-that started first goes first.
+Four rules in order. Priority: the highest goes first, and a waiting call gains
+a step with time, up to the highest that waits. Memory: a call that starts a
+program waits until memory has room for it beside the prefixes of the programs
+under way and some room for these to grow, because a prefix that is pushed out
+costs more to compute again than the start gains. Weight: a row that is further
+ahead of the least served waiting row than a fixed slack waits, so shares follow
+weights under backlog; the slack is wider for calls of programs under way, which
+hold memory while they wait. Least attained service: among the rest, the program
+that has had least goes first, in geometric levels, so that the few very long
+programs do not delay the many short ones; waiting lowers a call's level, so
+that a long program moves on too. Within a level the program that started first
+goes first.
 */
+import type {QueueView} from './queue-view.js';
 import type {QueuedCall} from './queued-call.js';
 import type {QueueOrder} from './queue-order.js';
 import type {RowService} from './row-service.js';
@@ -21,7 +26,10 @@
 /** Upper bound of the first level; each further level doubles it. */
 const FIRST_LEVEL_MS = 10_000;
 /** Normalised service by which a row may lead the least served waiting row. */
-const ROW_LEAD_MS = 30_000;
+const START_LEAD_MS = 30_000;
+const CONTINUE_LEAD_MS = 300_000;
+/** Share of memory that programs under way may grow into. */
+const GROWTH_SHARE = 0.15;
 
 const agePriority = (call: QueuedCall, highest: number, now: number): number =>
 	Math.min(highest, call.priority + Math.floor((now - call.queuedAt) / PRIORITY_AGEING_MS));
@@ -49,19 +57,22 @@
 	return a.programStartedAt === b.programStartedAt ? a.queuedAt < b.queuedAt : a.programStartedAt < b.programStartedAt;
 };
 
-/** The project's queue order. */
-export const chooseNextCall: QueueOrder = (waiting, rows, now) => {
-	let highest = -Infinity;
-	for (const call of waiting) {
-		highest = Math.max(highest, call.priority);
-	}
+const fitsMemory = (call: QueuedCall, queue: QueueView): boolean =>
+	!call.startsProgram || queue.memoryTokens === 0 || queue.running === 0
+	|| call.missingTokens + (GROWTH_SHARE * queue.memoryTokens) <= queue.freeTokens;
 
-	const first = waiting.filter(call => agePriority(call, highest, now) === highest);
-	const limit = leastService(first, rows) + ROW_LEAD_MS;
+const isWithinLead = (call: QueuedCall, least: number, rows: RowService): boolean =>
+	(rows.get(call.row) ?? 0) <= least + (call.startsProgram ? START_LEAD_MS : CONTINUE_LEAD_MS);
+
+/** The project's queue order. */
+export const chooseNextCall: QueueOrder = (waiting, queue, now) => {
+	const fitting = waiting.filter(call => fitsMemory(call, queue));
+	const highest = Math.max(...fitting.map(call => call.priority));
+	const first = fitting.filter(call => agePriority(call, highest, now) === highest);
+	const least = leastService(first, queue.rows);
 	let best: QueuedCall | undefined;
 	for (const call of first) {
-		const eligible = (rows.get(call.row) ?? 0) <= limit;
-		if (eligible && (!best || goesBefore(call, best, now))) {
+		if (isWithinLead(call, least, queue.rows) && (!best || goesBefore(call, best, now))) {
 			best = call;
 		}
 	}
--- a/packages/core/src/decide/choose-upstream.ts
+++ b/packages/core/src/decide/choose-upstream.ts
@@ -42,8 +42,8 @@
 	return sampled;
 };
 
-const estimateAgedWaits = (candidates: readonly UpstreamView[], now: number): readonly number[] => {
-	const waits = candidates.map(candidate => estimateQueueWait(candidate));
+const estimateAgedWaits = (call: CallView, candidates: readonly UpstreamView[], now: number): readonly number[] => {
+	const waits = candidates.map(candidate => estimateQueueWait(call, candidate));
 	const mean = waits.reduce((sum, wait) => sum + wait, 0) / Math.max(1, waits.length);
 	return candidates.map((candidate, index) => {
 		const trust = 0.5 ** (Math.max(0, now - candidate.reportedAt) / REPORT_HALF_LIFE_MS);
@@ -70,7 +70,7 @@
 	// A leaving engine takes no work, but its copy of a prefix can still be imported.
 	const holder = findHolder(upstreams.filter(upstream => upstream.state !== 'silent'));
 	const candidates = sampleCandidates(listUsableUpstreams(upstreams), holder, random);
-	const waits = estimateAgedWaits(candidates, now);
+	const waits = estimateAgedWaits(call, candidates, now);
 	let best: {cost: number; candidate: UpstreamView; imports: boolean} | undefined;
 	for (const [index, candidate] of candidates.entries()) {
 		const {prefixMs, imports} = estimatePrefix(call, candidate, holder);
--- a/packages/core/src/decide/queued-call.ts
+++ b/packages/core/src/decide/queued-call.ts
@@ -9,6 +9,10 @@
 	readonly row: RowKey;
 	readonly weight: number;
 	readonly priority: number;
+	/** Whether it opens an outermost program, which then takes memory until its end. */
+	readonly startsProgram: boolean;
+	/** Tokens that it needs beyond those of its prefix that the engine holds. */
+	readonly missingTokens: number;
 	/** Time at which it joined this queue, in milliseconds. */
 	readonly queuedAt: number;
 	/** Time at which the outermost program started, in milliseconds. */
--- a/packages/core/src/decide/upstream-view.ts
+++ b/packages/core/src/decide/upstream-view.ts
@@ -12,6 +12,11 @@
 	readonly slots: number;
 	readonly running: number;
 	readonly queued: number;
+	/** Those of `queued` that start a program. */
+	readonly queuedStarts: number;
+	/** Engine memory, and what running calls and kept prefixes take of it; 0 for plain services. */
+	readonly memoryTokens: number;
+	readonly usedTokens: number;
 	/** Time of the report by the clock of the process that decides, in milliseconds. */
 	readonly reportedAt: number;
 	/** Calls that the deciding process placed there since the report. */
