perf(core): weigh a missing prefix by the calls that it delays

Cause: the choice left the holder as soon as its own call gained, but an engine computes one prefix at a time, so every move delayed the other calls there and the memory filled with copies; 1.4 to 1.7 prompt tokens computed for each new.

Change: the cost of a missing prefix counts six times.

--- a/packages/core/src/decide/choose-upstream.ts
+++ b/packages/core/src/decide/choose-upstream.ts
@@ -2,8 +2,8 @@
 Chooses the upstream that is expected to finish a call first.
 
 A candidate's cost is the wait for a slot, the time to make the missing prefix
-present (computed, or imported from the holder of the longest copy) and the
-time to generate the answer at its recent speed. A report that has aged says
+present (computed, or imported from the holder of the longest copy), weighted
+for the calls that it delays, and the time to generate the answer at its recent speed. A report that has aged says
 less about the queue, so its wait drifts towards the mean of the candidates.
 Only a few sampled candidates and the holder are compared, so that many
 deciding processes do not rush to the same upstream on the same report.
@@ -18,6 +18,8 @@
 const SAMPLED_CANDIDATES = 4;
 /** Age at which a report counts half. */
 const REPORT_HALF_LIFE_MS = 4000;
+/** An engine computes one missing prefix at a time, so the other calls on it wait as well. */
+const PREFIX_COST_WEIGHT = 6;
 /** Fixed cost of starting an import. */
 const IMPORT_SETUP_MS = 20;
 
@@ -74,7 +76,7 @@
 	let best: {cost: number; candidate: UpstreamView; imports: boolean} | undefined;
 	for (const [index, candidate] of candidates.entries()) {
 		const {prefixMs, imports} = estimatePrefix(call, candidate, holder);
-		const cost = waits[index]! + prefixMs + (call.expectedOutputTokens * candidate.tokenMs);
+		const cost = waits[index]! + (PREFIX_COST_WEIGHT * prefixMs) + (call.expectedOutputTokens * candidate.tokenMs);
 		if (!best || cost < best.cost) {
 			best = {cost, candidate, imports};
 		}
