--- a/packages/core/src/decide/choose-upstream.ts
+++ b/packages/core/src/decide/choose-upstream.ts
@@ -2,8 +2,8 @@
 Chooses the upstream that is expected to finish a call first.
 
 A candidate's cost is the wait for a slot, the time to make the missing prefix
-present (computed, or imported from the holder of the longest copy) and the
-time to generate the answer at its recent speed. A report that has aged says
+present (computed, or imported from the holder of the longest copy), weighted
+for the calls that it delays, and the time to generate the answer at its recent speed. A report that has aged says
 less about the queue, so its wait drifts towards the mean of the candidates.
 Only a few sampled candidates and the holder are compared, so that many
 deciding processes do not rush to the same upstream on the same report.
@@ -18,6 +18,8 @@
 const SAMPLED_CANDIDATES = 4;
 /** Age at which a report counts half. */
 const REPORT_HALF_LIFE_MS = 4000;
+/** An engine computes one missing prefix at a time, so the other calls on it wait as well. */
+const PREFIX_COST_WEIGHT = 6;
 /** Fixed cost of starting an import. */
 const IMPORT_SETUP_MS = 20;
 
@@ -42,8 +44,8 @@
 	return sampled;
 };
 
-const estimateAgedWaits = (candidates: readonly UpstreamView[], now: number): readonly number[] => {
-	const waits = candidates.map(candidate => estimateQueueWait(candidate));
+const estimateAgedWaits = (call: CallView, candidates: readonly UpstreamView[], now: number): readonly number[] => {
+	const waits = candidates.map(candidate => estimateQueueWait(call, candidate));
 	const mean = waits.reduce((sum, wait) => sum + wait, 0) / Math.max(1, waits.length);
 	return candidates.map((candidate, index) => {
 		const trust = 0.5 ** (Math.max(0, now - candidate.reportedAt) / REPORT_HALF_LIFE_MS);
@@ -70,11 +72,11 @@
 	// A leaving engine takes no work, but its copy of a prefix can still be imported.
 	const holder = findHolder(upstreams.filter(upstream => upstream.state !== 'silent'));
 	const candidates = sampleCandidates(listUsableUpstreams(upstreams), holder, random);
-	const waits = estimateAgedWaits(candidates, now);
+	const waits = estimateAgedWaits(call, candidates, now);
 	let best: {cost: number; candidate: UpstreamView; imports: boolean} | undefined;
 	for (const [index, candidate] of candidates.entries()) {
 		const {prefixMs, imports} = estimatePrefix(call, candidate, holder);
-		const cost = waits[index]! + prefixMs + (call.expectedOutputTokens * candidate.tokenMs);
+		const cost = waits[index]! + (PREFIX_COST_WEIGHT * prefixMs) + (call.expectedOutputTokens * candidate.tokenMs);
 		if (!best || cost < best.cost) {
 			best = {cost, candidate, imports};
 		}
