feat(playground): one command that runs an agent program through the whole path

A newcomer had no way to see the system run: the thin run was a script by hand on fixed ports that left settings behind.

npm run play starts a stand-in platform, two engines, a plain service, three sidecars and two entries on free loopback ports under one temporary folder. It adds the table's rows, runs a program of four turns with a tool pause, a sub-agent and one non-idempotent booking sent twice, prints the hops from the spans in the processes' logs, and checks history, booking, engine memory and clean exits.

Start-up code stands once, in packages/standins/src/cluster; the proofs keep their relays and take processes and ports from there. Weighed: a library of test containers (starts nothing on loopback only), and keeping it in packages/prove (the playground and the capacity runs would depend on checkers).

--- a/packages/prove/src/client/__tests__/read-answer.test.ts
+++ b/packages/prove/src/client/__tests__/read-answer.test.ts
@@ -1,3 +1,4 @@
+import {Buffer} from 'node:buffer';
 import {Readable} from 'node:stream';
 import {expect, test} from 'vitest';
 import {readAnswer} from '../read-answer.js';
@@ -7,7 +8,7 @@
 	bytes: 4, digest: 'd', promptTokens: 1, outputTokens: 2,
 });
 const read = async (prefix: string, ...events: string[]) => {
-	const {outcome} = await readAnswer(Readable.from(events), prefix, () => undefined);
+	const {outcome} = await readAnswer(Readable.from(events.map(text => Buffer.from(text))), prefix, () => undefined);
 	return outcome;
 };
 
--- a/packages/prove/src/client/read-answer.ts
+++ b/packages/prove/src/client/read-answer.ts
@@ -67,10 +67,11 @@
 		}
 	};
 
+	const decoder = new TextDecoder();
 	const parser = createParser({onEvent});
 	try {
-		for await (const chunk of body.setEncoding('utf8')) {
-			parser.feed(chunk as string);
+		for await (const chunk of body) {
+			parser.feed(decoder.decode(chunk as Uint8Array, {stream: true}));
 		}
 	} catch (error) {
 		outcome = outcome.kind === 'cut' ? {kind: 'cut', message: String(error)} : outcome;
--- a/packages/prove/src/cluster/cluster.ts
+++ b/packages/prove/src/cluster/cluster.ts
@@ -2,7 +2,7 @@
 The processes of one proof.
 */
 import type {PlatformHost} from '@siskinhub/platform/platform-host.js';
-import type {ManagedProcess} from './managed-process.js';
+import type {ManagedProcess} from '@siskinhub/standins/cluster/managed-process.js';
 import type {TcpCutter} from './create-tcp-cutter.js';
 
 /** An entry and where clients reach it, through its relay. */
--- a/packages/prove/src/cluster/inject-fault.ts
+++ b/packages/prove/src/cluster/inject-fault.ts
@@ -2,10 +2,10 @@
 Applies one fault of a schedule to a cluster.
 */
 import {setTimeout as sleep} from 'node:timers/promises';
+import type {ManagedProcess} from '@siskinhub/standins/cluster/managed-process.js';
 import type {Recorder} from '../history/create-recorder.js';
 import type {Fault} from '../schedule/fault.js';
 import type {Cluster} from './cluster.js';
-import type {ManagedProcess} from './managed-process.js';
 import {sendJsonRequest} from './send-json-request.js';
 
 const PLATFORM_DELAY_MS = 700;
--- a/packages/prove/src/cluster/start-cluster.ts
+++ b/packages/prove/src/cluster/start-cluster.ts
@@ -3,48 +3,37 @@
 engines and a plain service with a sidecar each, and entries. Relays stand
 before every listener, so that open connections can go silent.
 */
-import {mkdirSync, mkdtempSync, rmSync} from 'node:fs';
+import {mkdtempSync, rmSync} from 'node:fs';
 import {tmpdir} from 'node:os';
 import path from 'node:path';
 import type {PlatformHost} from '@siskinhub/platform/platform-host.js';
-import {allocatePorts} from './allocate-ports.js';
-import {canConnect} from './can-connect.js';
+import {allocatePorts} from '@siskinhub/standins/cluster/allocate-ports.js';
+import {createProcessGroup} from '@siskinhub/standins/cluster/create-process-group.js';
+import type {ManagedProcess} from '@siskinhub/standins/cluster/managed-process.js';
 import type {Cluster} from './cluster.js';
 import type {ClusterOptions} from './cluster-options.js';
-import {createManagedProcess} from './create-managed-process.js';
 import {createTcpCutter, type TcpCutter} from './create-tcp-cutter.js';
-import type {ManagedProcess} from './managed-process.js';
 import {sendJsonRequest} from './send-json-request.js';
 import {writeSettings} from './write-settings.js';
 
-const BUNDLES = {
-	platform: 'packages/standins/dist/platform-server.js',
-	engine: 'packages/standins/dist/engine-server.js',
-	service: 'packages/standins/dist/service-server.js',
-	entry: 'packages/entry/dist/siskinhub-entry.js',
-	sidecar: 'packages/sidecar/dist/siskinhub-sidecar.js',
-};
 const DATA_CENTRES = ['centre-1', 'centre-2', 'centre-3'] as const;
 const STOP_TIMEOUT_MS = 500;
 
+type Bundle = Parameters<ReturnType<typeof createProcessGroup>['add']>[0]['bundle'];
+
 const dataCentreOf = (index: number): string => DATA_CENTRES[index % DATA_CENTRES.length]!;
 
 /** Builds processes and relays under one folder. */
 const createNodeBuilder = (folder: string, root: string) => {
-	const processes = new Map<string, ManagedProcess>();
+	const group = createProcessGroup(root, folder);
 	const cutters = new Map<string, TcpCutter>();
 	return {
-		processes,
+		processes: group.processes,
 		cutters,
-		addProcess(name: string, bundle: keyof typeof BUNDLES, args: readonly string[], port: number): ManagedProcess {
-			const managed = createManagedProcess({
-				name,
-				args: [path.join(root, BUNDLES[bundle]), ...args],
-				logFile: path.join(folder, 'logs', `${name}.log`),
-				isReady: async () => canConnect(port),
+		addProcess(name: string, bundle: Bundle, args: readonly string[], port: number): ManagedProcess {
+			return group.add({
+				name, bundle, args, port,
 			});
-			processes.set(name, managed);
-			return managed;
 		},
 		/** Returns the port of the relay before `port`. */
 		async addCutter(name: string, port: number): Promise<number> {
@@ -114,7 +103,6 @@
 /** Resolves when every process accepts connections. `root` is the workspace's folder with the built bundles. */
 export const startCluster = async (root: string, options: ClusterOptions): Promise<Cluster> => {
 	const folder = mkdtempSync(path.join(tmpdir(), 'siskinhub-prove-'));
-	mkdirSync(path.join(folder, 'logs'));
 	const builder = createNodeBuilder(folder, root);
 	const [platformPort] = await allocatePorts(1) as [number];
 	const platform = {
--- a/packages/prove/src/cluster/create-managed-process.ts
+++ b/packages/standins/src/cluster/create-managed-process.ts
@@ -1,5 +1,5 @@
 /**
-Starts and ends one process of a proof, by its own handle only.
+Starts and ends one process of a deployment, by its own handle only.
 */
 import {spawn, type ChildProcess} from 'node:child_process';
 import {once} from 'node:events';
--- /dev/null
+++ b/packages/standins/src/cluster/deployment.ts
@@ -0,0 +1,47 @@
+/**
+The processes of one deployment on the loopback interface.
+*/
+import type {ManagedProcess} from './managed-process.js';
+
+type EntryNode = {
+	readonly name: string;
+	readonly dataCentre: string;
+	/** Where callers and operators reach the entry. */
+	readonly address: string;
+	readonly process: ManagedProcess;
+};
+
+type UpstreamNode = {
+	readonly id: string;
+	readonly kind: 'model' | 'service';
+	readonly target: string;
+	/** Where the upstream itself listens. */
+	readonly address: string;
+	readonly upstream: ManagedProcess;
+	readonly sidecar: ManagedProcess;
+};
+
+/** How the processes of a deployment ended. */
+export type StopReport = {
+	/** Names of daemons that did not exit with 0 by themselves. */
+	readonly unclean: readonly string[];
+};
+
+/** Everything runs under one temporary folder. */
+export type Deployment = {
+	readonly folder: string;
+	readonly platform: {readonly address: string; readonly process: ManagedProcess};
+	readonly entries: readonly EntryNode[];
+	readonly upstreams: readonly UpstreamNode[];
+	readonly processes: ReadonlyMap<string, ManagedProcess>;
+	/** Replaces the platform's list of hosts. */
+	readonly publishHosts: (hosts: readonly unknown[]) => Promise<void>;
+	/** The list of hosts that was published at the start. */
+	readonly hosts: readonly unknown[];
+	/** Text that a process wrote so far. */
+	readonly readLog: (name: string) => string;
+	/** Stops entries, then sidecars, then stand-ins, each gracefully. The logs stay. */
+	readonly stop: () => Promise<StopReport>;
+	/** Ends whatever still runs and removes the folder. */
+	readonly close: () => Promise<void>;
+};
--- a/packages/prove/src/cluster/managed-process.ts
+++ b/packages/standins/src/cluster/managed-process.ts
@@ -1,5 +1,5 @@
 /**
-One process of a proof.
+One process of a deployment on the loopback interface.
 */
 
 /** A program that can be started again after it died. */
--- /dev/null
+++ b/playground/run-playground.ts
@@ -0,0 +1,51 @@
+/**
+Runs the agent program on a deployment that stands, and reports on it.
+*/
+import {addTableRows} from '@siskinhub/standins/cluster/add-table-rows.js';
+import type {Deployment} from '@siskinhub/standins/cluster/deployment.js';
+import {createAgentClient} from './agent/create-agent-client.js';
+import {diagnoseBlind} from './agent/diagnose-blind.js';
+import {checkEngineMemory} from './check-engine-memory.js';
+import {checkOutcome} from './check-outcome.js';
+import {formatTimeline} from './timeline/format-timeline.js';
+import {parseHops} from './timeline/parse-hops.js';
+import type {Step} from './timeline/step.js';
+
+const ROWS = {
+	'deployment/repair': {weight: 1},
+	'kind/diagnosis': {turns: 20},
+	'kind/parts-lookup': {turns: 5},
+	'workspace/zamalek': {budget: 100_000, concurrency: 8},
+};
+
+const describeTable = (revision: number | undefined): string => revision === undefined
+	? 'These entries serve no operators\' table; no row limits apply.'
+	: `The operators' table has ${Object.keys(ROWS).length} rows at revision ${revision}.`;
+
+/** Resolves with whether every check was met; rejects if the program was refused. Stops the deployment gracefully. */
+export const runPlayground = async (deployment: Deployment, print: (text: string) => void): Promise<boolean> => {
+	print(describeTable(await addTableRows(deployment, ROWS)));
+	const steps: Step[] = [];
+	const onStep = (step: Step): void => {
+		steps.push(step);
+	};
+
+	const client = createAgentClient({workspace: 'zamalek', entries: deployment.entries, onStep});
+	const report = await diagnoseBlind({
+		client, model: 'repair-agents', service: 'booking-core', onStep,
+	});
+	const checks = await checkOutcome(deployment, client, report);
+	await client.endProgram('end the program', report.program);
+	checks.push(await checkEngineMemory(deployment));
+	// Spans reach the logs when the processes stop.
+	const {unclean} = await deployment.stop();
+	checks.push({name: 'every process stopped by itself with exit code 0', isMet: unclean.length === 0, detail: unclean.length === 0 ? `${deployment.processes.size} processes` : unclean.join(', ')});
+
+	const hops = Array.from(deployment.processes.keys(), name => parseHops(deployment.readLog(name))).flat();
+	print(`\nThe program's steps, and below each the hops of its call (start, process, hop, duration):\n\n${formatTimeline(steps, hops)}\n`);
+	for (const {name, isMet, detail} of checks) {
+		print(`${isMet ? 'ok    ' : 'FAILED'}  ${name} (${detail})`);
+	}
+
+	return checks.every(({isMet}) => isMet);
+};
