--- a/packages/entry/src/http/__tests__/create-table-routes.test.ts
+++ b/packages/entry/src/http/__tests__/create-table-routes.test.ts
@@ -4,26 +4,14 @@
 import {emptyTable} from '@siskinhub/core/table/empty-table.js';
 import type {TableEdit} from '@siskinhub/core/table/table-edit.js';
 import {createLogger} from '@siskinhub/observe/create-logger.js';
-import {EntrySettingsSchema} from '@siskinhub/settings/entry-settings-schema.js';
-import {resolveEntryConfig} from '@siskinhub/settings/resolve-entry-config.js';
 import type {createTable} from '@siskinhub/platform/table/create-table.js';
 import {createHttpServer} from '../create-http-server.js';
 import {createTableRoutes} from '../create-table-routes.js';
 
-type Table = ReturnType<typeof createTable>;
-type Parts = Pick<Table, 'state' | 'submitEdit' | 'findEdit'>;
-
-const cfg = resolveEntryConfig(EntrySettingsSchema.parse({
-	host: 'entry-1',
-	dataCentre: 'delta-a',
-	http: {ip: '127.0.0.1', port: 1},
-	peer: {ip: '127.0.0.1', port: 2},
-	platform: {address: 'http://127.0.0.1:3'},
-}));
-const log = createLogger({level: 'silent', host: 'test'});
+type Table = Pick<ReturnType<typeof createTable>, 'state' | 'submitEdit' | 'findEdit'>;
 
 /** A table without a log behind it. */
-const createLocalTable = (): Parts => {
+const createLocalTable = (): Table => {
 	let state = emptyTable;
 	return {
 		state: () => state,
@@ -40,9 +28,9 @@
 	};
 };
 
-const startServer = async (table: Parts) => {
+const startServer = async (table: Table) => {
 	const server = await createHttpServer({
-		ip: '127.0.0.1', port: 0, routes: createTableRoutes({cfg, log}, table as Table), log,
+		ip: '127.0.0.1', port: 0, routes: createTableRoutes({table, maxBodyBytes: 10_000}), log: createLogger({level: 'silent', host: 'test'}),
 	});
 	onTestFinished(async () => server.close());
 	return async (method: string, path: string, body?: unknown) => {
@@ -83,7 +71,7 @@
 });
 
 test.each([
-	[{editId: 'e', against: 0, changes: []}, 'changes'],
+	[{editId: 'e', against: 0, changes: []}, 'at least one change'],
 	[{editId: 'e', against: -1, changes: []}, 'against'],
 	[{editId: 'e', against: 0, changes: [{kind: 'paint', row: 'workspace/a'}]}, 'changes.0'],
 	[{...createEdit('e', 0, 0), colour: 'red'}, 'colour'],
--- a/packages/entry/src/owner/create-grant-giver.ts
+++ b/packages/entry/src/owner/create-grant-giver.ts
@@ -27,6 +27,8 @@
 
 const UPSTREAM_POLL_MS = 50;
 const RETRY_AFTER_MS = 1000;
+/** Usual length of a token; only an estimate for the choice of upstream. */
+const BYTES_PER_TOKEN = 4;
 const DEFAULT_OUTPUT_TOKENS = 1024;
 /** A cancelled engine may have generated this many tokens more than were asked for. */
 const OVERRUN_TOKENS = 64;
@@ -37,8 +39,14 @@
 	readonly limits: RowLimits;
 	readonly reservation?: TokenReservation;
 	readonly releaseSlots?: () => void;
+	/** Prompt tokens that the chosen upstream is not believed to hold. */
+	missingTokens?: number;
 };
 
+const isStart = (program: OpenProgram, turn: number): boolean => turn === 1 && !program.header.parent;
+
+const estimatePrompt = (program: OpenProgram, inputBytes: number): number => program.historyTokens + Math.ceil(inputBytes / BYTES_PER_TOKEN);
+
 /** Creates the giver of one shard's owner. */
 export const createGrantGiver = (options: ShardOwnerOptions, book: ProgramBook): GrantGiver => {
 	const {shard, epoch, shardLog, holders, upstreams, crashes, chooseUpstream, random, createId} = options;
@@ -87,7 +95,8 @@
 				deployment: program.header.deployment,
 				programAgeMs: BigInt(Math.max(0, Date.now() - root.header.startedAt)),
 				row: account?.limits.row ?? `workspace/${program.header.workspace}`,
-				startsProgram: call.turn === 1 && !program.header.parent,
+				startsProgram: isStart(program, call.turn),
+				missingTokens: BigInt(account?.missingTokens ?? 0),
 			},
 		};
 	};
@@ -100,7 +109,8 @@
 		const views: UpstreamView[] = candidates.map(candidate => viewUpstream(candidate, program));
 		const placement = chooseUpstream({
 			program: program.header.program,
-			promptTokens: program.historyTokens + message.inputBytes,
+			startsProgram: isStart(program, message.turn),
+			promptTokens: estimatePrompt(program, message.inputBytes),
 			expectedOutputTokens: message.maxOutputTokens,
 		}, views, Date.now(), random);
 		return candidates.find(candidate => candidate.id === placement?.upstream && candidate.state === 'live');
@@ -212,7 +222,8 @@
 			return refuse(opened.error);
 		}
 
-		accounts.set(call, opened.value);
+		const account = opened.value;
+		accounts.set(call, account);
 		const upstream = await waitForUpstream(program, call, message, deadlineAt);
 		if (upstream.isErr()) {
 			if (upstream.error.code === 'not-run' && mayHaveRun(program, call)) {
@@ -225,6 +236,7 @@
 			return refuse(upstream.error);
 		}
 
+		account.missingTokens = estimatePrompt(program, message.inputBytes) - (program.prefixHolder === upstream.value.id ? program.historyTokens : 0);
 		const claim = createId() as ClaimId;
 		sequence++;
 		call.grant = {
--- a/packages/settings/src/sidecar-settings-schema.ts
+++ b/packages/settings/src/sidecar-settings-schema.ts
@@ -24,6 +24,8 @@
 	target: buildName().describe('Name of the model or service that callers ask for'),
 	address: buildHttpAddress().describe('Where the upstream listens, as http://IP:PORT'),
 	slots: buildInteger(1, SETTING_BOUNDS.slots).describe('Calls that the upstream runs at the same time'),
+	memoryTokens: buildInteger(0, Number.MAX_SAFE_INTEGER).default(0)
+		.describe('Tokens of prefixes that a model engine can hold; with 0 the queue does not heed memory'),
 	checksFencingNumbers: z.boolean({error: 'true or false'}).default(false)
 		.describe('Whether the upstream itself refuses orders that carry an old fencing number; if not, only the sidecar checks'),
 }).describe('The upstream beside which this process runs');
--- a/packages/sidecar/src/create-run-scheduler.ts
+++ b/packages/sidecar/src/create-run-scheduler.ts
@@ -10,6 +10,7 @@
 import type {AdmissionDecision} from '@siskinhub/core/decide/admission-decision.js';
 import {chargeRow} from '@siskinhub/core/decide/charge-row.js';
 import type {QueueOrder} from '@siskinhub/core/decide/queue-order.js';
+import type {QueueView} from '@siskinhub/core/decide/queue-view.js';
 import type {RowService} from '@siskinhub/core/decide/row-service.js';
 import type {ClaimId} from '@siskinhub/core/ids/claim-id.js';
 import type {Epoch} from '@siskinhub/core/ids/epoch.js';
@@ -37,6 +38,8 @@
 	readonly slots: number;
 	readonly order: QueueOrder;
 	readonly admission: AdmissionDecision;
+	/** The upstream's memory for prefixes, 0 where unknown, and what it said last that it holds, in tokens. */
+	readonly memory: () => {readonly memoryTokens: number; readonly heldTokens: number};
 	/** False while the process has just woken from a pause: whoever waits for a queued call may have given it up. */
 	readonly mayStart: () => boolean;
 	/** Called when a run could not reach the upstream or lost it. */
@@ -57,6 +60,8 @@
 			queuedAt: now,
 			programStartedAt: now - Number(grant.programAgeMs),
 			attainedMs: Number(grant.attainedMs),
+			startsProgram: grant.startsProgram,
+			missingTokens: Number(grant.missingTokens),
 		},
 		observers: new Set(),
 		controller: new AbortController(),
@@ -95,7 +100,7 @@
 };
 
 /** Creates an empty queue that accepts calls. */
-export const createRunScheduler = ({upstream, registry, slots, order, admission, mayStart, onUpstreamFailure}: SchedulerOptions): RunScheduler => {
+export const createRunScheduler = ({upstream, registry, slots, order, admission, memory, mayStart, onUpstreamFailure}: SchedulerOptions): RunScheduler => {
 	const runs = new Map<ClaimId, Run>();
 	const waiting: Run[] = [];
 	const running = new Set<Run>();
@@ -140,13 +145,25 @@
 		return run.dispatch.grant;
 	};
 
+	const describeQueue = (): QueueView => {
+		const {memoryTokens, heldTokens} = memory();
+		let usedTokens = heldTokens;
+		for (const run of running) {
+			usedTokens += run.queued.missingTokens;
+		}
+
+		return {
+			rows, running: running.size, memoryTokens, freeTokens: Math.max(0, memoryTokens - usedTokens),
+		};
+	};
+
 	const takeNext = (): Run | undefined => {
 		const runningAlone = [...running].some(run => grantOf(run).runAlone);
 		if (waiting.length === 0 || running.size >= slots || runningAlone || !mayStart()) {
 			return undefined;
 		}
 
-		const index = order(waiting.map(run => run.queued), rows, Date.now());
+		const index = order(waiting.map(run => run.queued), describeQueue(), Date.now());
 		const run = waiting[index];
 		if (!run || (grantOf(run).runAlone && running.size > 0)) {
 			return undefined;
@@ -238,6 +255,8 @@
 			running: running.size,
 			callMs: statistics.callMs(),
 			queued: waiting.length,
+			programMs: statistics.programMs(),
+			rowQueuedStarts: rowRuns.filter(run => run.state === 'queued' && run.queued.startsProgram).length,
 			rowQueued: rowRuns.filter(run => run.state === 'queued').length,
 			rowOpen: rowRuns.length,
 			rowShare: (grant.weight || 1) / totalWeight,
@@ -298,6 +317,7 @@
 			case 'run': {
 				const run = createRun(dispatch, grant, traceparent);
 				runs.set(run.claim, run);
+				statistics.recordArrival(run.queued.attainedMs);
 				rows = activateRow(rows, run.queued, waiting.map(other => other.queued));
 				waiting.push(run);
 				run.observers.add(observer);
@@ -379,6 +399,9 @@
 			slots,
 			running: running.size,
 			queued: waiting.length,
+			queuedStarts: waiting.filter(run => run.queued.startsProgram).length,
+			memoryTokens: BigInt(describeQueue().memoryTokens),
+			usedTokens: BigInt(describeQueue().memoryTokens - describeQueue().freeTokens),
 			callMs: statistics.callMs(),
 			tokenMs: statistics.tokenMs(),
 		}),
--- a/packages/sidecar/src/create-run-statistics.ts
+++ b/packages/sidecar/src/create-run-statistics.ts
@@ -13,6 +13,7 @@
 export const createRunStatistics = (): RunStatistics => {
 	let callMs = FIRST_CALL_MS;
 	let tokenMs = FIRST_TOKEN_MS;
+	let attainedMs = 0;
 	const blend = (mean: number, sample: number) => mean + (NEWEST_SHARE * (sample - mean));
 	return {
 		record(servedMs, outcome) {
@@ -25,6 +26,11 @@
 				tokenMs = blend(tokenMs, servedMs / outcome.outputTokens);
 			}
 		},
+		recordArrival(attained) {
+			attainedMs = blend(attainedMs, attained);
+		},
+		// A call arrives, on average, half-way through its program.
+		programMs: () => (2 * attainedMs) + callMs,
 		callMs: () => callMs,
 		tokenMs: () => tokenMs,
 	};
--- a/packages/sidecar/src/create-sidecar.ts
+++ b/packages/sidecar/src/create-sidecar.ts
@@ -61,6 +61,7 @@
 		slots: cfg.upstream.slots,
 		order: chooseNextCall,
 		admission: decideAdmission,
+		memory: () => ({memoryTokens: cfg.upstream.memoryTokens, heldTokens: Number(keeper.describeHeld().heldTokens)}),
 		mayStart: () => !pauseDetector.isWaking(),
 		onUpstreamFailure() {
 			monitor.noteFailure();
