perf(entry,sidecar): memory and work that grew with the fleet or for ever

Causes, found by reading with the target's size in mind: a sidecar kept every answer of a plain service for ever; an owner kept every program it had ever seen and walked all of them twice a second; every entry dialled every sidecar and searched the whole list at each heartbeat; every entry renewed a lease; each ended program sent an order to every sidecar.

--- a/packages/core/src/owner/create-open-program.ts
+++ b/packages/core/src/owner/create-open-program.ts
@@ -21,5 +21,6 @@
 	closed: new Map(),
 	doubtful: new Set(),
 	children: new Set(),
+	prefixHolders: new Set(),
 	lastSeenAt: now,
 });
--- a/packages/core/src/owner/open-program.ts
+++ b/packages/core/src/owner/open-program.ts
@@ -31,6 +31,8 @@
 	readonly children: Set<ProgramId>;
 	/** The upstream that holds the program's prefix, as far as the owner knows. */
 	prefixHolder?: UpstreamId;
+	/** Every upstream that ran a call of the program for this owner, and so may hold a prefix. */
+	readonly prefixHolders: Set<UpstreamId>;
 	/** Wall-clock time of the last sign of the program's caller, in milliseconds. */
 	lastSeenAt: number;
 	/** Wall-clock time at which the last turn was stored, in milliseconds; undefined before the first. */
--- a/packages/core/src/owner/owned-call.ts
+++ b/packages/core/src/owner/owned-call.ts
@@ -32,4 +32,6 @@
 	state: 'claiming' | 'granted';
 	grant?: GivenGrant;
 	cancelled: boolean;
+	/** Wall-clock time of the caller's deadline, in milliseconds. */
+	deadlineAt: number;
 };
--- a/packages/core/src/table/__tests__/apply-edit.test.ts
+++ b/packages/core/src/table/__tests__/apply-edit.test.ts
@@ -91,7 +91,6 @@
 		[[set('workspace/a b' as RowKey, 'weight', 0)], 2],
 		[[set(ROW, 'weight', 0), set(ROW, 'heft' as 'weight', 1)], 2],
 		[[set(ROW, 'weight', 1.5), set(ROW, 'heft' as 'weight', 1)], 2],
-		[[set(ROW, 'weight', 1.5), set(ROW, 'heft' as 'weight', 1)], 2],
 		[[set(ROW, 'weight', Number.NaN)], 1],
 		[[set('workspace/__proto__' as RowKey, 'weight', 1)], 1],
 		[[], 1],
--- a/packages/entry/src/create-entry.ts
+++ b/packages/entry/src/create-entry.ts
@@ -107,13 +107,17 @@
 		return late.ownership;
 	};
 
-	const hosts = createHostDirectory(platform, () => {
-		upstreams.sync();
-		for (const neighbour of chooseNeighbours(cfg.host, cfg.dataCentre, hosts.entries())) {
-			pool().get(neighbour.peerAddress);
-		}
+	const hosts = createHostDirectory({
+		platform, region: cfg.region, onChange() {
+			upstreams.sync();
+			for (const neighbour of chooseNeighbours(cfg.host, cfg.dataCentre, hosts.entries())) {
+				pool().get(neighbour.peerAddress);
+			}
+		},
+	});
+	const upstreams = createUpstreamDirectory({
+		hosts, pool, silenceMs: cfg.heartbeat.silenceMs, isOwner: () => (late.ownership?.owned().length ?? 0) > 0,
 	});
-	const upstreams = createUpstreamDirectory({hosts, pool, silenceMs: cfg.heartbeat.silenceMs});
 	const map = createShardMap();
 	const crashes = createCrashRegister((fingerprint, crashesAlone) => {
 		for (const entry of hosts.entries()) {
@@ -247,6 +251,7 @@
 				});
 			});
 		},
+		onOwned: upstreams.sync,
 		needsOtherHolders: createHolderWatch({
 			isUsable: holder => knownFolderId(holder.peerAddress) === holder.dataFolderId,
 			countCandidates: () => hosts.entries().filter(entry => knownFolderId(entry.peerAddress) !== '').length,
--- a/packages/entry/src/directory/create-upstream-directory.ts
+++ b/packages/entry/src/directory/create-upstream-directory.ts
@@ -7,6 +7,7 @@
 import type {UpstreamId} from '@siskinhub/core/ids/upstream-id.js';
 import type {PeerPool} from '@siskinhub/peer/peer-pool.js';
 import type {Load} from '@siskinhub/proto/gen/siskinhub/peer/v1/peer_pb.js';
+import type {PlatformHost} from '@siskinhub/platform/platform-host.js';
 import type {HostDirectory} from './host-directory.js';
 import type {UpstreamDirectory} from './upstream-directory.js';
 import type {UpstreamEntry} from './upstream-entry.js';
@@ -27,10 +28,14 @@
 	readonly hosts: HostDirectory;
 	readonly pool: () => PeerPool;
 	readonly silenceMs: number;
+	/** Only owners need load reports; other entries dial a sidecar when they have a call for it. */
+	readonly isOwner: () => boolean;
 };
 
 /** Creates the directory; `pool` is asked late because the pool's heartbeats end here. */
-export const createUpstreamDirectory = ({hosts, pool, silenceMs}: DirectoryOptions): UpstreamDirectory => {
+export const createUpstreamDirectory = ({
+	hosts, pool, silenceMs, isOwner,
+}: DirectoryOptions): UpstreamDirectory => {
 	const reports = new Map<string, Report>();
 	const counts = new Map<UpstreamId, Counts>();
 
@@ -57,7 +62,7 @@
 		return report.load.upstreamUp ? 'live' : 'silent';
 	};
 
-	const list = (): UpstreamEntry[] => hosts.sidecars().flatMap(host => {
+	const describe = (sidecars: readonly PlatformHost[]): UpstreamEntry[] => sidecars.flatMap(host => {
 		if (!host.upstream) {
 			return [];
 		}
@@ -77,12 +82,19 @@
 		}];
 	});
 
+	const dialAll = () => {
+		for (const host of hosts.sidecars()) {
+			pool().get(host.peerAddress);
+		}
+	};
+
 	return {
-		list,
-		get: id => list().find(upstream => upstream.id === id),
+		list: () => describe(hosts.sidecars()),
+		listFor: target => describe(hosts.sidecarsFor(target)),
+		follow: dialAll,
 		sync() {
-			for (const host of hosts.sidecars()) {
-				pool().get(host.peerAddress);
+			if (isOwner()) {
+				dialAll();
 			}
 		},
 		receiveHeartbeat(link, heartbeat) {
@@ -94,7 +106,7 @@
 			reports.set(remote.host, {
 				load: heartbeat.load, isLeaving: heartbeat.leaving, instance: remote.instance, at: Date.now(),
 			});
-			const upstream = hosts.sidecars().find(host => host.id === remote.host)?.upstream;
+			const upstream = hosts.findSidecar(remote.host)?.upstream;
 			if (upstream) {
 				countsOf(upstream.id as UpstreamId).sentSinceReport = 0;
 			}
--- a/packages/entry/src/directory/host-directory.ts
+++ b/packages/entry/src/directory/host-directory.ts
@@ -7,6 +7,10 @@
 export type HostDirectory = {
 	readonly entries: () => readonly PlatformHost[];
 	readonly sidecars: () => readonly PlatformHost[];
+	/** Sidecars of upstreams that serve the model or plain service of this name. */
+	readonly sidecarsFor: (target: string) => readonly PlatformHost[];
+	/** The sidecar with this id. */
+	readonly findSidecar: (id: string) => PlatformHost | undefined;
 	readonly refresh: () => Promise<void>;
 	readonly stop: () => void;
 };
--- a/packages/entry/src/directory/upstream-directory.ts
+++ b/packages/entry/src/directory/upstream-directory.ts
@@ -9,7 +9,10 @@
 /** Follows the sidecars' own reports, which are ahead of the platform's list. */
 export type UpstreamDirectory = {
 	readonly list: () => readonly UpstreamEntry[];
-	readonly get: (id: UpstreamId) => UpstreamEntry | undefined;
+	/** Those that serve the model or plain service of this name. */
+	readonly listFor: (target: string) => readonly UpstreamEntry[];
+	/** Dials every sidecar also if this entry owns no shard, so that an operator sees their loads. */
+	readonly follow: () => void;
 	/** Opens links to sidecars that are new in the host list. */
 	readonly sync: () => void;
 	readonly receiveHeartbeat: (link: PeerLink, heartbeat: Heartbeat) => void;
--- a/packages/entry/src/http/create-operator-routes.ts
+++ b/packages/entry/src/http/create-operator-routes.ts
@@ -1,12 +1,16 @@
 /**
 Routes for operators: status and upstreams.
 */
+import {setTimeout as delay} from 'node:timers/promises';
 import type {HttpRequest} from './http-request.js';
 import type {HttpRoute} from './http-route.js';
 import type {RouteContext} from './route-context.js';
 import {sendJson} from './send-json.js';
 import {sendRefusal} from './send-refusal.js';
 
+/** Time for the first load reports to arrive at an entry that owns no shard. */
+const FIRST_REPORT_MS = 500;
+
 /** Creates the routes of one entry. */
 export const createOperatorRoutes = (context: RouteContext): HttpRoute[] => {
 	const {cfg, instance, upstreams, ownership, calls} = context;
@@ -33,6 +37,11 @@
 	};
 
 	const listUpstreams = async ({res}: HttpRequest) => {
+		upstreams.follow();
+		if (ownership.owned().length === 0) {
+			await delay(FIRST_REPORT_MS);
+		}
+
 		sendJson(res, 200, {
 			upstreams: upstreams.list().map(({id, kind, target, dataCentre, state, load, reportedAt}) => ({
 				id,
--- a/packages/entry/src/owner/create-grant-giver.ts
+++ b/packages/entry/src/owner/create-grant-giver.ts
@@ -102,9 +102,8 @@
 	};
 
 	const pickUpstream = (program: OpenProgram, message: GrantRequest): UpstreamEntry | undefined => {
-		const candidates = upstreams.list().filter(upstream =>
-			upstream.target === message.target
-			&& (upstream.kind === 'service') === message.plainService
+		const candidates = upstreams.listFor(message.target).filter(upstream =>
+			(upstream.kind === 'service') === message.plainService
 			&& upstream.sidecarInstance !== undefined);
 		const views: UpstreamView[] = candidates.map(candidate => viewUpstream(candidate, program));
 		const placement = chooseUpstream({
@@ -209,6 +208,7 @@
 			fingerprint: message.fingerprint,
 			state: 'claiming',
 			cancelled: false,
+			deadlineAt,
 		};
 		program.current = call;
 		accounts.set(call, {limits: resolved.value});
@@ -264,6 +264,7 @@
 
 		call.state = 'granted';
 		program.prefixHolder = upstream.value.id;
+		program.prefixHolders.add(upstream.value.id);
 		upstreams.noteSent(upstream.value.id);
 		book.signal(program.header.program);
 		return describeGrant(program, call);
--- a/packages/entry/src/owner/create-program-book.ts
+++ b/packages/entry/src/owner/create-program-book.ts
@@ -16,6 +16,7 @@
 export const createProgramBook = ({shard, epoch, holders, sources, histories, shardLog}: ShardOwnerOptions): ProgramBook => {
 	const programs = new Map<ProgramId, OpenProgram>();
 	const loading = new Map<ProgramId, Promise<Result<OpenProgram, Refusal>>>();
+	let cursor = programs.values();
 	const waiters = new Map<ProgramId, Set<() => void>>();
 
 	const readFrom = async (id: ProgramId): Promise<Result<ProgramHistory | undefined, Refusal>> => {
@@ -90,6 +91,24 @@
 		},
 		peek: id => programs.get(id),
 		all: () => programs.values(),
+		forget(id) {
+			programs.delete(id);
+		},
+		nextSlice(count) {
+			const slice: OpenProgram[] = [];
+			while (slice.length < Math.min(count, programs.size)) {
+				const next = cursor.next();
+				if (next.done) {
+					cursor = programs.values();
+					break;
+				}
+
+				slice.push(next.value);
+			}
+
+			return slice;
+		},
+		size: () => programs.size,
 		signal(id) {
 			for (const wake of waiters.get(id) ?? []) {
 				wake();
--- a/packages/entry/src/owner/create-shard-owner.ts
+++ b/packages/entry/src/owner/create-shard-owner.ts
@@ -365,8 +365,7 @@
 
 			return alive;
 		},
-		openPrograms: () => [...book.all()].filter(program => !program.ended).length,
-		runningCalls: () => [...book.all()].filter(program => program.current !== undefined).length,
+		openPrograms: book.size,
 		enforceTimeLimits: ender.enforceTimeLimits,
 		isFenced: shardLog.isFenced,
 		refill: async () => refillHolders(options, book),
--- a/packages/entry/src/owner/end-programs.ts
+++ b/packages/entry/src/owner/end-programs.ts
@@ -7,6 +7,13 @@
 import type {ProgramBook} from './program-book.js';
 import type {ShardOwnerOptions} from './shard-owner-options.js';
 
+/** Bounds the cost of one sweep; with more programs a limit is noticed some sweeps later. */
+const PROGRAMS_PER_SWEEP = 1000;
+/** Ended programs are asked about for a while: late copies of requests, and sidecars that compare prefixes. */
+const ENDED_RETENTION_MS = 60_000;
+/** A call whose caller and entry are gone no longer keeps its program from counting as idle. */
+const ABANDONED_CALL_MS = 60_000;
+
 type EnderOptions = ShardOwnerOptions & {
 	readonly book: ProgramBook;
 };
@@ -45,7 +52,15 @@
 			orders.cancelRun(call.grant.sidecarAddress, {shard, epoch, claim: call.grant.claim});
 		}
 
-		orders.releasePrefix({shard, epoch, program: id});
+		program.lastSeenAt = Date.now();
+		const parent = program.header.parent && book.peek(program.header.parent);
+		if (parent) {
+			parent.children.delete(id);
+		}
+
+		orders.releasePrefix({
+			shard, epoch, program: id, upstreams: program.prefixHolders,
+		});
 		onProgramEnded?.(id);
 		book.signal(id);
 		return ok();
@@ -62,7 +77,8 @@
 			return 'wall-time';
 		}
 
-		const isPaused = program.current === undefined && program.children.size === 0;
+		const isCalling = program.current !== undefined && now < program.current.deadlineAt + ABANDONED_CALL_MS;
+		const isPaused = !isCalling && program.children.size === 0;
 		if (isPaused && toolTimeMs !== undefined && program.turnEndedAt !== undefined && now - program.turnEndedAt > toolTimeMs) {
 			return 'tool-time';
 		}
@@ -73,8 +89,13 @@
 	return {
 		end,
 		async enforceTimeLimits() {
-			for (const program of book.all()) {
-				const limit = program.ended ? undefined : hasOutlived(program, Date.now());
+			const now = Date.now();
+			for (const program of book.nextSlice(PROGRAMS_PER_SWEEP)) {
+				if (program.ended && now - program.lastSeenAt > ENDED_RETENTION_MS) {
+					book.forget(program.header.program);
+				}
+
+				const limit = program.ended ? undefined : hasOutlived(program, now);
 				if (limit) {
 					log.info('program ended by its row\'s limit', {programId: program.header.program, limit});
 					await end(program);
--- a/packages/entry/src/owner/program-book.ts
+++ b/packages/entry/src/owner/program-book.ts
@@ -14,6 +14,11 @@
 	readonly add: (header: ProgramHeader) => OpenProgram;
 	readonly peek: (id: ProgramId) => OpenProgram | undefined;
 	readonly all: () => Iterable<OpenProgram>;
+	/** Removes an ended program from memory; it is read again if somebody asks. */
+	readonly forget: (id: ProgramId) => void;
+	/** The next programs in turn, at most `count`, starting over at the end. */
+	readonly nextSlice: (count: number) => readonly OpenProgram[];
+	readonly size: () => number;
 	/** Wakes those that wait for a change of the program. */
 	readonly signal: (id: ProgramId) => void;
 	/** Resolves at the next signal or after `timeoutMs`. */
--- a/packages/entry/src/owner/restore-program.ts
+++ b/packages/entry/src/owner/restore-program.ts
@@ -41,6 +41,7 @@
 		fingerprint: '',
 		state: 'granted',
 		cancelled: false,
+		deadlineAt: program.lastSeenAt,
 		grant: {
 			claim: claim.claim,
 			sequence: claim.grantSequence,
--- a/packages/entry/src/owner/shard-owner.ts
+++ b/packages/entry/src/owner/shard-owner.ts
@@ -26,8 +26,8 @@
 	readonly cancel: (message: CancelCall) => Promise<BodyInit>;
 	/** Those of the programs that are open, or that may be. */
 	readonly listAlive: (programs: readonly string[]) => Promise<string[]>;
+	/** Programs in memory; those that ended a moment ago count too. */
 	readonly openPrograms: () => number;
-	readonly runningCalls: () => number;
 	/** Ends programs whose time limits have passed. */
 	readonly enforceTimeLimits: () => Promise<void>;
 	/** True once another owner has taken the shard over. */
--- a/packages/entry/src/ownership/create-ownership.ts
+++ b/packages/entry/src/ownership/create-ownership.ts
@@ -37,6 +37,8 @@
 	readonly leaseRenewEveryMs: number;
 	/** Takes one shard over; fails with the reason. */
 	readonly takeOver: (shard: ShardId, isAlive: (instance: string) => boolean) => Promise<Result<ShardOwner, string>>;
+	/** Called when this entry has become the owner of a shard. */
+	readonly onOwned: () => void;
 	/** Whether the shard's history holders are to change; asked once a beat. */
 	readonly needsOtherHolders: (owner: ShardOwner) => boolean;
 	readonly log: Logger;
@@ -150,6 +152,7 @@
 
 		owned.get(shard)?.retire();
 		owned.set(shard, taken.value);
+		options.onOwned();
 		void taken.value.refill();
 		beatsWithoutOwner.delete(shard);
 		map.note(shard, {host, peerAddress, epoch: taken.value.epoch});
@@ -221,7 +224,12 @@
 		isBusy = false;
 	};
 
+	/** Entries that own nothing and are candidates for nothing spare the platform's service their renewals. */
 	const keepLease = async (): Promise<void> => {
+		if (owned.size === 0 && lease === undefined && !ranksForAny()) {
+			return;
+		}
+
 		const renewed = await renewLease();
 		if (renewed.isErr()) {
 			log.warn('the lease could not be renewed', {reason: renewed.error});
--- a/packages/platform/src/platform-host.ts
+++ b/packages/platform/src/platform-host.ts
@@ -9,6 +9,8 @@
 	/** Where the process listens for its peers, as `http://IP:PORT`. */
 	readonly peerAddress: string;
 	readonly dataCentre: string;
+	/** Absent where the deployment has one region. */
+	readonly region?: string;
 	readonly state: 'live' | 'leaving';
 	/** Entries only: whether the host has a data folder and so holds copies of histories. */
 	readonly holdsHistory?: boolean;
--- a/packages/sidecar/src/create-prefix-keeper.ts
+++ b/packages/sidecar/src/create-prefix-keeper.ts
@@ -104,6 +104,7 @@
 		}
 
 		isBusy = true;
+		scheduler.sweep();
 		await reconcile();
 		await releaseOrdered();
 		isBusy = false;
--- a/packages/sidecar/src/create-run-scheduler.ts
+++ b/packages/sidecar/src/create-run-scheduler.ts
@@ -22,6 +22,7 @@
 import {
 	type Dispatch, type DoneSchema, Fate, type Grant,
 } from '@siskinhub/proto/gen/siskinhub/peer/v1/peer_pb.js';
+import {createRunStore} from './create-run-store.js';
 import {createRunStatistics} from './create-run-statistics.js';
 import type {Run} from './run.js';
 import type {RunObserver} from './run-observer.js';
@@ -69,6 +70,7 @@
 		text: '',
 		bytes: 0,
 		startedAt: 0,
+		endedAt: 0,
 		ranAlone: false,
 	};
 };
@@ -101,7 +103,7 @@
 
 /** Creates an empty queue that accepts calls. */
 export const createRunScheduler = ({upstream, registry, slots, order, admission, memory, mayStart, onUpstreamFailure}: SchedulerOptions): RunScheduler => {
-	const runs = new Map<ClaimId, Run>();
+	const runs = createRunStore();
 	const waiting: Run[] = [];
 	const running = new Set<Run>();
 	const statistics = createRunStatistics();
@@ -117,6 +119,7 @@
 
 	const finish = (run: Run, done: Done) => {
 		run.state = 'done';
+		run.endedAt = Date.now();
 		run.done = done;
 		for (const observer of run.observers) {
 			observer.onDone(done);
@@ -132,7 +135,7 @@
 		}
 
 		registry.refuseLater(run.claim);
-		runs.delete(run.claim);
+		runs.remove(run);
 		finish(run, {fate, reason});
 		notifyChange();
 	};
@@ -316,7 +319,7 @@
 		switch (admitted.kind) {
 			case 'run': {
 				const run = createRun(dispatch, grant, traceparent);
-				runs.set(run.claim, run);
+				runs.add(run);
 				statistics.recordArrival(run.queued.attainedMs);
 				rows = activateRow(rows, run.queued, waiting.map(other => other.queued));
 				waiting.push(run);
@@ -379,9 +382,13 @@
 			}
 		},
 		forgetProgram(program) {
-			for (const run of runs.values()) {
-				if (run.program === program && run.state === 'done') {
-					runs.delete(run.claim);
+			runs.forgetProgram(program);
+		},
+		sweep() {
+			for (const run of runs.sweep(Date.now())) {
+				// A non-idempotent call is left to end: its effect is better known than unknown.
+				if (grantOf(run).idempotent) {
+					run.controller.abort();
 				}
 			}
 		},
--- a/packages/sidecar/src/run-scheduler.ts
+++ b/packages/sidecar/src/run-scheduler.ts
@@ -17,6 +17,8 @@
 	readonly cancel: (claim: ClaimId) => void;
 	/** Drops answers kept for a program, because it has moved on or ended. */
 	readonly forgetProgram: (program: ProgramId) => void;
+	/** Forgets old answers and cancels idempotent runs that nobody follows any more. */
+	readonly sweep: () => void;
 	/** Refuses new calls from now on; those that are queued or running finish. */
 	readonly stopAccepting: () => void;
 	readonly isAccepting: () => boolean;
--- a/packages/sidecar/src/run.ts
+++ b/packages/sidecar/src/run.ts
@@ -23,6 +23,8 @@
 	/** UTF-8 bytes of `text`. */
 	bytes: number;
 	startedAt: number;
+	/** Time of the end, in milliseconds since the Unix epoch; 0 before. */
+	endedAt: number;
 	/** Whether nothing else ran beside it. */
 	ranAlone: boolean;
 	done?: MessageInitShape<typeof DoneSchema>;
