fix(platform): no tombstones for texts that are no edit ids

Cause: findEdit wrote a tombstone for any text. 500 of them of several kilobytes would fill the table's log, which then refuses edits as too large.

Change: a text that no edit may have as its id is answered 'never' without a write; the check is shared with validateEdit.

--- a/packages/core/src/table/validate-edit.ts
+++ b/packages/core/src/table/validate-edit.ts
@@ -3,10 +3,10 @@
 */
 import type {CellChange} from './cell-change.js';
 import {cellRules} from './cell-rules.js';
+import {isEditId} from './is-edit-id.js';
 import type {TableEdit} from './table-edit.js';
 
 const ROW_KEY_PATTERN = /^(?:deployment|kind|workspace)\/[\w.\-]{1,64}$/v;
-const EDIT_ID_PATTERN = /^[\w.:\-]{1,128}$/v;
 
 const validateChange = (change: CellChange): readonly string[] => {
 	const faults: string[] = [];
@@ -33,7 +33,7 @@
 /** Returns what is wrong with the edit, all faults at once. */
 export const validateEdit = (edit: TableEdit): readonly string[] => {
 	const faults = edit.changes.flatMap(change => validateChange(change));
-	if (!EDIT_ID_PATTERN.test(edit.editId)) {
+	if (!isEditId(edit.editId)) {
 		faults.push('editId: 1 to 128 letters, digits, dots, colons, hyphens and underscores are expected.');
 	}
 
--- a/packages/platform/src/table/__tests__/watch-table.test.ts
+++ b/packages/platform/src/table/__tests__/watch-table.test.ts
@@ -68,5 +68,6 @@
 	expect(revision).toEqual({revision: 1});
 	expect(await unwrap(openTable('other', false).findEdit({editId: 'a'}))).toEqual({kind: 'accepted', revision: 1});
 	expect(await unwrap(openTable('other', false).findEdit({editId: 'z'}))).toEqual({kind: 'never'});
+	expect(await unwrap(openTable('other', false).findEdit({editId: 'no id'}))).toEqual({kind: 'never'});
 	expect(await editor.submitEdit({...addRow('z', 1)})).toMatchObject({error: {kind: 'abandoned'}});
 });
--- a/packages/platform/src/table/find-table-edit.ts
+++ b/packages/platform/src/table/find-table-edit.ts
@@ -4,6 +4,7 @@
 import {err, ok, type Result} from 'neverthrow';
 import type {Revision} from '@siskinhub/core/ids/revision.js';
 import type {EditRefusal} from '@siskinhub/core/table/edit-refusal.js';
+import {isEditId} from '@siskinhub/core/table/is-edit-id.js';
 import type {TableLogState} from '@siskinhub/core/table/table-log-state.js';
 import type {ReplicatedLog} from '../replicated-log.js';
 import type {TableLogItem} from './table-log-item.js';
@@ -43,6 +44,11 @@
 	log: ReplicatedLog<TableLogItem, TableLogState, EditRefusal>,
 	{editId, against = 0 as Revision}: EditRequest,
 ): Promise<Result<EditFate, UnknownFate>> => {
+	if (!isEditId(editId)) {
+		// No edit of this id is ever accepted; a tombstone for any text would let callers fill the log.
+		return ok({kind: 'never'});
+	}
+
 	const refreshed = await log.refresh();
 	if (refreshed.isErr()) {
 		return err({kind: 'unknown', message: refreshed.error.message});
