--- a/xo.config.ts
+++ b/xo.config.ts
@@ -25,7 +25,7 @@
 		},
 	},
 	{
-		files: ['**/__tests__/**', '*.config.ts', 'scripts/**', 'playground/**'],
+		files: ['**/__tests__/**', '*.config.ts', '*.setup.ts', 'scripts/**', 'playground/**'],
 		rules: {
 			// Development tools stand once, in the workspace's own package.json.
 			'import-x/no-extraneous-dependencies': 'off',
