feat(cli): show a program whose history cannot be read

With one of two entries stopped, program show said nothing about the program because its history had too few holders. It prints the program and says why the turns are missing. Weighed: failing as before (ruled out: state and cost are known).

--- a/packages/cli/src/__tests__/commands.test.ts
+++ b/packages/cli/src/__tests__/commands.test.ts
@@ -78,6 +78,15 @@
 	expect(table.stdout).toContain('The table has no rows (revision 0)');
 });
 
+test('a program is shown also where its history cannot be read', async () => {
+	const entry = await startFakeEntry({
+		'GET /v1/programs/p1-a': [200, PROGRAM],
+		'GET /v1/programs/p1-a/history': [503, {code: 'unavailable', message: 'Too few holders answer.'}],
+	});
+	const output = await runCommand('program:show', 'p1-a', '--entry', entry.address);
+	expect(output).toMatchObject({exitCode: 0, stdout: expect.stringMatching(/p1-a[\s\S]*turns cannot be read now.*Too few holders answer/v) as string});
+});
+
 test('an entry that does not answer is named by status, beside those that do', async () => {
 	const entry = await startEntry();
 	const output = await runCommand('status', '--entry', `${entry.address},${ABSENT}`);
--- a/packages/cli/src/commands/program-show.ts
+++ b/packages/cli/src/commands/program-show.ts
@@ -2,12 +2,19 @@
 `siskinhub program show`.
 */
 import {Args} from '@oclif/core';
+import type * as z from 'zod';
+import {describeEntryError} from '../command/describe-entry-error.js';
 import {EntryCommand} from '../command/entry-command.js';
 import {ProgramHistorySchema} from '../entry/program-history-schema.js';
 import {ProgramSchema} from '../entry/program-schema.js';
 import {renderGrid} from '../format/render-grid.js';
 
-/** Shows a program and its turns. */
+const renderTurns = ({turns}: z.output<typeof ProgramHistorySchema>): string => turns.length === 0
+	? 'No turn has ended yet.'
+	: renderGrid(['turn', 'request', 'prompt (tokens)', 'output (tokens)'], turns.map(({turn, requestId, promptTokens, outputTokens}) =>
+		[turn, requestId, promptTokens, outputTokens]));
+
+/** Shows a program and its turns; the program also where its history cannot be read. */
 export class ProgramShow extends EntryCommand {
 	static override summary = 'Show a program, how far it is and what its turns cost.';
 	static override args = {program: Args.string({required: true, description: 'id of the program'})};
@@ -17,15 +24,11 @@
 		const client = await this.connect(flags);
 		const path = `/v1/programs/${encodeURIComponent(args.program)}`;
 		const program = this.expectAnswer(await client.ask({method: 'GET', path, schema: ProgramSchema}));
-		const history = this.expectAnswer(await client.ask({method: 'GET', path: `${path}/history`, schema: ProgramHistorySchema}));
+		const history = await client.ask({method: 'GET', path: `${path}/history`, schema: ProgramHistorySchema});
 		this.log(renderGrid(['program', 'workspace', 'kind', 'deployment', 'parent', 'state', 'next turn', 'spent (tokens)'], [[
 			program.program, program.workspace, program.kind, program.deployment, program.parent, program.state, program.nextTurn, program.spentTokens,
 		]]));
-		if (history.turns.length > 0) {
-			this.log(renderGrid(['turn', 'request', 'prompt (tokens)', 'output (tokens)'], history.turns.map(({turn, requestId, promptTokens, outputTokens}) =>
-				[turn, requestId, promptTokens, outputTokens])));
-		}
-
-		return {...program, history};
+		this.log(history.match(renderTurns, error => `The turns cannot be read now. ${describeEntryError(error).message}`));
+		return {...program, history: history.match(turns => turns, error => ({error: describeEntryError(error)}))};
 	}
 }
