--- a/packages/entry/src/owner/create-grant-giver.ts
+++ b/packages/entry/src/owner/create-grant-giver.ts
@@ -8,6 +8,7 @@
 import type {InstanceId} from '@siskinhub/core/ids/instance-id.js';
 import type {RequestId} from '@siskinhub/core/ids/request-id.js';
 import type {TurnNumber} from '@siskinhub/core/ids/turn-number.js';
+import {mayHaveRun} from '@siskinhub/core/owner/may-have-run.js';
 import type {OpenProgram} from '@siskinhub/core/owner/open-program.js';
 import type {OwnedCall} from '@siskinhub/core/owner/owned-call.js';
 import type {Refusal} from '@siskinhub/core/refusal/refusal.js';
@@ -15,6 +16,7 @@
 import type {GrantRequest} from '@siskinhub/proto/gen/siskinhub/peer/v1/peer_pb.js';
 import type {UpstreamEntry} from '../directory/upstream-entry.js';
 import {checkLimits} from './check-limits.js';
+import {EARLIER_RUN_POSSIBLE} from './earlier-run-possible.js';
 import type {GrantGiver} from './grant-giver.js';
 import type {ProgramBook} from './program-book.js';
 import {refuse} from './refuse.js';
@@ -25,6 +27,8 @@
 
 const UPSTREAM_POLL_MS = 50;
 const RETRY_AFTER_MS = 1000;
+/** Usual length of a token; only an estimate for the choice of upstream. */
+const BYTES_PER_TOKEN = 4;
 const DEFAULT_OUTPUT_TOKENS = 1024;
 /** A cancelled engine may have generated this many tokens more than were asked for. */
 const OVERRUN_TOKENS = 64;
@@ -34,8 +38,15 @@
 type CallAccount = {
 	readonly limits: RowLimits;
 	readonly reservation?: TokenReservation;
+	readonly releaseSlots?: () => void;
+	/** Prompt tokens that the chosen upstream is not believed to hold. */
+	missingTokens?: number;
 };
 
+const isStart = (program: OpenProgram, turn: number): boolean => turn === 1 && !program.header.parent;
+
+const estimatePrompt = (program: OpenProgram, inputBytes: number): number => program.historyTokens + Math.ceil(inputBytes / BYTES_PER_TOKEN);
+
 /** Creates the giver of one shard's owner. */
 export const createGrantGiver = (options: ShardOwnerOptions, book: ProgramBook): GrantGiver => {
 	const {shard, epoch, shardLog, holders, upstreams, crashes, chooseUpstream, random, createId} = options;
@@ -84,8 +95,8 @@
 				deployment: program.header.deployment,
 				programAgeMs: BigInt(Math.max(0, Date.now() - root.header.startedAt)),
 				row: account?.limits.row ?? `workspace/${program.header.workspace}`,
-				rowConcurrency: account?.limits.concurrency ?? 0,
-				startsProgram: call.turn === 1 && !program.header.parent,
+				startsProgram: isStart(program, call.turn),
+				missingTokens: BigInt(account?.missingTokens ?? 0),
 			},
 		};
 	};
@@ -98,7 +109,8 @@
 		const views: UpstreamView[] = candidates.map(candidate => viewUpstream(candidate, program));
 		const placement = chooseUpstream({
 			program: program.header.program,
-			promptTokens: program.historyTokens + message.inputBytes,
+			startsProgram: isStart(program, message.turn),
+			promptTokens: estimatePrompt(program, message.inputBytes),
 			expectedOutputTokens: message.maxOutputTokens,
 		}, views, Date.now(), random);
 		return candidates.find(candidate => candidate.id === placement?.upstream && candidate.state === 'live');
@@ -150,11 +162,28 @@
 	}, {timeoutMs: Math.max(1, deadlineAt - Date.now())});
 
 	const abandon = (program: OpenProgram, call: OwnedCall) => {
-		accounts.get(call)?.reservation?.release();
+		const account = accounts.get(call);
+		account?.reservation?.release();
+		account?.releaseSlots?.();
 		program.current = undefined;
 		book.signal(program.header.program);
 	};
 
+	const openAccount = async (limits: RowLimits, tokens: number, deadlineAt: number): Promise<Result<CallAccount, Refusal>> => {
+		const reserved = await options.reserveTokens(limits, tokens, Math.max(1, deadlineAt - Date.now()));
+		if (reserved.isErr()) {
+			return err(reserved.error);
+		}
+
+		const slots = await options.acquireSlots(limits, deadlineAt);
+		if (slots.isErr()) {
+			reserved.value.release();
+			return err(slots.error);
+		}
+
+		return ok({limits, reservation: reserved.value, releaseSlots: slots.value});
+	};
+
 	const give: GrantGiver['give'] = async (program, message, deadlineAt, closeRequest) => {
 		const resolved = options.limitsOf(program.header);
 		if (resolved.isErr()) {
@@ -183,20 +212,31 @@
 		};
 		program.current = call;
 		accounts.set(call, {limits: resolved.value});
-		const reserved = await options.reserveTokens(program.header, worstCase, Math.max(1, deadlineAt - Date.now()));
-		if (reserved.isErr()) {
+		const opened = await openAccount(resolved.value, worstCase, deadlineAt);
+		if (opened.isErr()) {
+			if (opened.error.code === 'not-run') {
+				await closeRequest(program, call.requestId, call.turn, 'not-run');
+			}
+
 			abandon(program, call);
-			return refuse(reserved.error);
+			return refuse(opened.error);
 		}
 
-		accounts.set(call, {limits: resolved.value, reservation: reserved.value});
+		const account = opened.value;
+		accounts.set(call, account);
 		const upstream = await waitForUpstream(program, call, message, deadlineAt);
 		if (upstream.isErr()) {
+			if (upstream.error.code === 'not-run' && mayHaveRun(program, call)) {
+				abandon(program, call);
+				return refuse(EARLIER_RUN_POSSIBLE);
+			}
+
 			await closeRequest(program, call.requestId, call.turn, upstream.error.code === 'cancelled' ? 'cancelled' : 'not-run');
 			abandon(program, call);
 			return refuse(upstream.error);
 		}
 
+		account.missingTokens = estimatePrompt(program, message.inputBytes) - (program.prefixHolder === upstream.value.id ? program.historyTokens : 0);
 		const claim = createId() as ClaimId;
 		sequence++;
 		call.grant = {
@@ -233,12 +273,16 @@
 		give,
 		repeat: describeGrant,
 		settle(program, call, tokens, slotMs) {
-			accounts.get(call)?.reservation?.settle(tokens);
+			const account = accounts.get(call);
+			account?.reservation?.settle(tokens);
+			account?.releaseSlots?.();
 			const root = rootOf(program).header.program;
 			attainedMs.set(root, (attainedMs.get(root) ?? 0) + slotMs);
 		},
 		release(program, call, mayHaveRun, usedTokens) {
-			const reservation = accounts.get(call)?.reservation;
+			const account = accounts.get(call);
+			account?.releaseSlots?.();
+			const reservation = account?.reservation;
 			if (mayHaveRun) {
 				// What a lost run used is unknown, so its worst case counts.
 				const spent = usedTokens || (call.grant?.reservedTokens ?? 0);
