--- a/packages/prove/src/points/edit-cell.ts
+++ b/packages/prove/src/points/edit-cell.ts
@@ -29,12 +29,12 @@
 const readRevision = (body: unknown): number => (body as {readonly revision: number}).revision;
 
 /** Asks until some entry says whether the edit took effect. */
-const resolveEdit = async ({entries, operator, editId}: EditOptions): Promise<EditAnswer> => {
+const resolveEdit = async ({entries, operator, editId, against}: EditOptions): Promise<EditAnswer> => {
 	for (let attempt = 0; attempt < RESOLVE_ATTEMPTS; attempt++) {
 		await sleep(RETRY_DELAY_MS);
 		try {
 			const {address} = entries[attempt % entries.length]!;
-			const {status, body} = await sendJsonRequest('GET', `${address}/v1/table/edits/${editId}`, {headers: {'siskinhub-operator': operator}});
+			const {status, body} = await sendJsonRequest('GET', `${address}/v1/table/edits/${editId}?against=${against}`, {headers: {'siskinhub-operator': operator}});
 			if (status === HTTP_OK) {
 				return {answeredAt: Date.now(), revision: readRevision(body), isKnown: true};
 			}
--- a/packages/prove/src/points/table-point.ts
+++ b/packages/prove/src/points/table-point.ts
@@ -98,7 +98,7 @@
 	for (let attempt = 0; attempt < HISTORY_ATTEMPTS; attempt++) {
 		try {
 			const {address} = cluster.entries[attempt % cluster.entries.length]!;
-			const {status, body} = await sendJsonRequest('GET', `${address}/v1/table/history?limit=10000`, {headers: {'siskinhub-operator': 'prove'}});
+			const {status, body} = await sendJsonRequest('GET', `${address}/v1/table/history?limit=1000`, {headers: {'siskinhub-operator': 'prove'}});
 			if (status === 200) {
 				return (body as {readonly edits: readonly HistoryEdit[]}).edits;
 			}
