--- a/packages/prove/src/checkers/__tests__/check-state.test.ts
+++ b/packages/prove/src/checkers/__tests__/check-state.test.ts
@@ -72,16 +72,20 @@
 });
 
 const stop = {
-	process: 'entry-1', signalledAt: 10, exitedAt: 20, exitCode: 0,
+	process: 'entry-1', signalledAt: 1010, exitedAt: 1020, exitCode: 0,
 };
 
 test.each([
-	['a call in flight is answered', [call('a.t1.r1', [0, 15], final(), {acceptedAt: 5})], stop, 0],
-	['a call that was not accepted yet may be cut', [call('a.t1.r1', [0, 15], cut)], stop, 0],
-	['a call in flight is cut', [call('a.t1.r1', [0, 15], cut, {acceptedAt: 5})], stop, 1],
-	['a call in flight has no end', [call('a.t1.r1', [0, 15], cut, {acceptedAt: 5, completedAt: undefined, outcome: undefined})], stop, 1],
+	['a call in flight is answered', [call('a.t1.r1', [0, 1015], final(), {acceptedAt: 5})], stop, 0],
+	['a call on its way may be cut', [call('a.t1.r1', [1005, 1015], cut)], stop, 0],
+	['a call of another entry that was not accepted yet may be cut', [call('a.t1.r1', [0, 1015], cut, {via: 'entry-2'})], stop, 0],
+	['a call that was not accepted yet is refused', [call('a.t1.r1', [0, 1015], buildRun.refused('not-run'))], stop, 0],
+	['a call that was not accepted yet is cut', [call('a.t1.r1', [0, 1015], cut)], stop, 1],
+	['a call in flight is refused', [call('a.t1.r1', [0, 1015], buildRun.refused('not-run'), {acceptedAt: 5})], stop, 1],
+	['a call in flight at another entry is cut', [call('a.t1.r1', [0, 1015], cut, {acceptedAt: 5, via: 'entry-2'})], stop, 1],
+	['a call in flight has no end', [call('a.t1.r1', [0, 1015], cut, {acceptedAt: 5, completedAt: undefined, outcome: undefined})], stop, 1],
 	['another exit code', [], {...stop, exitCode: 1}, 1],
-	['a late exit', [], {...stop, exitedAt: 111}, 1],
+	['a late exit', [], {...stop, exitedAt: 1111}, 1],
 	['no exit', [], {...stop, exitedAt: undefined}, 1],
 ])('graceful stop: %s', (_, operations, planned, violations) => {
 	expect(checkGracefulStop(run(operations), [planned], 100)).toHaveLength(violations);
--- a/packages/prove/src/checkers/check-graceful-stop.ts
+++ b/packages/prove/src/checkers/check-graceful-stop.ts
@@ -6,6 +6,9 @@
 import type {RecordedRun} from '../history/recorded-run.js';
 import type {Violation} from '../history/violation.js';
 
+// A request may still be on its way when the signal is sent.
+const RECEIVE_MARGIN_MS = 100;
+
 /** One planned stop. */
 type PlannedStop = {
 	readonly process: string;
@@ -22,18 +25,26 @@
 	return exitCode === 0 ? [] : [{message: `${process} exited with ${exitCode}`, at: exitedAt}];
 };
 
-/** In flight: accepted before the signal and not completed by then. */
+/** In flight anywhere: accepted before the signal and not completed by then. */
 const isInFlight = ({kind, acceptedAt, completedAt}: Operation, at: number): boolean =>
 	(kind === 'call' || kind === 'attach') && (acceptedAt ?? Infinity) < at && (completedAt ?? Infinity) > at;
 
-const checkInFlight = ({process, signalledAt}: PlannedStop, operations: readonly Operation[]): Violation[] => operations
-	.filter(operation => isInFlight(operation, signalledAt) && operation.outcome?.kind !== 'final')
+/** Received by the process itself, whatever was asked, and not completed by the time of the signal. */
+const isReceived = ({via, invokedAt, completedAt}: Operation, {process, signalledAt}: PlannedStop): boolean =>
+	via === process && invokedAt + RECEIVE_MARGIN_MS < signalledAt && (completedAt ?? Infinity) > signalledAt;
+
+const checkInFlight = (stop: PlannedStop, operations: readonly Operation[]): Violation[] => operations
+	.filter(operation => {
+		const {outcome} = operation;
+		const isCut = outcome === undefined || outcome.kind === 'cut';
+		return (isInFlight(operation, stop.signalledAt) && outcome?.kind !== 'final') || (isReceived(operation, stop) && isCut);
+	})
 	.map(({id, mark, outcome, completedAt}) => ({
-		message: `#${id} ${mark} was in flight when ${process} was told to stop and ended as ${outcome?.kind ?? 'nothing'}`,
-		at: completedAt ?? signalledAt,
+		message: `#${id} ${mark} was in flight when ${stop.process} was told to stop and ended as ${outcome?.kind ?? 'nothing'}`,
+		at: completedAt ?? stop.signalledAt,
 		marks: [mark ?? ''],
 	}));
 
-/** Every operation in flight anywhere counts, because any of them may pass through the process that stops. */
+/** An accepted call must be answered, wherever it runs; any other request at the stopping process must get a typed answer. */
 export const checkGracefulStop = ({operations}: RecordedRun, stops: readonly PlannedStop[], boundMs: number): Violation[] =>
 	stops.flatMap(stop => [...checkExit(stop, boundMs), ...checkInFlight(stop, operations)]);
