--- a/packages/prove/src/checkers/__tests__/check-requests.test.ts
+++ b/packages/prove/src/checkers/__tests__/check-requests.test.ts
@@ -57,6 +57,9 @@
 	['half of the text', run([call(A1, [0, 9], final('a'))], [ran(A1, 1, 2)]), 1],
 	['a text shorter than stated', run([call(A1, [0, 9], {...final('ab'), bytes: 3} as ReturnType<typeof final>)], [ran(A1, 1, 2)]), 1],
 	['a text with a gap', run([call(A1, [0, 9], {...final('ab'), gap: 'x'} as ReturnType<typeof final>)], [ran(A1, 1, 2)]), 1],
+	['the beginning of a run that was cancelled at a limit', run([call(A1, [0, 9], {...final('a'), finish: 'budget'} as ReturnType<typeof final>)], [ran(A1, 1, 2, {fate: 'cancelled'})]), 0],
+	['the beginning of a cancelled run that no limit cut', run([call(A1, [0, 9], final('a'))], [ran(A1, 1, 2, {fate: 'cancelled'})]), 1],
+	['the beginning of a finished run', run([call(A1, [0, 9], {...final('a'), finish: 'length'} as ReturnType<typeof final>)], [ran(A1, 1, 2)]), 1],
 	['the text of a lost run', run([call(A1, [0, 9], final('ab'))], [ran(A1, 1, 2, {fate: 'lost'})]), 1],
 	['the confirmation of another request', run([call(A1, [0, 9], final('{"confirmation":"c2"}'))], [ran(A1, 1, 2, {kind: 'service', confirmation: 'c1'})]), 1],
 ])('whole answer: %s', (_, recorded, violations) => {
--- a/packages/prove/src/checkers/check-whole-answer.ts
+++ b/packages/prove/src/checkers/check-whole-answer.ts
@@ -9,9 +9,18 @@
 import type {Violation} from '../history/violation.js';
 import {groupByMark} from './group-by-mark.js';
 
-const matches = (execution: Execution, text: string): boolean => execution.kind === 'service'
-	? text.includes(`"confirmation":"${execution.confirmation ?? ''}"`)
-	: execution.fate === 'finished' && execution.text === text;
+type FinalOutcome = Extract<Operation['outcome'], {kind: 'final'}>;
+
+const LIMITED = new Set(['budget', 'length']);
+
+/** An answer that was cut at a limit is the beginning of a run that was cancelled there. */
+const matchesModel = ({fate, text}: Execution, answer: FinalOutcome): boolean => fate === 'finished'
+	? text === answer.text
+	: fate === 'cancelled' && LIMITED.has(answer.finish) && answer.text !== '' && text.startsWith(answer.text);
+
+const matches = (execution: Execution, answer: FinalOutcome): boolean => execution.kind === 'service'
+	? answer.text.includes(`"confirmation":"${execution.confirmation ?? ''}"`)
+	: matchesModel(execution, answer);
 
 const findFault = (outcome: Operation['outcome'], executions: readonly Execution[]): string | undefined => {
 	if (outcome?.kind !== 'final') {
@@ -27,7 +36,7 @@
 		return `was answered with ${Buffer.byteLength(text)} bytes, and the final event says ${bytes}`;
 	}
 
-	return executions.some(execution => matches(execution, text)) ? undefined : 'was answered with a text that no run of it produced';
+	return executions.some(execution => matches(execution, outcome)) ? undefined : 'was answered with a text that no run of it produced';
 };
 
 /** Compares every answer with the runs of its own request. */
--- a/packages/prove/src/client/read-answer.ts
+++ b/packages/prove/src/client/read-answer.ts
@@ -9,7 +9,7 @@
 
 type Outcome = NonNullable<Operation['outcome']>;
 type ChunkData = {readonly offset: number; readonly text: string};
-type FinalData = {readonly bytes: number; readonly digest: string; readonly promptTokens: number; readonly outputTokens: number};
+type FinalData = {readonly bytes: number; readonly digest: string; readonly finish: string; readonly promptTokens: number; readonly outputTokens: number};
 type RefusalData = {readonly code: RefusalCode; readonly message: string};
 
 /** Reads to the end of the stream; `prefix` is the text that an earlier attempt received, `onAccepted` is called once the call was accepted. */
@@ -48,9 +48,9 @@
 			}
 
 			case 'final': {
-				const {bytes: stated, digest, promptTokens, outputTokens} = value as FinalData;
+				const {bytes: stated, digest, finish, promptTokens, outputTokens} = value as FinalData;
 				outcome = {
-					kind: 'final', text, bytes: stated, digest, promptTokens, outputTokens, gap,
+					kind: 'final', text, bytes: stated, digest, finish, promptTokens, outputTokens, gap,
 				};
 				break;
 			}
--- a/packages/prove/src/history/operation.ts
+++ b/packages/prove/src/history/operation.ts
@@ -12,6 +12,8 @@
 		/** Length that the final event stated, in bytes. */
 		readonly bytes: number;
 		readonly digest: string;
+		/** `budget` or `length`: the answer was cut where it would have passed a limit. */
+		readonly finish: string;
 		readonly promptTokens: number;
 		readonly outputTokens: number;
 		/** The first chunk that did not follow the one before, if any. */
--- a/packages/prove/src/points/budget-point.ts
+++ b/packages/prove/src/points/budget-point.ts
@@ -12,11 +12,11 @@
 import type {ProofContext} from './proof-context.js';
 import {readTable} from './read-table.js';
 
-const FIRST_BUDGET = 60_000;
-const LOWERED_BUDGET = 40_000;
+const FIRST_BUDGET = 40_000;
+const LOWERED_BUDGET = 25_000;
 const IN_FORCE_BOUND_MS = 11_000;
 const ATTEMPTS = 20;
-const OVERRUNNING_CLIENTS = 3;
+const OVERRUNNING_CLIENTS = 8;
 
 type Limits = Parameters<typeof checkBudget>[1];
 
@@ -41,7 +41,7 @@
 
 /** A limit that was never accepted is left out. */
 const lowerInMidRun = async (context: ProofContext): Promise<number | undefined> => {
-	await sleep(context.seconds * 500);
+	await sleep(context.seconds * 250);
 	return setBudget(context, LOWERED_BUDGET, 'lower');
 };
 
