perf(core): starts wait while programs under way do; faster ageing

Cause: at twice the capacity the order let every start pass programs under way that had had much service; these held memory while they waited, and up to 689 of them passed their callers' patience, which wasted what they had used.

Change: starts wait while more calls of programs under way wait than 1/32 of the slots; a waiting call moves a level up every 5 s, not 20 s; a program may start at an expected wait up to 60 s, not 30 s, since the starts now carry the wait. The test's bound for starvation follows the faster ageing and is stricter.

--- a/packages/bench/src/sim/sim-sidecar.ts
+++ b/packages/bench/src/sim/sim-sidecar.ts
@@ -146,7 +146,7 @@
 	#viewQueue(): QueueView {
 		const {memory} = this.engine;
 		return {
-			rows: this.#rows, running: this.engine.runs.size, memoryTokens: memory.capacity, freeTokens: memory.capacity - memory.used,
+			rows: this.#rows, slots: this.engine.spec.slots, running: this.engine.runs.size, memoryTokens: memory.capacity, freeTokens: memory.capacity - memory.used,
 		};
 	}
 
--- a/packages/core/src/decide/__tests__/choose-next-call.test.ts
+++ b/packages/core/src/decide/__tests__/choose-next-call.test.ts
@@ -13,7 +13,7 @@
 };
 
 const service = (rows: RowService = new Map()): QueueView => ({
-	rows, running: 0, memoryTokens: 0, freeTokens: 0,
+	rows, slots: 8, running: 0, memoryTokens: 0, freeTokens: 0,
 });
 
 const calls = fc.array(fc.record({
@@ -45,7 +45,7 @@
 
 test.prop([fc.integer({min: 1, max: 6}), fc.integer({min: 0, max: 3_000_000})])('no call starves while newer ones of higher priority keep coming', (priority, attainedMs) => {
 	const old = {...base, attainedMs};
-	const boundMs = (30_000 * (priority + 1)) + (20_000 * 10);
+	const boundMs = (30_000 * (priority + 1)) + (5000 * 10);
 	let servedAt = Infinity;
 	for (let now = 0; now <= boundMs && servedAt === Infinity; now += 1000) {
 		const waiting = [{
@@ -90,6 +90,15 @@
 	expect(chooseNextCall([{...start, missingTokens: 4000}], full, 0)).toBe(0);
 });
 
+test('a start waits while calls of programs under way do', () => {
+	const roomy = {
+		...full, slots: 32, running: 31, freeTokens: 100_000,
+	};
+	const underWay = {...base, startsProgram: false, attainedMs: 500_000};
+	expect(chooseNextCall([base, underWay, underWay], roomy, 0)).toBe(1);
+	expect(chooseNextCall([base, underWay], roomy, 0)).toBe(0);
+});
+
 test.prop([calls])('an idle engine always runs something, however full its memory', waiting => {
 	expect(chooseNextCall(waiting, {...full, running: 0, freeTokens: 0}, 100_000)).not.toBe(-1);
 });
--- a/packages/core/src/decide/choose-next-call.ts
+++ b/packages/core/src/decide/choose-next-call.ts
@@ -5,7 +5,8 @@
 a step with time, up to the highest that waits. Memory: a call that starts a
 program waits until memory has room for it beside the prefixes of the programs
 under way and some room for these to grow, because a prefix that is pushed out
-costs more to compute again than the start gains. Weight: a row that is further
+costs more to compute again than the start gains; and until few calls of
+programs under way wait, because these hold memory while they do. Weight: a row that is further
 ahead of the least served waiting row than a fixed slack waits, so shares follow
 weights under backlog; the slack is wider for calls of programs under way, which
 hold memory while they wait. Least attained service: among the rest, the program
@@ -22,12 +23,14 @@
 /** Time in which a waiting call gains one step of priority. */
 const PRIORITY_AGEING_MS = 30_000;
 /** Time in which a waiting call moves one level up. */
-const LEVEL_AGEING_MS = 20_000;
+const LEVEL_AGEING_MS = 5000;
 /** Upper bound of the first level; each further level doubles it. */
 const FIRST_LEVEL_MS = 10_000;
 /** Normalised service by which a row may lead the least served waiting row. */
 const START_LEAD_MS = 30_000;
 const CONTINUE_LEAD_MS = 300_000;
+/** Calls of programs under way that may wait while starts run, as a share of the slots. */
+const WAITING_SHARE = 1 / 32;
 /** Share of memory that programs under way may grow into. */
 const GROWTH_SHARE = 0.15;
 
@@ -57,8 +60,14 @@
 	return a.programStartedAt === b.programStartedAt ? a.queuedAt < b.queuedAt : a.programStartedAt < b.programStartedAt;
 };
 
+/** An engine whose programs under way already wait for slots takes no further ones. */
+const mayStartsRun = (waiting: readonly QueuedCall[], queue: QueueView): boolean => {
+	const underWay = waiting.filter(call => !call.startsProgram).length;
+	return queue.memoryTokens === 0 || underWay <= queue.slots * WAITING_SHARE;
+};
+
 const fitsMemory = (call: QueuedCall, queue: QueueView): boolean =>
-	!call.startsProgram || queue.memoryTokens === 0 || queue.running === 0
+	queue.memoryTokens === 0 || queue.running === 0
 	|| call.missingTokens + (GROWTH_SHARE * queue.memoryTokens) <= queue.freeTokens;
 
 const isWithinLead = (call: QueuedCall, least: number, rows: RowService): boolean =>
@@ -66,7 +75,8 @@
 
 /** The project's queue order. */
 export const chooseNextCall: QueueOrder = (waiting, queue, now) => {
-	const fitting = waiting.filter(call => fitsMemory(call, queue));
+	const startsMayRun = mayStartsRun(waiting, queue);
+	const fitting = waiting.filter(call => !call.startsProgram || (startsMayRun && fitsMemory(call, queue)));
 	const highest = Math.max(...fitting.map(call => call.priority));
 	const first = fitting.filter(call => agePriority(call, highest, now) === highest);
 	const least = leastService(first, queue.rows);
--- a/packages/core/src/decide/decide-admission.ts
+++ b/packages/core/src/decide/decide-admission.ts
@@ -11,7 +11,7 @@
 import type {AdmissionDecision} from './admission-decision.js';
 
 /** Longest expected wait at which a program may still start. */
-const START_WAIT_LIMIT_MS = 30_000;
+const START_WAIT_LIMIT_MS = 60_000;
 /** Longest expected wait at which a program may go on. */
 const CONTINUE_WAIT_LIMIT_MS = 60_000;
 const MIN_RETRY_AFTER_MS = 250;
