feat(bench): npm run capacity measures slopes on the real daemons

docs/CAPACITY.md may hold no figure without its run, and nothing measured the daemons as their load grows.

Roles run as processes of their own; what an entry or a sidecar talks to besides is a stand-in. Processor time and bytes come from the kernel's counters of our own processes.

Ruled out: one process with all roles (its slopes cannot be told apart), text of one letter (links compress it away, and the history's bytes vanished), points without a warm-up (the first rates then cost three times the later ones).

--- /dev/null
+++ b/packages/bench/src/capacity/experiments/measure-shards.ts
@@ -0,0 +1,75 @@
+/**
+What shards cost their owner and the platform's service at rest, and how long
+it takes to take them all over, at a start and after the owner was killed.
+*/
+import {setTimeout as sleep} from 'node:timers/promises';
+import type {CapacityCluster} from '../cluster/capacity-cluster.js';
+import {countOwnedShards} from '../cluster/count-owned-shards.js';
+import {createCapacityCluster} from '../cluster/create-capacity-cluster.js';
+import {readPlatformCalls} from '../cluster/read-platform-calls.js';
+import {waitUntil} from '../cluster/wait-until.js';
+import type {Series} from '../report/series.js';
+import {measureUsage} from '../usage/measure-usage.js';
+
+const SHARDS = [8, 16, 32, 64];
+const SETTLE_MS = 1000;
+const REST_MS = 5000;
+const MS_PER_S = 1000;
+const TAKEOVER_TIMEOUT_MS = 60_000;
+
+const ENTRIES = ['entry-1', 'entry-2', 'entry-3'];
+
+const countAll = async (addresses: readonly string[]): Promise<number> => {
+	const counts = await Promise.all(addresses.map(async address => countOwnedShards(address)));
+	return counts.reduce((sum, count) => sum + count, 0);
+};
+
+const startEntries = async (cluster: CapacityCluster, shards: number) => {
+	const entries = await Promise.all(ENTRIES.map(async name => cluster.builder.addEntry({
+		name, dataCentre: name, platformAddress: cluster.platform.address, holdsHistory: true, settings: {shards, log: {level: 'error'}},
+	})));
+	await cluster.start(entries.map(({host}) => host));
+	const startMs = await waitUntil('every shard has an owner', async () => await countAll(entries.map(({address}) => address)) === shards);
+	return {entries, startMs};
+};
+
+const measureSize = async (root: string, shards: number) => {
+	const cluster = await createCapacityCluster(root);
+	try {
+		const {entries: [victim, ...others], startMs} = await startEntries(cluster, shards);
+		if (!victim) {
+			throw new Error('the cluster has three entries');
+		}
+
+		await sleep(SETTLE_MS);
+		const callsBefore = await readPlatformCalls(cluster.platform.address);
+		const {rates: [usage]} = await measureUsage([victim.process], async () => sleep(REST_MS));
+		const restCalls = await readPlatformCalls(cluster.platform.address) - callsBefore;
+		const lost = await countOwnedShards(victim.address);
+		victim.process.kill();
+		const takeoverMs = await waitUntil('the others own all shards', async () => await countAll(others.map(({address}) => address)) === shards, TAKEOVER_TIMEOUT_MS);
+		const takeoverCalls = await readPlatformCalls(cluster.platform.address) - callsBefore - restCalls;
+		return {
+			x: shards,
+			values: {
+				owned: lost,
+				'cpu ms/s': usage!.cpuMsPerS,
+				MB: usage!.residentMb,
+				'platform calls/s': restCalls * MS_PER_S / REST_MS,
+				'start ms': startMs,
+				'takeover ms': takeoverMs,
+				'takeover platform calls': takeoverCalls,
+			},
+		};
+	} finally {
+		await cluster.close();
+	}
+};
+
+/** One series over shards; all sizes run side by side. */
+export const measureShards = async (root: string): Promise<Series[]> => [{
+	name: 'shards of three entries',
+	xName: 'shards',
+	note: 'Of the three entries that own them, one (`owned` of them) is measured and then killed. The takeover counts from the kill and includes the lapse of the lease (10 s).',
+	points: await Promise.all(SHARDS.map(async shards => measureSize(root, shards))),
+}];
--- /dev/null
+++ b/packages/bench/src/capacity/experiments/measure-table.ts
@@ -0,0 +1,120 @@
+/**
+What an edit of the table costs as the table grows, and how long it takes until
+an entry that does not watch the platform's service has it.
+*/
+import {request} from 'undici';
+import {createCapacityCluster} from '../cluster/create-capacity-cluster.js';
+import {readJson} from '../cluster/read-json.js';
+import {readPlatformCalls} from '../cluster/read-platform-calls.js';
+import {waitUntil} from '../cluster/wait-until.js';
+import type {Series} from '../report/series.js';
+import {measureUsage} from '../usage/measure-usage.js';
+
+const ROWS = [100, 500, 1000, 2000];
+const MOST_CHANGES = 1000;
+const EDITS = 8;
+const ENTRIES = ['entry-1', 'entry-2', 'entry-3'];
+
+type TableView = {readonly revision: number};
+type Change = Readonly<Record<string, unknown>>;
+
+const readKnownRevision = async (address: string): Promise<number> => {
+	const {tableRevision} = await readJson(`${address}/v1/status`) as {readonly tableRevision: number};
+	return tableRevision;
+};
+
+const postEdit = async (address: string, changes: readonly Change[]): Promise<number> => {
+	const {body, statusCode} = await request(`${address}/v1/table/edits`, {
+		method: 'POST',
+		headers: {'siskinhub-operator': 'capacity', 'content-type': 'application/json'},
+		body: JSON.stringify({editId: `edit-${performance.now()}`, against: await readKnownRevision(address), changes}),
+	});
+	const answer = await body.json();
+	if (statusCode >= 300) {
+		throw new Error(`the edit was answered ${statusCode}: ${JSON.stringify(answer)}`);
+	}
+
+	return (answer as TableView).revision;
+};
+
+const waitForRevision = async (address: string, revision: number): Promise<number> => waitUntil(
+	`revision ${revision}`,
+	async () => await readKnownRevision(address) >= revision,
+);
+
+/** Each row has a weight and a budget. */
+const addRows = async (address: string, from: number, to: number): Promise<void> => {
+	for (let next = from; next < to;) {
+		const changes: Change[] = [];
+		for (; next < to && changes.length + 3 <= MOST_CHANGES; next++) {
+			const row = `workspace/w${next}`;
+			changes.push({kind: 'add-row', row}, {
+				kind: 'set', row, cell: 'weight', value: 1,
+			}, {
+				kind: 'set', row, cell: 'budget', value: 1_000_000,
+			});
+		}
+
+		await postEdit(address, changes);
+	}
+};
+
+const startEntries = async (root: string) => {
+	const cluster = await createCapacityCluster(root);
+	const entries = await Promise.all(ENTRIES.map(async name => cluster.builder.addEntry({
+		name, dataCentre: 'centre-1', platformAddress: cluster.platform.address, holdsHistory: true, settings: {shards: 1, log: {level: 'error'}},
+	})));
+	await cluster.start(entries.map(({host}) => host));
+	return {...cluster, entries};
+};
+
+/** One series over rows. */
+export const measureTable = async (root: string): Promise<Series[]> => {
+	const cluster = await startEntries(root);
+	const [editor, , reader] = cluster.entries;
+	if (!editor || !reader) {
+		throw new Error('the cluster has three entries');
+	}
+
+	try {
+		const points = [];
+		let rows = 0;
+		for (const size of ROWS) {
+			await addRows(editor.address, rows, size);
+			rows = size;
+			const revision = await readKnownRevision(editor.address);
+			await waitForRevision(reader.address, revision);
+			const spreadMs: number[] = [];
+			const callsBefore = await readPlatformCalls(cluster.platform.address);
+			const {rates: [editorUsage, readerUsage], seconds} = await measureUsage([editor.process, reader.process], async () => {
+				for (let edit = 0; edit < EDITS; edit++) {
+					const edited = await postEdit(editor.address, [{
+						kind: 'set', row: 'workspace/w0', cell: 'weight', value: edit + 1,
+					}]);
+					spreadMs.push(await waitForRevision(reader.address, edited));
+				}
+			});
+			points.push({
+				x: size,
+				values: {
+					'editor cpu ms/edit': editorUsage!.cpuMsPerS * seconds / EDITS,
+					'reader cpu ms/edit': readerUsage!.cpuMsPerS * seconds / EDITS,
+					'editor MB': editorUsage!.residentMb,
+					'reader MB': readerUsage!.residentMb,
+					'platform calls/edit': (await readPlatformCalls(cluster.platform.address) - callsBefore) / EDITS,
+					'spread ms mean': spreadMs.reduce((sum, ms) => sum + ms, 0) / EDITS,
+					'spread ms most': Math.max(...spreadMs),
+				},
+			});
+		}
+
+		return [{
+			name: 'rows of the table',
+			xName: 'rows',
+			note: `${EDITS} edits of one cell one after the other, two cells a row; the reader is no watcher. Includes what entries do at rest and the reading over HTTP.`,
+			points,
+		}];
+	} finally {
+		await cluster.close();
+	}
+};
--- /dev/null
+++ b/packages/bench/src/capacity/usage/measure-usage.ts
@@ -0,0 +1,44 @@
+/**
+Measures what processes use while something goes on.
+*/
+import type {ManagedProcess} from '@siskinhub/standins/cluster/managed-process.js';
+import {readUsage} from './read-usage.js';
+import type {Usage} from './usage.js';
+
+/** Rates over the window, and the resident memory at its end. */
+export type UsageRate = {
+	readonly cpuMsPerS: number;
+	readonly readBytesPerS: number;
+	readonly writtenBytesPerS: number;
+	readonly residentMb: number;
+};
+
+const MS_PER_S = 1000;
+
+const readAll = (processes: readonly ManagedProcess[]): Usage[] => processes.map(managed => {
+	const pid = managed.pid();
+	if (pid === undefined) {
+		throw new Error(`${managed.name} has ended`);
+	}
+
+	return readUsage(pid);
+});
+
+const toRate = (before: Usage, after: Usage): UsageRate => {
+	const seconds = (after.at - before.at) / MS_PER_S;
+	return {
+		cpuMsPerS: (after.cpuMs - before.cpuMs) / seconds,
+		readBytesPerS: (after.readBytes - before.readBytes) / seconds,
+		writtenBytesPerS: (after.writtenBytes - before.writtenBytes) / seconds,
+		residentMb: after.residentMb,
+	};
+};
+
+/** Resolves with one rate for each process, in order, and how long `work` took. */
+export const measureUsage = async (processes: readonly ManagedProcess[], work: () => Promise<unknown>): Promise<{readonly rates: readonly UsageRate[]; readonly seconds: number}> => {
+	const before = readAll(processes);
+	await work();
+	const after = readAll(processes);
+	const rates = after.map((usage, index) => toRate(before[index] ?? usage, usage));
+	return {rates, seconds: ((after[0]?.at ?? 0) - (before[0]?.at ?? 0)) / MS_PER_S};
+};
--- a/packages/standins/src/cluster/create-managed-process.ts
+++ b/packages/standins/src/cluster/create-managed-process.ts
@@ -63,6 +63,7 @@
 	return {
 		name,
 		isRunning,
+		pid: () => isRunning() ? child?.pid : undefined,
 		async start() {
 			if (!isRunning()) {
 				child = launch();
--- a/packages/standins/src/cluster/deployment.ts
+++ b/packages/standins/src/cluster/deployment.ts
@@ -34,10 +34,6 @@
 	readonly entries: readonly EntryNode[];
 	readonly upstreams: readonly UpstreamNode[];
 	readonly processes: ReadonlyMap<string, ManagedProcess>;
-	/** Replaces the platform's list of hosts. */
-	readonly publishHosts: (hosts: readonly unknown[]) => Promise<void>;
-	/** The list of hosts that was published at the start. */
-	readonly hosts: readonly unknown[];
 	/** Text that a process wrote so far. */
 	readonly readLog: (name: string) => string;
 	/** Stops entries, then sidecars, then stand-ins, each gracefully. The logs stay. */
--- a/packages/standins/src/cluster/managed-process.ts
+++ b/packages/standins/src/cluster/managed-process.ts
@@ -6,6 +6,8 @@
 export type ManagedProcess = {
 	readonly name: string;
 	readonly isRunning: () => boolean;
+	/** Number of the running process; undefined while it does not run. */
+	readonly pid: () => number | undefined;
 	/** Resolves when the process is ready; does nothing if it runs. */
 	readonly start: () => Promise<void>;
 	readonly kill: () => void;
