--- a/packages/core/src/owner/open-program.ts
+++ b/packages/core/src/owner/open-program.ts
@@ -24,9 +24,15 @@
 	/** Stored requests and their turns, so that a repeated request id is answered from the history. */
 	readonly stored: Map<RequestId, TurnNumber>;
 	readonly closed: Map<RequestId, ClosedFate>;
+	/** Idempotent requests of which an earlier run may have taken place, so that they are never called not-run. */
+	readonly doubtful: Set<RequestId>;
+	/** The turn that was next when this owner read the program; an earlier owner may have let it run. */
+	inheritedTurn?: TurnNumber;
 	readonly children: Set<ProgramId>;
 	/** The upstream that holds the program's prefix, as far as the owner knows. */
 	prefixHolder?: UpstreamId;
+	/** Every upstream that ran a call of the program for this owner, and so may hold a prefix. */
+	readonly prefixHolders: Set<UpstreamId>;
 	/** Wall-clock time of the last sign of the program's caller, in milliseconds. */
 	lastSeenAt: number;
 	/** Wall-clock time at which the last turn was stored, in milliseconds; undefined before the first. */
--- a/packages/entry/src/owner/restore-program.ts
+++ b/packages/entry/src/owner/restore-program.ts
@@ -41,6 +41,7 @@
 		fingerprint: '',
 		state: 'granted',
 		cancelled: false,
+		deadlineAt: program.lastSeenAt,
 		grant: {
 			claim: claim.claim,
 			sequence: claim.grantSequence,
@@ -60,6 +61,7 @@
 export const restoreProgram = (history: ProgramHistory, entry: ProgramEntry | undefined, now: number): OpenProgram => {
 	const program = createOpenProgram(history.header, now);
 	addTurns(program, history);
+	program.inheritedTurn = program.nextTurn;
 	program.ended = history.ended;
 	if (entry) {
 		addClaims(program, entry);
--- a/packages/sidecar/src/create-run-scheduler.ts
+++ b/packages/sidecar/src/create-run-scheduler.ts
@@ -10,6 +10,7 @@
 import type {AdmissionDecision} from '@siskinhub/core/decide/admission-decision.js';
 import {chargeRow} from '@siskinhub/core/decide/charge-row.js';
 import type {QueueOrder} from '@siskinhub/core/decide/queue-order.js';
+import type {QueueView} from '@siskinhub/core/decide/queue-view.js';
 import type {RowService} from '@siskinhub/core/decide/row-service.js';
 import type {ClaimId} from '@siskinhub/core/ids/claim-id.js';
 import type {Epoch} from '@siskinhub/core/ids/epoch.js';
@@ -21,6 +22,7 @@
 import {
 	type Dispatch, type DoneSchema, Fate, type Grant,
 } from '@siskinhub/proto/gen/siskinhub/peer/v1/peer_pb.js';
+import {createRunStore} from './create-run-store.js';
 import {createRunStatistics} from './create-run-statistics.js';
 import type {Run} from './run.js';
 import type {RunObserver} from './run-observer.js';
@@ -37,6 +39,8 @@
 	readonly slots: number;
 	readonly order: QueueOrder;
 	readonly admission: AdmissionDecision;
+	/** The upstream's memory for prefixes, 0 where unknown, and what it said last that it holds, in tokens. */
+	readonly memory: () => {readonly memoryTokens: number; readonly heldTokens: number};
 	/** False while the process has just woken from a pause: whoever waits for a queued call may have given it up. */
 	readonly mayStart: () => boolean;
 	/** Called when a run could not reach the upstream or lost it. */
@@ -57,6 +61,8 @@
 			queuedAt: now,
 			programStartedAt: now - Number(grant.programAgeMs),
 			attainedMs: Number(grant.attainedMs),
+			startsProgram: grant.startsProgram,
+			missingTokens: Number(grant.missingTokens),
 		},
 		observers: new Set(),
 		controller: new AbortController(),
@@ -64,6 +70,7 @@
 		text: '',
 		bytes: 0,
 		startedAt: 0,
+		endedAt: 0,
 		ranAlone: false,
 	};
 };
@@ -95,8 +102,8 @@
 };
 
 /** Creates an empty queue that accepts calls. */
-export const createRunScheduler = ({upstream, registry, slots, order, admission, mayStart, onUpstreamFailure}: SchedulerOptions): RunScheduler => {
-	const runs = new Map<ClaimId, Run>();
+export const createRunScheduler = ({upstream, registry, slots, order, admission, memory, mayStart, onUpstreamFailure}: SchedulerOptions): RunScheduler => {
+	const runs = createRunStore();
 	const waiting: Run[] = [];
 	const running = new Set<Run>();
 	const statistics = createRunStatistics();
@@ -112,6 +119,7 @@
 
 	const finish = (run: Run, done: Done) => {
 		run.state = 'done';
+		run.endedAt = Date.now();
 		run.done = done;
 		for (const observer of run.observers) {
 			observer.onDone(done);
@@ -127,7 +135,7 @@
 		}
 
 		registry.refuseLater(run.claim);
-		runs.delete(run.claim);
+		runs.remove(run);
 		finish(run, {fate, reason});
 		notifyChange();
 	};
@@ -140,13 +148,25 @@
 		return run.dispatch.grant;
 	};
 
+	const describeQueue = (): QueueView => {
+		const {memoryTokens, heldTokens} = memory();
+		let usedTokens = heldTokens;
+		for (const run of running) {
+			usedTokens += run.queued.missingTokens;
+		}
+
+		return {
+			rows, running: running.size, memoryTokens, freeTokens: Math.max(0, memoryTokens - usedTokens),
+		};
+	};
+
 	const takeNext = (): Run | undefined => {
 		const runningAlone = [...running].some(run => grantOf(run).runAlone);
 		if (waiting.length === 0 || running.size >= slots || runningAlone || !mayStart()) {
 			return undefined;
 		}
 
-		const index = order(waiting.map(run => run.queued), rows, Date.now());
+		const index = order(waiting.map(run => run.queued), describeQueue(), Date.now());
 		const run = waiting[index];
 		if (!run || (grantOf(run).runAlone && running.size > 0)) {
 			return undefined;
@@ -238,9 +258,10 @@
 			running: running.size,
 			callMs: statistics.callMs(),
 			queued: waiting.length,
+			programMs: statistics.programMs(),
+			rowQueuedStarts: rowRuns.filter(run => run.state === 'queued' && run.queued.startsProgram).length,
 			rowQueued: rowRuns.filter(run => run.state === 'queued').length,
 			rowOpen: rowRuns.length,
-			...(grant.rowConcurrency > 0 && {rowConcurrency: grant.rowConcurrency}),
 			rowShare: (grant.weight || 1) / totalWeight,
 		});
 	};
@@ -298,7 +319,8 @@
 		switch (admitted.kind) {
 			case 'run': {
 				const run = createRun(dispatch, grant, traceparent);
-				runs.set(run.claim, run);
+				runs.add(run);
+				statistics.recordArrival(run.queued.attainedMs);
 				rows = activateRow(rows, run.queued, waiting.map(other => other.queued));
 				waiting.push(run);
 				run.observers.add(observer);
@@ -360,9 +382,13 @@
 			}
 		},
 		forgetProgram(program) {
-			for (const run of runs.values()) {
-				if (run.program === program && run.state === 'done') {
-					runs.delete(run.claim);
+			runs.forgetProgram(program);
+		},
+		sweep() {
+			for (const run of runs.sweep(Date.now())) {
+				// A non-idempotent call is left to end: its effect is better known than unknown.
+				if (grantOf(run).idempotent) {
+					run.controller.abort();
 				}
 			}
 		},
@@ -380,6 +406,9 @@
 			slots,
 			running: running.size,
 			queued: waiting.length,
+			queuedStarts: waiting.filter(run => run.queued.startsProgram).length,
+			memoryTokens: BigInt(describeQueue().memoryTokens),
+			usedTokens: BigInt(describeQueue().memoryTokens - describeQueue().freeTokens),
 			callMs: statistics.callMs(),
 			tokenMs: statistics.tokenMs(),
 		}),
