feat(entry): attach checks the caller's bytes; a sent history restores lost copies

Cause: a caller that attached at byte N after an idempotent call had run anew elsewhere got bytes of two runs joined. With prefixSha256 the entry compares what the caller has, and begins again with restart where it is another run's. Ruled out: a run's id in every event, because the recorded answer does not keep it. The history of a call was accepted and read by nobody; the owner now writes it to the holders if its digest is the one that the owner knows.

--- a/packages/entry/src/calls/call-request.ts
+++ b/packages/entry/src/calls/call-request.ts
@@ -1,6 +1,7 @@
 /**
 A caller's call after its body was checked.
 */
+import type {TurnRecord} from '@siskinhub/core/history/turn-record.js';
 import type {ProgramId} from '@siskinhub/core/ids/program-id.js';
 import type {RequestId} from '@siskinhub/core/ids/request-id.js';
 import type {TurnNumber} from '@siskinhub/core/ids/turn-number.js';
@@ -24,4 +25,6 @@
 	readonly maxOutputTokens: number;
 	/** Digest of the history that the caller built on; empty if it did not say. */
 	readonly after: string;
+	/** The whole history, by which lost copies are restored; only if the caller sent it. */
+	readonly history?: readonly TurnRecord[];
 };
--- a/packages/entry/src/calls/create-call-runner.ts
+++ b/packages/entry/src/calls/create-call-runner.ts
@@ -29,6 +29,7 @@
 import {
 	type Done, Fate, type Grant, type HistoryHolder as HolderMessage, type Recorded,
 } from '@siskinhub/proto/gen/siskinhub/peer/v1/peer_pb.js';
+import {encodeTurn} from '../history/encode-turn.js';
 import type {HistoryClient} from '../history/history-client.js';
 import type {OwnerRouter} from '../owner/owner-router.js';
 import {buildPayload} from './build-payload.js';
@@ -166,11 +167,28 @@
 		});
 	};
 
+	/** Reads the history before the call; where every copy is lost, the one that the caller sent takes its place. */
+	const readHistory = async ({call, deadlineAt, traceparent}: CallProgress, holders: readonly HistoryHolder[], digest: string) => {
+		const read = await histories.readAt(holders, call.program, digest);
+		if (read.isOk() || !call.history) {
+			return read;
+		}
+
+		const {program, workspace, history} = call;
+		const restored = await router.ask(shardOf(program), {
+			case: 'restoreHistory',
+			value: {program, workspace, turns: history.map(turn => encodeTurn(turn))},
+		}, deadlineAt, traceparent);
+		return restored.isOk() && restored.value.body.case === 'acknowledged'
+			? histories.readAt(holders, program, digest)
+			: read;
+	};
+
 	const runGrant = async (progress: CallProgress, grant: Grant): Promise<RunResult> => {
 		const {call, events} = progress;
 		const holders = decodeHolders(grant.holders);
 		const isModel = call.target.kind === 'model';
-		const history = isModel ? await histories.readAt(holders, call.program, grant.digest) : undefined;
+		const history = isModel ? await readHistory(progress, holders, grant.digest) : undefined;
 		if (history?.isErr()) {
 			return {kind: 'unsent', refusal: history.error};
 		}
@@ -209,6 +227,7 @@
 			shard: grant.shard as ShardId,
 			epoch: Number(grant.epoch) as Epoch,
 			holders: decodeHolders(grant.holders),
+			traceparent: span.traceparent,
 		}, turn);
 		span.end(stored.isOk() ? 'ok' : stored.error.code);
 		if (stored.isErr()) {
--- a/packages/entry/src/create-ask-peer.ts
+++ b/packages/entry/src/create-ask-peer.ts
@@ -14,7 +14,7 @@
 type AskOptions = {
 	readonly ownAddress: string;
 	readonly pool: () => PeerPool;
-	readonly answer: (body: Body) => Promise<BodyInit>;
+	readonly answer: (body: Body, traceparent?: string) => Promise<BodyInit>;
 };
 
 /** Creates the function for one entry. */
@@ -26,7 +26,7 @@
 			return pool().get(address).request(body, options);
 		}
 
-		const reply = await Promise.race([answer(toBody(body)), delay(options.timeoutMs, undefined, {ref: false})]);
+		const reply = await Promise.race([answer(toBody(body), options.traceparent), delay(options.timeoutMs, undefined, {ref: false})]);
 		return reply ? ok(toBody(reply)) : err({kind: 'timeout', message: `no reply within ${options.timeoutMs} ms`});
 	};
 };
--- a/packages/entry/src/create-entry.ts
+++ b/packages/entry/src/create-entry.ts
@@ -144,14 +144,17 @@
 		?? answerAboutTable(body)
 		?? {case: 'refused', value: {code: 'bad-request', message: `This entry does not answer ${body.case}.`}};
 
-	const onMessage = async ({body, reply, traceparent}: IncomingMessage) => {
+	const answerTraced = async (body: Body, traceparent = '') => {
 		const span = traceparent === '' ? undefined : tracer.startSpan(`entry.${body.case}`, {traceparent});
+		const answered = await answer(body);
+		span?.end(answered.case === 'refused' ? answered.value.code ?? 'refused' : 'ok');
+		return answered;
+	};
+
+	const onMessage = async ({body, reply, traceparent}: IncomingMessage) => {
 		try {
-			const answered = await answer(body);
-			reply(answered);
-			span?.end(answered.case === 'refused' ? answered.value.code ?? 'refused' : 'ok');
+			reply(await answerTraced(body, traceparent));
 		} catch (error) {
-			span?.end('failed');
 			log.error('a peer\'s message failed', {message: body.case, error: String(error)});
 			reply({case: 'refused', value: {code: 'unavailable', message: 'The entry failed; ask again.', retryAfterMs: 1000}});
 		}
@@ -176,7 +179,7 @@
 		}),
 	};
 	late.pool = createPeerPool(settings);
-	const ask = createAskPeer({ownAddress, pool, answer});
+	const ask = createAskPeer({ownAddress, pool, answer: answerTraced});
 	const histories = createHistoryClient(ask);
 	const rank = (shard: ShardId) => rankCandidates(shard, hosts.entries(), h32);
 	const router = createOwnerRouter({ask, map, rank});
--- a/packages/entry/src/history/create-history-client.ts
+++ b/packages/entry/src/history/create-history-client.ts
@@ -36,14 +36,14 @@
 
 /** Creates the client; it keeps nothing. */
 export const createHistoryClient = (ask: AskPeer): HistoryClient => {
-	const askHolder = async (holder: HistoryHolder, body: BodyInit): Promise<HolderReply | undefined> => {
-		const reply = await ask(holder.peerAddress, body, {timeoutMs: HOLDER_TIMEOUT_MS});
+	const askHolder = async (holder: HistoryHolder, body: BodyInit, traceparent?: string): Promise<HolderReply | undefined> => {
+		const reply = await ask(holder.peerAddress, body, {timeoutMs: HOLDER_TIMEOUT_MS, traceparent});
 		return reply.isOk() ? {holder, body: reply.value} : undefined;
 	};
 
-	const write = async (holders: readonly HistoryHolder[], body: BodyInit, what: string): Promise<Result<void, Refusal>> => {
+	const write = async (holders: readonly HistoryHolder[], body: BodyInit, what: string, traceparent?: string): Promise<Result<void, Refusal>> => {
 		const {reached, replies} = await reachQuorum(
-			holders.map(async holder => askHolder(holder, body)),
+			holders.map(async holder => askHolder(holder, body, traceparent)),
 			isAcknowledged,
 			countWriteQuorum(holders.length),
 		);
@@ -90,7 +90,9 @@
 
 	return {
 		writeHeader: async ({shard, epoch, holders}, header) => write(holders, {case: 'writeHeader', value: {shard, epoch: BigInt(epoch), header}}, 'store the program'),
-		appendTurn: async ({shard, epoch, holders}, turn) => write(holders, {case: 'appendTurn', value: {shard, epoch: BigInt(epoch), turn: encodeTurn(turn)}}, 'store the turn'),
+		appendTurn: async ({
+			shard, epoch, holders, traceparent,
+		}, turn) => write(holders, {case: 'appendTurn', value: {shard, epoch: BigInt(epoch), turn: encodeTurn(turn)}}, 'store the turn', traceparent),
 		markEnded: async ({shard, epoch, holders}, program) => write(holders, {case: 'markEnded', value: {shard, epoch: BigInt(epoch), program}}, 'end the program'),
 		repair: async ({shard, epoch, holders}, {header, turns, ended}) => write(
 			holders,
--- a/packages/entry/src/history/history-client.ts
+++ b/packages/entry/src/history/history-client.ts
@@ -15,6 +15,8 @@
 	readonly shard: ShardId;
 	readonly epoch: Epoch;
 	readonly holders: readonly HistoryHolder[];
+	/** W3C trace context of the call that needs it. */
+	readonly traceparent?: string;
 };
 
 /** Writes resolve with `ok` once a write quorum of holders has the data on disk. */
--- a/packages/entry/src/http/call-body.ts
+++ b/packages/entry/src/http/call-body.ts
@@ -13,6 +13,21 @@
 
 const chatMessagesSchema = z.array(z.looseObject({role: z.string()})).min(1);
 
+/** The turns as `GET …/history` gave them; the chain of their digests is checked by the owner. */
+const historySchema = z.object({
+	turns: z.array(z.object({
+		program: z.string(),
+		turn: z.int(),
+		requestId: z.string(),
+		previous: z.string(),
+		digest: z.string(),
+		input: z.string(),
+		output: z.string(),
+		promptTokens: z.number(),
+		outputTokens: z.number(),
+	})),
+});
+
 /** Checks a call; docs/guide/http-api.md describes the fields. */
 export const callBodySchema = z.strictObject({
 	turn: z.int().min(1).max(MAX_TURN),
@@ -26,7 +41,7 @@
 	input: z.unknown(),
 	maxOutputTokens: z.int().min(1).max(MAX_OUTPUT_TOKENS).default(1024),
 	after: z.string().max(NAME_LENGTH).default(''),
-	history: z.unknown().optional(),
+	history: historySchema.optional(),
 }).refine(call => 'service' in call.target || chatMessagesSchema.safeParse(call.input).success, {
 	path: ['input'],
 	error: 'expected an array of chat messages, each with a role, for a model',
--- a/packages/entry/src/http/create-call-routes.ts
+++ b/packages/entry/src/http/create-call-routes.ts
@@ -1,6 +1,7 @@
 /**
 Routes over calls: post, attach again, cancel.
 */
+import type {TurnRecord} from '@siskinhub/core/history/turn-record.js';
 import type {ProgramId} from '@siskinhub/core/ids/program-id.js';
 import type {RequestId} from '@siskinhub/core/ids/request-id.js';
 import type {TurnNumber} from '@siskinhub/core/ids/turn-number.js';
@@ -12,6 +13,7 @@
 import type {HttpRequest} from './http-request.js';
 import type {HttpRoute} from './http-route.js';
 import {readJson} from './read-json.js';
+import {resumeAnswer} from './resume-answer.js';
 import type {RouteContext} from './route-context.js';
 import {sendJson} from './send-json.js';
 import {sendRefusal} from './send-refusal.js';
@@ -19,6 +21,7 @@
 const OWNER_TIMEOUT_MS = 10_000;
 const LEAVING_RETRY_MS = 1000;
 const OFFSET_PATTERN = /^\d{1,15}$/v;
+const SHA256_PATTERN = /^[\da-f]{64}$/v;
 
 /** Creates the routes of one entry. */
 export const createCallRoutes = (context: RouteContext): HttpRoute[] => {
@@ -55,14 +58,21 @@
 			input: body.value.input,
 			maxOutputTokens: body.value.maxOutputTokens,
 			after: body.value.after,
+			...(body.value.history && {history: body.value.history.turns as unknown as readonly TurnRecord[]}),
 		};
-		const {events} = createEventStream({res, from: 0, gatherMs: cfg.chunkGatherMs});
+		const {events} = createEventStream({res, gatherMs: cfg.chunkGatherMs});
 		await calls.run(call, events, traceparent);
 	};
 
 	const attach = async ({res, url, params, workspace, traceparent}: HttpRequest) => {
 		const [program = '', requestId = ''] = params;
 		const offset = url.searchParams.get('offset') ?? '0';
+		const prefixSha256 = url.searchParams.get('prefixSha256') ?? undefined;
+		if (prefixSha256 !== undefined && !SHA256_PATTERN.test(prefixSha256)) {
+			sendRefusal(res, {code: 'bad-request', message: 'prefixSha256 is no SHA-256 in hex; hash the bytes before the offset.'});
+			return;
+		}
+
 		if (!OFFSET_PATTERN.test(offset)) {
 			sendRefusal(res, {code: 'bad-request', message: `offset is ${offset}; give a number of bytes.`});
 			return;
@@ -73,13 +83,13 @@
 			return;
 		}
 
-		const {events} = createEventStream({res, from: Number(offset), gatherMs: cfg.chunkGatherMs});
+		const {events} = createEventStream({res, gatherMs: cfg.chunkGatherMs});
 		await calls.attach({
 			program: program as ProgramId,
 			workspace: workspace as WorkspaceId,
 			requestId: requestId as RequestId,
 			deadlineMs: cfg.limits.defaultDeadlineMs,
-		}, events, traceparent);
+		}, resumeAnswer(events, {from: Number(offset), prefixSha256}), traceparent);
 	};
 
 	const cancel = async (request: HttpRequest) => {
--- a/packages/entry/src/http/create-event-stream.ts
+++ b/packages/entry/src/http/create-event-stream.ts
@@ -5,19 +5,15 @@
 import type {ServerResponse} from 'node:http';
 import type {EventStream} from './event-stream.js';
 import {sendRefusal} from './send-refusal.js';
-import {sliceAnswer} from './slice-answer.js';
 
 type StreamOptions = {
 	readonly res: ServerResponse;
-	/** First byte of the answer that the caller wants. */
-	readonly from: number;
 	/** Pieces that come within this time leave together, in milliseconds. */
 	readonly gatherMs: number;
 };
 
 /** Creates the stream; the response's head leaves with the first event. */
-export const createEventStream = ({res, from, gatherMs}: StreamOptions): EventStream => {
-	let firstByte = from;
+export const createEventStream = ({res, gatherMs}: StreamOptions): EventStream => {
 	let gathered = '';
 	let gatheredOffset = 0;
 	let timer: NodeJS.Timeout | undefined;
@@ -46,21 +42,15 @@
 				write('accepted', event);
 			},
 			onChunk({offset, text}) {
-				const wanted = sliceAnswer(offset, text, firstByte);
-				if (wanted.text === '') {
-					return;
-				}
-
 				if (gathered === '') {
-					gatheredOffset = wanted.offset;
+					gatheredOffset = offset;
 				}
 
-				gathered += wanted.text;
+				gathered += text;
 				timer ??= setTimeout(flush, gatherMs);
 			},
 			onRestart() {
 				gathered = '';
-				firstByte = 0;
 				write('restart', {offset: 0});
 			},
 			onFinal(event) {
--- a/packages/entry/src/owner/create-owner-service.ts
+++ b/packages/entry/src/owner/create-owner-service.ts
@@ -89,6 +89,10 @@
 				return withOwner(body.value.program, async owner => owner.release(body.value));
 			}
 
+			case 'restoreHistory': {
+				return withOwner(body.value.program, async owner => owner.restore(body.value));
+			}
+
 			case 'cancelCall': {
 				return withOwner(body.value.program, async owner => owner.cancel(body.value));
 			}
--- a/packages/entry/src/owner/create-shard-owner.ts
+++ b/packages/entry/src/owner/create-shard-owner.ts
@@ -13,6 +13,7 @@
 import type {WorkspaceId} from '@siskinhub/core/ids/workspace-id.js';
 import type {Digest} from '@siskinhub/core/ids/digest.js';
 import type {ProgramHeader} from '@siskinhub/core/history/program-header.js';
+import {verifyChain} from '@siskinhub/core/history/verify-chain.js';
 import type {ClosedFate} from '@siskinhub/core/owner/closed-fate.js';
 import {decideGrant} from '@siskinhub/core/owner/decide-grant.js';
 import {mayHaveRun} from '@siskinhub/core/owner/may-have-run.js';
@@ -21,6 +22,7 @@
 import type {ShardLogItem} from '@siskinhub/core/owner/shard-log-item.js';
 import type {BodyInit} from '@siskinhub/peer/body-init.js';
 import {Fate, type Release, type StartProgram} from '@siskinhub/proto/gen/siskinhub/peer/v1/peer_pb.js';
+import {decodeTurn} from '../history/decode-turn.js';
 import {createGrantGiver} from './create-grant-giver.js';
 import {createProgramBook} from './create-program-book.js';
 import {EARLIER_RUN_POSSIBLE} from './earlier-run-possible.js';
@@ -353,6 +355,22 @@
 				}
 			}
 		},
+		async restore(message) {
+			const found = await book.find(message.program as ProgramId);
+			if (found.isErr()) {
+				return refuse(found.error);
+			}
+
+			const {header, digest, ended} = found.value;
+			const turns = message.turns.map(turn => decodeTurn(turn));
+			const verified = verifyChain(header, turns);
+			if (message.workspace !== header.workspace || verified.isErr() || verified.value !== digest) {
+				return refuse({code: 'history-mismatch', message: `The history that came with the call is not the program's, whose digest is ${digest || '(none)'}.`});
+			}
+
+			const repaired = await histories.repair(place, {header, turns, ended});
+			return repaired.isErr() ? refuse(repaired.error) : ACKNOWLEDGED;
+		},
 		async listAlive(programs) {
 			const alive: string[] = [];
 			for (const id of programs) {
--- a/packages/entry/src/owner/shard-owner.ts
+++ b/packages/entry/src/owner/shard-owner.ts
@@ -3,7 +3,7 @@
 */
 import type {BodyInit} from '@siskinhub/peer/body-init.js';
 import type {
-	AttachCall, CancelCall, EndProgram, GetProgram, GrantRequest, Release, Settle, StartProgram,
+	AttachCall, CancelCall, EndProgram, GetProgram, GrantRequest, Release, RestoreHistory, Settle, StartProgram,
 } from '@siskinhub/proto/gen/siskinhub/peer/v1/peer_pb.js';
 import type {Epoch} from '@siskinhub/core/ids/epoch.js';
 import type {HistoryHolder} from '@siskinhub/core/owner/history-holder.js';
@@ -24,6 +24,8 @@
 	readonly settle: (message: Settle) => Promise<BodyInit>;
 	readonly release: (message: Release) => Promise<BodyInit>;
 	readonly cancel: (message: CancelCall) => Promise<BodyInit>;
+	/** Writes a caller's copy of a history to the holders, if it is exactly the one that the owner knows by its digest. */
+	readonly restore: (message: RestoreHistory) => Promise<BodyInit>;
 	/** Those of the programs that are open, or that may be. */
 	readonly listAlive: (programs: readonly string[]) => Promise<string[]>;
 	/** Programs in memory; those that ended a moment ago count too. */
