fix(entry): outcomes of spans; import zod as a namespace

A span counts as failed unless it ends with ok, and calls ended with ended, runs with done, refused calls like those that were answered.

Change: a call's span ends with ok or the code of its refusal, a run's with ok, its fate, or why it was not sent.

Checked by hand: sidecar.run, entry.run, entry.store and entry.call of one call share one trace and end with ok; a turn out of order ends with out-of-order.

--- a/packages/entry/src/calls/create-call-runner.ts
+++ b/packages/entry/src/calls/create-call-runner.ts
@@ -36,6 +36,7 @@
 import type {CallRequest} from './call-request.js';
 import type {CallRunner} from './call-runner.js';
 import {fingerprintCall} from './fingerprint-call.js';
+import {describeRun} from './describe-run.js';
 import {followRun} from './follow-run.js';
 import type {RunResult} from './run-result.js';
 
@@ -191,7 +192,7 @@
 			},
 			traceparent: span.traceparent,
 		});
-		span.end(result.kind);
+		span.end(describeRun(result));
 		return result;
 	};
 
@@ -364,12 +365,20 @@
 	const run: CallRunner['run'] = async (call, events, traceparent) => {
 		retryBudget = depositAttempt(retryBudget);
 		const span = tracer.startSpan('entry.call', {traceparent, attributes: {program: call.program, request: call.requestId}});
-		const progress = createProgress(call, events, span.traceparent);
+		let outcome = 'ok';
+		const traced: CallEvents = {
+			...events,
+			onRefused(refusal) {
+				outcome = refusal.code;
+				events.onRefused(refusal);
+			},
+		};
+		const progress = createProgress(call, traced, span.traceparent);
 		let goesOn = true;
 		while (goesOn) {
 			const answer = await askGrant(progress);
 			if (answer.isErr()) {
-				events.onRefused(answer.error);
+				traced.onRefused(answer.error);
 				break;
 			}
 
@@ -383,11 +392,11 @@
 			if (body.case === 'recorded') {
 				await sendRecorded(progress, body.value);
 			} else {
-				refuseWith(events, body);
+				refuseWith(traced, body);
 			}
 		}
 
-		span.end('ended');
+		span.end(outcome);
 	};
 
 	/** Follows the run behind a grant that another request was given; true if the owner is to be asked again. */
--- a/packages/entry/src/http/call-body.ts
+++ b/packages/entry/src/http/call-body.ts
@@ -1,7 +1,7 @@
 /**
 The body of a call.
 */
-import {z} from 'zod';
+import * as z from 'zod';
 
 const MAX_TURN = 1_000_000;
 const MAX_OUTPUT_TOKENS = 1_000_000;
--- a/packages/entry/src/http/create-program-routes.ts
+++ b/packages/entry/src/http/create-program-routes.ts
@@ -1,7 +1,7 @@
 /**
 Routes over programs: start, look at, read the history of, end.
 */
-import {z} from 'zod';
+import * as z from 'zod';
 import {createProgramId} from '@siskinhub/core/ids/create-program-id.js';
 import type {ProgramId} from '@siskinhub/core/ids/program-id.js';
 import type {HostId} from '@siskinhub/core/ids/host-id.js';
--- a/packages/entry/src/ownership/owner-record.ts
+++ b/packages/entry/src/ownership/owner-record.ts
@@ -1,7 +1,7 @@
 /**
 What an owner announces under its lease in the platform's service.
 */
-import {z} from 'zod';
+import * as z from 'zod';
 
 /** One key for each owner, not for each shard; it vanishes when the owner's lease lapses. */
 export const ownerRecordSchema = z.object({
--- a/packages/entry/src/table/create-table-exchange.ts
+++ b/packages/entry/src/table/create-table-exchange.ts
@@ -5,7 +5,7 @@
 less asks for what it lacks, so that few processes watch the platform's service
 and the rest learn from whom they talk to anyway.
 */
-import {z} from 'zod';
+import * as z from 'zod';
 import type {Revision} from '@siskinhub/core/ids/revision.js';
 import type {BodyInit} from '@siskinhub/peer/body-init.js';
 import type {PeerLink} from '@siskinhub/peer/peer-link.js';
--- a/packages/platform/src/budget/parse-account.ts
+++ b/packages/platform/src/budget/parse-account.ts
@@ -1,7 +1,7 @@
 /**
 Reads a row's budget account from its key's value.
 */
-import {z} from 'zod';
+import * as z from 'zod';
 import type {BudgetAccount} from '@siskinhub/core/budget/budget-account.js';
 
 const accountSchema = z.object({
--- a/packages/platform/src/http/post-json.ts
+++ b/packages/platform/src/http/post-json.ts
@@ -4,7 +4,7 @@
 */
 import {err, ok, type Result} from 'neverthrow';
 import {request, type Dispatcher} from 'undici';
-import type {z} from 'zod';
+import type * as z from 'zod';
 import type {PlatformError} from '../platform-error.js';
 
 type JsonCall<Schema extends z.ZodType> = {
