fix(entry): announce shards from the start; take nothing over right after an outage

Two entries took each other's shards over, for two reasons. At its start an entry asked for a lease before it knew the host list, got none until the next renewal, and owned shards that nobody saw announced. And after an outage longer than the leases nobody was announced until the next renewal, while takeovers began at the next beat.

Weighed: longer beats for lower ranks (ruled out: the first rank loses its shards to the second all the same, only later).

Change: no takeover without a lease; when the platform's service returns, an entry renews first and takes nothing over for one renewal interval and one beat.

Also a span for each peer message that carries a trace (trace-answer.ts).

--- a/packages/entry/src/create-entry.ts
+++ b/packages/entry/src/create-entry.ts
@@ -55,6 +55,7 @@
 import type {Ownership} from './ownership/ownership.js';
 import {rankCandidates} from './ownership/rank-candidates.js';
 import {takeOverShard} from './ownership/take-over-shard.js';
+import {traceAnswer} from './trace-answer.js';
 import {chooseNeighbours} from './table/choose-neighbours.js';
 import {createRowLimits} from './table/create-row-limits.js';
 import {createTableExchange} from './table/create-table-exchange.js';
@@ -144,9 +145,9 @@
 		?? answerAboutTable(body)
 		?? {case: 'refused', value: {code: 'bad-request', message: `This entry does not answer ${body.case}.`}};
 
-	const onMessage = async ({body, reply}: IncomingMessage) => {
+	const onMessage = async ({body, traceparent, reply}: IncomingMessage) => {
 		try {
-			reply(await answer(body));
+			reply(await traceAnswer(tracer, {body, traceparent}, answer));
 		} catch (error) {
 			log.error('a peer\'s message failed', {message: body.case, error: String(error)});
 			reply({case: 'refused', value: {code: 'unavailable', message: 'The entry failed; ask again.', retryAfterMs: 1000}});
--- /dev/null
+++ b/packages/entry/src/ownership/__tests__/create-ownership.test.ts
@@ -0,0 +1,86 @@
+import {setTimeout as delay} from 'node:timers/promises';
+import {ok} from 'neverthrow';
+import {expect, onTestFinished, test} from 'vitest';
+import type {Epoch} from '@siskinhub/core/ids/epoch.js';
+import type {ShardId} from '@siskinhub/core/ids/shard-id.js';
+import {createLogger} from '@siskinhub/observe/create-logger.js';
+import {createPlatformClient} from '@siskinhub/platform/create-platform-client.js';
+import {createPlatformServer} from '@siskinhub/standins/platform/create-platform-server.js';
+import type {HostDirectory} from '../../directory/host-directory.js';
+import type {ShardOwner} from '../../owner/shard-owner.js';
+import {createOwnership} from '../create-ownership.js';
+import {createShardMap} from '../create-shard-map.js';
+
+const SHARDS = 4;
+const LEASE_TTL_MS = 1000;
+const RENEW_EVERY_MS = 300;
+const OUTAGE_MS = 2500;
+const HOSTS = ['e1', 'e2'];
+
+const hash = (text: string): number => [...text].reduce((sum, letter) => ((sum * 31) + letter.codePointAt(0)!) % 65_521, 7);
+
+/** The host list arrives a moment after the entry has started, as in a real start. */
+const createHosts = (): HostDirectory => {
+	const startedAt = Date.now();
+	const entries = HOSTS.map(id => ({
+		id, role: 'entry' as const, peerAddress: id, dataCentre: 'delta-a', state: 'live' as const,
+	}));
+	return {
+		entries: () => Date.now() - startedAt < 100 ? [] : entries,
+		sidecars: () => [],
+		sidecarsFor: () => [],
+		findSidecar: () => undefined,
+		refresh: async () => undefined,
+		stop: () => undefined,
+	};
+};
+
+const startEntries = async () => {
+	const server = await createPlatformServer({ip: '127.0.0.1', port: 0});
+	const takeovers: string[] = [];
+	const entries = HOSTS.map(host => createOwnership({
+		shards: SHARDS,
+		host,
+		instance: `i-${host}`,
+		peerAddress: host,
+		platform: createPlatformClient({address: server.address, callTimeoutMs: 500}),
+		hosts: createHosts(),
+		map: createShardMap(),
+		hash,
+		leaseTtlMs: LEASE_TTL_MS,
+		leaseRenewEveryMs: RENEW_EVERY_MS,
+		async takeOver(shard: ShardId) {
+			takeovers.push(`${host} ${shard}`);
+			const owner: Partial<ShardOwner> = {
+				shard, epoch: takeovers.length as Epoch, holders: [], isFenced: () => false, retire: () => undefined, refill: async () => undefined,
+			};
+			return ok(owner as ShardOwner);
+		},
+		onOwned: () => undefined,
+		needsOtherHolders: () => false,
+		log: createLogger({level: 'silent', host}),
+	}));
+	onTestFinished(async () => {
+		for (const entry of entries) {
+			entry.stop();
+		}
+
+		await server.close();
+	});
+	const setDown = async (down: boolean) => fetch(`${server.address}/faults`, {method: 'PUT', body: JSON.stringify({down}), headers: {connection: 'close'}});
+	return {takeovers, setDown, countOwned: () => entries.map(entry => entry.owned().length)};
+};
+
+test('entries that start together share the shards, and keep them over an outage longer than their leases', async () => {
+	const {takeovers, setDown, countOwned} = await startEntries();
+	await delay(5000);
+	const [first = 0, second = 0] = countOwned();
+	expect(first + second).toBe(SHARDS);
+	expect(takeovers).toHaveLength(SHARDS);
+	await setDown(true);
+	await delay(OUTAGE_MS);
+	await setDown(false);
+	await delay(4000);
+	expect(takeovers).toHaveLength(SHARDS);
+	expect(countOwned()).toEqual([first, second]);
+});
--- a/packages/entry/src/ownership/create-ownership.ts
+++ b/packages/entry/src/ownership/create-ownership.ts
@@ -14,6 +14,7 @@
 import type {ShardOwner} from '../owner/shard-owner.js';
 import type {Ownership} from './ownership.js';
 import {ownerRecordSchema} from './owner-record.js';
+import {createTakeoverGuard} from './create-takeover-guard.js';
 import {rankCandidates} from './rank-candidates.js';
 import type {ShardMap} from './shard-map.js';
 
@@ -57,6 +58,8 @@
 	let isPlatformUp = false;
 	let isLeaving = false;
 	let isBusy = false;
+	// Owners renew once in this time, so one more beat later each is announced again.
+	const guard = createTakeoverGuard(options.leaseRenewEveryMs + BEAT_INTERVAL_MS);
 
 	const readOwners = async (): Promise<boolean> => {
 		const listed = await platform.list(OWNERS_PREFIX);
@@ -180,16 +183,40 @@
 		return false;
 	};
 
+	/** Entries that own nothing and are candidates for nothing spare the platform's service their renewals. */
+	const keepLease = async (): Promise<void> => {
+		if (owned.size === 0 && lease === undefined && !ranksForAny()) {
+			return;
+		}
+
+		const renewed = await renewLease();
+		if (renewed.isErr()) {
+			log.warn('the lease could not be renewed', {reason: renewed.error});
+		} else {
+			await announce();
+		}
+	};
+
 	const search = async (): Promise<void> => {
 		if (!ranksForAny()) {
 			return;
 		}
 
 		isPlatformUp = await readOwners();
+		const hasReturned = guard.noteAnswer(isPlatformUp);
 		if (!isPlatformUp || isLeaving) {
 			return;
 		}
 
+		// Without a lease its shards would not be announced, and others would take them over.
+		if (lease === undefined || hasReturned) {
+			await keepLease();
+		}
+
+		if (lease === undefined || !guard.mayTakeOver()) {
+			return;
+		}
+
 		for (let shard = 0; shard < shards; shard++) {
 			const id = shard as ShardId;
 			if (hasOtherOwner(id) || isLeaving) {
@@ -224,20 +251,6 @@
 		isBusy = false;
 	};
 
-	/** Entries that own nothing and are candidates for nothing spare the platform's service their renewals. */
-	const keepLease = async (): Promise<void> => {
-		if (owned.size === 0 && lease === undefined && !ranksForAny()) {
-			return;
-		}
-
-		const renewed = await renewLease();
-		if (renewed.isErr()) {
-			log.warn('the lease could not be renewed', {reason: renewed.error});
-		} else {
-			await announce();
-		}
-	};
-
 	const beatTimer = setInterval(() => {
 		void beat();
 	}, BEAT_INTERVAL_MS);
