--- a/packages/entry/src/create-entry.ts
+++ b/packages/entry/src/create-entry.ts
@@ -55,7 +55,6 @@
 import type {Ownership} from './ownership/ownership.js';
 import {rankCandidates} from './ownership/rank-candidates.js';
 import {takeOverShard} from './ownership/take-over-shard.js';
-import {traceAnswer} from './trace-answer.js';
 import {chooseNeighbours} from './table/choose-neighbours.js';
 import {createRowLimits} from './table/create-row-limits.js';
 import {createTableExchange} from './table/create-table-exchange.js';
@@ -145,10 +144,14 @@
 		?? answerAboutTable(body)
 		?? {case: 'refused', value: {code: 'bad-request', message: `This entry does not answer ${body.case}.`}};
 
-	const onMessage = async ({body, traceparent, reply}: IncomingMessage) => {
+	const onMessage = async ({body, reply, traceparent}: IncomingMessage) => {
+		const span = traceparent === '' ? undefined : tracer.startSpan(`entry.${body.case}`, {traceparent});
 		try {
-			reply(await traceAnswer(tracer, {body, traceparent}, answer));
+			const answered = await answer(body);
+			reply(answered);
+			span?.end(answered.case === 'refused' ? answered.value.code ?? 'refused' : 'ok');
 		} catch (error) {
+			span?.end('failed');
 			log.error('a peer\'s message failed', {message: body.case, error: String(error)});
 			reply({case: 'refused', value: {code: 'unavailable', message: 'The entry failed; ask again.', retryAfterMs: 1000}});
 		}
