test(entry): renewals of the ownership test rarer than its beats

The test landed with a note that it fails without the mended ownership. It did not: its renewals came every 300 ms, before the first beat at 500 ms, so the old code passed. With renewals every 2.5 s it fails on the old code (8 shards owned of 4), fails with the lease at the start alone (8 takeovers of 4, the other 4 after the outage), and passes with both.

--- a/packages/entry/src/ownership/__tests__/create-ownership.test.ts
+++ b/packages/entry/src/ownership/__tests__/create-ownership.test.ts
@@ -12,9 +12,12 @@
 import {createShardMap} from '../create-shard-map.js';
 
 const SHARDS = 4;
-const LEASE_TTL_MS = 1000;
-const RENEW_EVERY_MS = 300;
-const OUTAGE_MS = 2500;
+// Longer than a few beats, so that takeovers could come before renewals.
+const RENEW_EVERY_MS = 2500;
+const LEASE_TTL_MS = 4000;
+const START_MS = 4500;
+const OUTAGE_MS = 5500;
+const AFTER_OUTAGE_MS = 5000;
 const HOSTS = ['e1', 'e2'];
 
 const hash = (text: string): number => [...text].reduce((sum, letter) => ((sum * 31) + letter.codePointAt(0)!) % 65_521, 7);
@@ -73,14 +76,14 @@
 
 test('entries that start together share the shards, and keep them over an outage longer than their leases', async () => {
 	const {takeovers, setDown, countOwned} = await startEntries();
-	await delay(5000);
+	await delay(START_MS);
 	const [first = 0, second = 0] = countOwned();
 	expect(first + second).toBe(SHARDS);
 	expect(takeovers).toHaveLength(SHARDS);
 	await setDown(true);
 	await delay(OUTAGE_MS);
 	await setDown(false);
-	await delay(4000);
+	await delay(AFTER_OUTAGE_MS);
 	expect(takeovers).toHaveLength(SHARDS);
 	expect(countOwned()).toEqual([first, second]);
 });
