fix(prove): relays refuse connections while their process is dead

Cause: the relay accepted and then closed connections to a dead engine, so the sidecar never saw a refused connection and took no crash for one.

Ruled out in the sidecar: counting any broken stream as a crash, because a false crash of a call that runs alone convicts it.

--- a/packages/prove/src/cluster/create-tcp-cutter.ts
+++ b/packages/prove/src/cluster/create-tcp-cutter.ts
@@ -4,7 +4,7 @@
 */
 import {once} from 'node:events';
 import {
-	createServer, connect, type AddressInfo, type Socket,
+	createServer, connect, type Socket,
 } from 'node:net';
 
 /** A relay before one address. */
@@ -12,6 +12,9 @@
 	readonly port: number;
 	/** Stops forwarding on every open connection, for good; returns how many there were. */
 	readonly silence: () => number;
+	/** Refuses new connections, as a host without the process would. */
+	readonly refuse: () => void;
+	readonly accept: () => void;
 	readonly close: () => void;
 };
 
@@ -30,8 +33,8 @@
 	socket.resume();
 };
 
-/** Starts the relay on a free port of the loopback interface. */
-export const createTcpCutter = async (targetPort: number): Promise<TcpCutter> => {
+/** Starts the relay on a port of the loopback interface. */
+export const createTcpCutter = async (port: number, targetPort: number): Promise<TcpCutter> => {
 	const open = new Set<Socket>();
 	const all = new Set<Socket>();
 	const track = (socket: Socket): void => {
@@ -49,10 +52,18 @@
 		forward(client, target);
 		forward(target, client);
 	});
-	server.listen(0, '127.0.0.1');
+	server.listen(port, '127.0.0.1');
 	await once(server, 'listening');
 	return {
-		port: (server.address() as AddressInfo).port,
+		port,
+		refuse() {
+			server.close();
+		},
+		accept() {
+			if (!server.listening) {
+				server.listen(port, '127.0.0.1');
+			}
+		},
 		silence() {
 			const count = open.size / 2;
 			for (const socket of open) {
--- a/packages/prove/src/cluster/start-cluster.ts
+++ b/packages/prove/src/cluster/start-cluster.ts
@@ -17,6 +17,8 @@
 import {writeSettings} from './write-settings.js';
 
 const DATA_CENTRES = ['centre-1', 'centre-2', 'centre-3'] as const;
+// Two listeners and three relays.
+const MOST_PORTS_PER_NODE = 5;
 const STOP_TIMEOUT_MS = 500;
 
 type Bundle = Parameters<ReturnType<typeof createProcessGroup>['add']>[0]['bundle'];
@@ -24,20 +26,33 @@
 const dataCentreOf = (index: number): string => DATA_CENTRES[index % DATA_CENTRES.length]!;
 
 /** Builds processes and relays under one folder. */
-const createNodeBuilder = (folder: string, root: string) => {
+const createNodeBuilder = (folder: string, root: string, ports: number[]) => {
 	const group = createProcessGroup(root, folder);
 	const cutters = new Map<string, TcpCutter>();
 	return {
 		processes: group.processes,
 		cutters,
-		addProcess(name: string, bundle: Bundle, args: readonly string[], port: number): ManagedProcess {
+		/** The relays refuse connections while the process is dead. */
+		addProcess(name: string, bundle: Bundle, args: readonly string[], port: number, relays: readonly string[] = []): ManagedProcess {
+			const onChange = (isReady: boolean) => {
+				for (const relay of relays) {
+					const cutter = cutters.get(relay);
+					if (isReady) {
+						cutter?.accept();
+					} else {
+						cutter?.refuse();
+					}
+				}
+			};
+
 			return group.add({
-				name, bundle, args, port,
+				name, bundle, args, port, onChange,
 			});
 		},
+		takePort: (): number => ports.pop()!,
 		/** Returns the port of the relay before `port`. */
 		async addCutter(name: string, port: number): Promise<number> {
-			const cutter = await createTcpCutter(port);
+			const cutter = await createTcpCutter(ports.pop()!, port);
 			cutters.set(name, cutter);
 			return cutter.port;
 		},
@@ -48,7 +63,8 @@
 
 const addEntry = async (builder: NodeBuilder, folder: string, index: number, platformPort: number) => {
 	const name = `entry-${index + 1}`;
-	const [httpPort, peerPort] = await allocatePorts(2) as [number, number];
+	const httpPort = builder.takePort();
+	const peerPort = builder.takePort();
 	const advertised = await builder.addCutter(`${name}/peer`, peerPort);
 	const file = writeSettings.entry(folder, {
 		name,
@@ -62,7 +78,7 @@
 	};
 	const httpCutter = await builder.addCutter(`${name}/http`, httpPort);
 	return {
-		host, name, address: `http://127.0.0.1:${httpCutter}`, process: builder.addProcess(name, 'entry', ['--settings', file], httpPort),
+		host, name, address: `http://127.0.0.1:${httpCutter}`, process: builder.addProcess(name, 'entry', ['--settings', file], httpPort, [`${name}/http`, `${name}/peer`]),
 	};
 };
 
@@ -70,7 +86,8 @@
 	const kind = index < options.engines ? 'model' as const : 'service' as const;
 	const id = kind === 'model' ? `engine-${index + 1}` : `service-${index - options.engines + 1}`;
 	const target = kind === 'model' ? 'modelos-trenza' : 'booking-core';
-	const [port, peerPort] = await allocatePorts(2) as [number, number];
+	const port = builder.takePort();
+	const peerPort = builder.takePort();
 	const records = path.join(folder, `${id}-records.jsonl`);
 	const common = ['--port', String(port), '--name', id, '--records', records, ...options.crashOn === undefined ? [] : ['--crash-on', options.crashOn]];
 	const slots = options.slots ?? 4;
@@ -80,8 +97,8 @@
 		...common, '--slots', String(slots), '--token-delay-ms', String(options.tokenDelayMs ?? 5), '--cache-tokens', '50000', '--vary-answers', ...checksFencingNumbers ? ['--checks-fencing'] : [],
 	];
 	const upstream = kind === 'model'
-		? builder.addProcess(id, 'engine', engineArgs, port)
-		: builder.addProcess(id, 'service', [...common, '--delay-ms', '20'], port);
+		? builder.addProcess(id, 'engine', engineArgs, port, [id])
+		: builder.addProcess(id, 'service', [...common, '--delay-ms', '20'], port, [id]);
 	const advertised = await builder.addCutter(`${id}/peer`, peerPort);
 	const sidecarName = `sidecar-of-${id}`;
 	const file = writeSettings.sidecar(folder, {
@@ -96,15 +113,16 @@
 		id: sidecarName, role: 'sidecar', peerAddress: `http://127.0.0.1:${advertised}`, dataCentre: dataCentreOf(index), state: 'live', upstream: {id, kind, target},
 	};
 	return {
-		host, id, kind, target, address: `http://127.0.0.1:${port}`, upstream, sidecar: builder.addProcess(sidecarName, 'sidecar', ['--settings', file], peerPort),
+		host, id, kind, target, address: `http://127.0.0.1:${port}`, upstream, sidecar: builder.addProcess(sidecarName, 'sidecar', ['--settings', file], peerPort, [`${id}/peer`]),
 	};
 };
 
 /** Resolves when every process accepts connections. `root` is the workspace's folder with the built bundles. */
 export const startCluster = async (root: string, options: ClusterOptions): Promise<Cluster> => {
 	const folder = mkdtempSync(path.join(tmpdir(), 'siskinhub-prove-'));
-	const builder = createNodeBuilder(folder, root);
-	const [platformPort] = await allocatePorts(1) as [number];
+	const nodes = 1 + options.entries + options.engines + options.services;
+	const builder = createNodeBuilder(folder, root, await allocatePorts(nodes * MOST_PORTS_PER_NODE));
+	const platformPort = builder.takePort();
 	const platform = {
 		address: `http://127.0.0.1:${platformPort}`,
 		process: builder.addProcess('platform', 'platform', ['--port', String(platformPort)], platformPort),
--- a/packages/standins/src/cluster/create-managed-process.ts
+++ b/packages/standins/src/cluster/create-managed-process.ts
@@ -17,10 +17,12 @@
 	readonly args: readonly string[];
 	readonly logFile: string;
 	readonly isReady: () => Promise<boolean>;
+	/** Called once the process is ready, and after each exit. */
+	readonly onChange?: (isReady: boolean) => void;
 };
 
 /** Creates a process that is not running yet. Its output is appended to `logFile`. */
-export const createManagedProcess = ({name, args, logFile, isReady}: ProcessOptions): ManagedProcess => {
+export const createManagedProcess = ({name, args, logFile, isReady, onChange}: ProcessOptions): ManagedProcess => {
 	let child: ChildProcess | undefined;
 	let crashes = 0;
 	const expected = new WeakSet<ChildProcess>();
@@ -39,6 +41,7 @@
 		closeSync(log);
 		launched.on('exit', () => {
 			crashes += expected.has(launched) ? 0 : 1;
+			onChange?.(false);
 		});
 		return launched;
 	};
@@ -67,6 +70,7 @@
 			if (!isRunning()) {
 				child = launch();
 				await waitUntilReady();
+				onChange?.(isRunning());
 			}
 		},
 		kill() {
--- a/packages/standins/src/cluster/create-process-group.ts
+++ b/packages/standins/src/cluster/create-process-group.ts
@@ -21,6 +21,8 @@
 	readonly args: readonly string[];
 	/** Port that accepts connections once the process is ready. */
 	readonly port: number;
+	/** Called once the process is ready, and after each exit. */
+	readonly onChange?: (isReady: boolean) => void;
 };
 
 type ProcessGroup = {
@@ -39,12 +41,13 @@
 	const logFileOf = (name: string) => path.join(logs, `${name}.log`);
 	return {
 		processes,
-		add({name, bundle, args, port}) {
+		add({name, bundle, args, port, onChange}) {
 			const managed = createManagedProcess({
 				name,
 				args: [path.join(root, BUNDLES[bundle]), ...args],
 				logFile: logFileOf(name),
 				isReady: async () => canConnect(port),
+				onChange,
 			});
 			processes.set(name, managed);
 			return managed;
