fix(sidecar): charge a cut answer what the engine used; a span for each hop

The sidecar now reads the usage from the cancelled stream, and charges the bounds if the engine is silent. Owners, history holders and the call to the upstream have spans too.

--- a/packages/entry/src/create-entry.ts
+++ b/packages/entry/src/create-entry.ts
@@ -144,10 +144,14 @@
 		?? answerAboutTable(body)
 		?? {case: 'refused', value: {code: 'bad-request', message: `This entry does not answer ${body.case}.`}};
 
-	const onMessage = async ({body, reply}: IncomingMessage) => {
+	const onMessage = async ({body, reply, traceparent}: IncomingMessage) => {
+		const span = traceparent === '' ? undefined : tracer.startSpan(`entry.${body.case}`, {traceparent});
 		try {
-			reply(await answer(body));
+			const answered = await answer(body);
+			reply(answered);
+			span?.end(answered.case === 'refused' ? answered.value.code ?? 'refused' : 'ok');
 		} catch (error) {
+			span?.end('failed');
 			log.error('a peer\'s message failed', {message: body.case, error: String(error)});
 			reply({case: 'refused', value: {code: 'unavailable', message: 'The entry failed; ask again.', retryAfterMs: 1000}});
 		}
--- a/packages/sidecar/src/create-engine-client.ts
+++ b/packages/sidecar/src/create-engine-client.ts
@@ -17,6 +17,8 @@
 /** A crashed engine refuses connections; a cut stream alone does not mean a crash. */
 const RESUME_ATTEMPTS = 3;
 const RESUME_DELAY_MS = 100;
+/** Tokens that an engine may have generated beyond the bound before it was stopped. */
+const CUT_OVERRUN_TOKENS = 64;
 const CONTROL_TIMEOUT_MS = 3000;
 const STREAM_SILENCE_MS = 20_000;
 const HTTP_OK = 200;
@@ -62,6 +64,26 @@
 		}
 	};
 
+	/** Ends a run that has passed its bound, and finds out what it used; without the engine's word the bounds of both counts are charged. */
+	const cutShort = async (run: RunRequest, receivedBytes: number, pieces: number): Promise<RunOutcome> => {
+		await cancel(run);
+		try {
+			const res = await resumeStream(run, receivedBytes, AbortSignal.timeout(CONTROL_TIMEOUT_MS));
+			const end = res.statusCode === HTTP_OK ? await readEngineStream(res.body, () => {/* Text past the bound is not wanted. */}) : undefined;
+			if (end) {
+				return {
+					kind: 'finished', promptTokens: end.promptTokens, outputTokens: end.outputTokens, finish: 'length',
+				};
+			}
+		} catch {
+			// The bounds below stand in for the engine's count.
+		}
+
+		return {
+			kind: 'finished', promptTokens: Buffer.byteLength(run.payload), outputTokens: pieces + CUT_OVERRUN_TOKENS, finish: 'length',
+		};
+	};
+
 	const run: UpstreamClient['run'] = async (call, onText, signal) => {
 		let receivedBytes = 0;
 		let pieces = 0;
--- a/packages/sidecar/src/create-run-scheduler.ts
+++ b/packages/sidecar/src/create-run-scheduler.ts
@@ -43,6 +43,7 @@
 	readonly memory: () => {readonly memoryTokens: number; readonly heldTokens: number};
 	/** False while the process has just woken from a pause: whoever waits for a queued call may have given it up. */
 	readonly mayStart: () => boolean;
+	readonly tracer: Tracer;
 	/** Called when a run could not reach the upstream or lost it. */
 	readonly onUpstreamFailure: () => void;
 };
@@ -102,7 +103,7 @@
 };
 
 /** Creates an empty queue that accepts calls. */
-export const createRunScheduler = ({upstream, registry, slots, order, admission, memory, mayStart, onUpstreamFailure}: SchedulerOptions): RunScheduler => {
+export const createRunScheduler = ({upstream, registry, slots, order, admission, memory, mayStart, tracer, onUpstreamFailure}: SchedulerOptions): RunScheduler => {
 	const runs = createRunStore();
 	const waiting: Run[] = [];
 	const running = new Set<Run>();
@@ -156,7 +157,7 @@
 		}
 
 		return {
-			rows, running: running.size, memoryTokens, freeTokens: Math.max(0, memoryTokens - usedTokens),
+			rows, slots, running: running.size, memoryTokens, freeTokens: Math.max(0, memoryTokens - usedTokens),
 		};
 	};
 
@@ -188,6 +189,7 @@
 	const execute = async (run: Run) => {
 		const grant = grantOf(run);
 		const {dispatch} = run;
+		const span = tracer.startSpan('sidecar.upstream', {traceparent: run.traceparent});
 		const outcome = await upstream.run({
 			runId: `${grant.program}.${grant.requestId}`,
 			program: grant.program,
@@ -198,10 +200,11 @@
 			priority: grant.priority,
 			fencingNumber: grant.epoch,
 			isIdempotent: grant.idempotent,
-			traceparent: run.traceparent,
+			traceparent: span.traceparent ?? '',
 		}, text => {
 			appendText(run, text);
 		}, run.controller.signal);
+		span.end(outcome.kind);
 		running.delete(run);
 		const servedMs = Date.now() - run.startedAt;
 		rows = chargeRow(rows, run.queued, servedMs);
--- a/packages/sidecar/src/create-sidecar.ts
+++ b/packages/sidecar/src/create-sidecar.ts
@@ -62,6 +62,7 @@
 		order: chooseNextCall,
 		admission: decideAdmission,
 		memory: () => ({memoryTokens: cfg.upstream.memoryTokens, heldTokens: Number(keeper.describeHeld().heldTokens)}),
+		tracer,
 		mayStart: () => !pauseDetector.isWaking(),
 		onUpstreamFailure() {
 			monitor.noteFailure();
