--- a/packages/entry/src/create-entry.ts
+++ b/packages/entry/src/create-entry.ts
@@ -107,13 +107,17 @@
 		return late.ownership;
 	};
 
-	const hosts = createHostDirectory(platform, () => {
-		upstreams.sync();
-		for (const neighbour of chooseNeighbours(cfg.host, cfg.dataCentre, hosts.entries())) {
-			pool().get(neighbour.peerAddress);
-		}
+	const hosts = createHostDirectory({
+		platform, region: cfg.region, onChange() {
+			upstreams.sync();
+			for (const neighbour of chooseNeighbours(cfg.host, cfg.dataCentre, hosts.entries())) {
+				pool().get(neighbour.peerAddress);
+			}
+		},
+	});
+	const upstreams = createUpstreamDirectory({
+		hosts, pool, silenceMs: cfg.heartbeat.silenceMs, isOwner: () => (late.ownership?.owned().length ?? 0) > 0,
 	});
-	const upstreams = createUpstreamDirectory({hosts, pool, silenceMs: cfg.heartbeat.silenceMs});
 	const map = createShardMap();
 	const crashes = createCrashRegister((fingerprint, crashesAlone) => {
 		for (const entry of hosts.entries()) {
@@ -140,10 +144,14 @@
 		?? answerAboutTable(body)
 		?? {case: 'refused', value: {code: 'bad-request', message: `This entry does not answer ${body.case}.`}};
 
-	const onMessage = async ({body, reply}: IncomingMessage) => {
+	const onMessage = async ({body, reply, traceparent}: IncomingMessage) => {
+		const span = traceparent === '' ? undefined : tracer.startSpan(`entry.${body.case}`, {traceparent});
 		try {
-			reply(await answer(body));
+			const answered = await answer(body);
+			reply(answered);
+			span?.end(answered.case === 'refused' ? answered.value.code ?? 'refused' : 'ok');
 		} catch (error) {
+			span?.end('failed');
 			log.error('a peer\'s message failed', {message: body.case, error: String(error)});
 			reply({case: 'refused', value: {code: 'unavailable', message: 'The entry failed; ask again.', retryAfterMs: 1000}});
 		}
@@ -247,6 +255,7 @@
 				});
 			});
 		},
+		onOwned: upstreams.sync,
 		needsOtherHolders: createHolderWatch({
 			isUsable: holder => knownFolderId(holder.peerAddress) === holder.dataFolderId,
 			countCandidates: () => hosts.entries().filter(entry => knownFolderId(entry.peerAddress) !== '').length,
--- a/packages/sidecar/src/create-run-scheduler.ts
+++ b/packages/sidecar/src/create-run-scheduler.ts
@@ -22,6 +22,7 @@
 import {
 	type Dispatch, type DoneSchema, Fate, type Grant,
 } from '@siskinhub/proto/gen/siskinhub/peer/v1/peer_pb.js';
+import {createRunStore} from './create-run-store.js';
 import {createRunStatistics} from './create-run-statistics.js';
 import type {Run} from './run.js';
 import type {RunObserver} from './run-observer.js';
@@ -42,6 +43,7 @@
 	readonly memory: () => {readonly memoryTokens: number; readonly heldTokens: number};
 	/** False while the process has just woken from a pause: whoever waits for a queued call may have given it up. */
 	readonly mayStart: () => boolean;
+	readonly tracer: Tracer;
 	/** Called when a run could not reach the upstream or lost it. */
 	readonly onUpstreamFailure: () => void;
 };
@@ -69,6 +71,7 @@
 		text: '',
 		bytes: 0,
 		startedAt: 0,
+		endedAt: 0,
 		ranAlone: false,
 	};
 };
@@ -100,8 +103,8 @@
 };
 
 /** Creates an empty queue that accepts calls. */
-export const createRunScheduler = ({upstream, registry, slots, order, admission, memory, mayStart, onUpstreamFailure}: SchedulerOptions): RunScheduler => {
-	const runs = new Map<ClaimId, Run>();
+export const createRunScheduler = ({upstream, registry, slots, order, admission, memory, mayStart, tracer, onUpstreamFailure}: SchedulerOptions): RunScheduler => {
+	const runs = createRunStore();
 	const waiting: Run[] = [];
 	const running = new Set<Run>();
 	const statistics = createRunStatistics();
@@ -117,6 +120,7 @@
 
 	const finish = (run: Run, done: Done) => {
 		run.state = 'done';
+		run.endedAt = Date.now();
 		run.done = done;
 		for (const observer of run.observers) {
 			observer.onDone(done);
@@ -132,7 +136,7 @@
 		}
 
 		registry.refuseLater(run.claim);
-		runs.delete(run.claim);
+		runs.remove(run);
 		finish(run, {fate, reason});
 		notifyChange();
 	};
@@ -153,7 +157,7 @@
 		}
 
 		return {
-			rows, running: running.size, memoryTokens, freeTokens: Math.max(0, memoryTokens - usedTokens),
+			rows, slots, running: running.size, memoryTokens, freeTokens: Math.max(0, memoryTokens - usedTokens),
 		};
 	};
 
@@ -185,6 +189,7 @@
 	const execute = async (run: Run) => {
 		const grant = grantOf(run);
 		const {dispatch} = run;
+		const span = tracer.startSpan('sidecar.upstream', {traceparent: run.traceparent});
 		const outcome = await upstream.run({
 			runId: `${grant.program}.${grant.requestId}`,
 			program: grant.program,
@@ -195,10 +200,11 @@
 			priority: grant.priority,
 			fencingNumber: grant.epoch,
 			isIdempotent: grant.idempotent,
-			traceparent: run.traceparent,
+			traceparent: span.traceparent ?? '',
 		}, text => {
 			appendText(run, text);
 		}, run.controller.signal);
+		span.end(outcome.kind);
 		running.delete(run);
 		const servedMs = Date.now() - run.startedAt;
 		rows = chargeRow(rows, run.queued, servedMs);
@@ -316,7 +322,7 @@
 		switch (admitted.kind) {
 			case 'run': {
 				const run = createRun(dispatch, grant, traceparent);
-				runs.set(run.claim, run);
+				runs.add(run);
 				statistics.recordArrival(run.queued.attainedMs);
 				rows = activateRow(rows, run.queued, waiting.map(other => other.queued));
 				waiting.push(run);
@@ -379,9 +385,13 @@
 			}
 		},
 		forgetProgram(program) {
-			for (const run of runs.values()) {
-				if (run.program === program && run.state === 'done') {
-					runs.delete(run.claim);
+			runs.forgetProgram(program);
+		},
+		sweep() {
+			for (const run of runs.sweep(Date.now())) {
+				// A non-idempotent call is left to end: its effect is better known than unknown.
+				if (grantOf(run).idempotent) {
+					run.controller.abort();
 				}
 			}
 		},
--- a/packages/standins/src/cluster/create-managed-process.ts
+++ b/packages/standins/src/cluster/create-managed-process.ts
@@ -66,6 +66,7 @@
 	return {
 		name,
 		isRunning,
+		pid: () => isRunning() ? child?.pid : undefined,
 		async start() {
 			if (!isRunning()) {
 				child = launch();
