--- a/packages/sidecar/src/create-engine-client.ts
+++ b/packages/sidecar/src/create-engine-client.ts
@@ -123,10 +123,7 @@
 				lastReason = 'the engine ended the stream early';
 			} catch (error) {
 				if (overrun.signal.aborted) {
-					await cancel(call);
-					return {
-						kind: 'finished', promptTokens: 0, outputTokens: pieces, finish: 'length',
-					};
+					return cutShort(call, receivedBytes, pieces);
 				}
 
 				if (signal.aborted) {
--- a/packages/sidecar/src/create-run-scheduler.ts
+++ b/packages/sidecar/src/create-run-scheduler.ts
@@ -19,6 +19,7 @@
 import type {ShardId} from '@siskinhub/core/ids/shard-id.js';
 import type {GrantRegistry} from '@siskinhub/core/sidecar/grant-registry.js';
 import type {RowKey} from '@siskinhub/core/table/row-key.js';
+import type {Tracer} from '@siskinhub/observe/tracer.js';
 import {
 	type Dispatch, type DoneSchema, Fate, type Grant,
 } from '@siskinhub/proto/gen/siskinhub/peer/v1/peer_pb.js';
