--- a/packages/prove/src/cluster/start-cluster.ts
+++ b/packages/prove/src/cluster/start-cluster.ts
@@ -6,6 +6,7 @@
 import {mkdtempSync, rmSync} from 'node:fs';
 import {tmpdir} from 'node:os';
 import path from 'node:path';
+import process from 'node:process';
 import type {PlatformHost} from '@siskinhub/platform/platform-host.js';
 import {allocatePorts} from '@siskinhub/standins/cluster/allocate-ports.js';
 import {createProcessGroup} from '@siskinhub/standins/cluster/create-process-group.js';
@@ -134,17 +135,23 @@
 		await sendJsonRequest('PUT', `${platform.address}/hosts?lagMs=${lagMs}`, {body: list});
 	};
 
+	const killAll = () => {
+		for (const managed of builder.processes.values()) {
+			managed.thaw();
+			managed.kill();
+		}
+	};
+
+	// Nothing stays behind if the run itself is ended.
+	process.once('exit', killAll);
 	await platform.process.start();
 	await publishHosts(hosts, 0);
 	await Promise.all(Array.from(builder.processes.values(), async managed => managed.start()));
 	return {
 		folder, platform, entries, upstreams, hosts, processes: builder.processes, cutters: builder.cutters, publishHosts,
 		async close(keepFolder) {
-			for (const managed of builder.processes.values()) {
-				managed.thaw();
-				managed.kill();
-			}
-
+			killAll();
+			process.off('exit', killAll);
 			await Promise.all(Array.from(builder.processes.values(), async managed => managed.stop(STOP_TIMEOUT_MS)));
 			for (const cutter of builder.cutters.values()) {
 				cutter.close();
--- a/packages/prove/src/prove.ts
+++ b/packages/prove/src/prove.ts
@@ -57,6 +57,12 @@
 	}
 }
 
+for (const signal of ['SIGINT', 'SIGTERM'] as const) {
+	process.once(signal, () => {
+		process.exit(1);
+	});
+}
+
 try {
 	await Prove.run(process.argv.slice(2), import.meta.url);
 	await flush();
