refactor(bench): the takeover's slope counts the shards that were lost

The series was over all shards of the deployment, of which the killed owner had a third on average, so its slope was of nothing that recovers. x is now the number of shards that the killed owner held.

--- a/packages/bench/src/capacity/experiments/measure-shards.ts
+++ b/packages/bench/src/capacity/experiments/measure-shards.ts
@@ -50,9 +50,9 @@
 		const takeoverMs = await waitUntil('the others own all shards', async () => await countAll(others.map(({address}) => address)) === shards, TAKEOVER_TIMEOUT_MS);
 		const takeoverCalls = await readPlatformCalls(cluster.platform.address) - callsBefore - restCalls;
 		return {
-			x: shards,
+			x: lost,
 			values: {
-				owned: lost,
+				'shards of all': shards,
 				'cpu ms/s': usage!.cpuMsPerS,
 				MB: usage!.residentMb,
 				'platform calls/s': restCalls * MS_PER_S / REST_MS,
@@ -69,7 +69,7 @@
 /** One series over shards; all sizes run side by side. */
 export const measureShards = async (root: string): Promise<Series[]> => [{
 	name: 'shards of three entries',
-	xName: 'shards',
-	note: 'Of the three entries that own them, one (`owned` of them) is measured and then killed. The takeover counts from the kill and includes the lapse of the lease (10 s).',
+	xName: 'owned',
+	note: 'One of three entries is measured and then killed; x counts the shards that it owned. The takeover counts from the kill and includes the lapse of the lease (10 s).',
 	points: await Promise.all(SHARDS.map(async shards => measureSize(root, shards))),
 }];
