fix(bench): history holders run before the owner chooses among them

An owner that started first took the one holder it reached, and ten seconds later took its shards over again to get three; calls in flight at that moment ended as unavailable, and so did the measurements of requests and tokens. The holders now start first.

--- a/packages/bench/src/capacity/cluster/create-capacity-cluster.ts
+++ b/packages/bench/src/capacity/cluster/create-capacity-cluster.ts
@@ -18,8 +18,9 @@
 	return {
 		builder,
 		platform,
-		async start(hosts) {
+		async start(hosts, first = []) {
 			await publishHosts(platform.address, hosts);
+			await Promise.all(first.map(async managed => managed.start()));
 			await Promise.all(Array.from(builder.processes.values(), async managed => managed.start()));
 		},
 		close: async () => closeProcesses(builder.processes.values(), folder),
--- a/packages/bench/src/capacity/cluster/start-role-cluster.ts
+++ b/packages/bench/src/capacity/cluster/start-role-cluster.ts
@@ -64,7 +64,8 @@
 	try {
 		const nodes = await build(cluster, tokenDelayMs);
 		const {entry, owner, holders, engine, service} = nodes;
-		await cluster.start([owner, ...holders, engine, service].map(({host}) => host));
+		// The owner chooses holders among those that it reaches when it takes over.
+		await cluster.start([owner, ...holders, engine, service].map(({host}) => host), holders.map(({process}) => process));
 		await waitUntil('the owner owns all shards', async () => await countOwnedShards(owner.address) === SHARDS);
 		await addTableRows({entries: [owner, entry]}, {'deployment/load': {}, 'kind/agent': {}, 'workspace/load': {}});
 		const roles = {
