--- a/vitest.config.ts
+++ b/vitest.config.ts
@@ -6,5 +6,6 @@
 		testTimeout: 30_000,
 		hookTimeout: 30_000,
 		maxWorkers: 4,
+		setupFiles: ['vitest.setup.ts'],
 	},
 });
