fix(entry,peer): a read needs a quorum only; notice pauses that peers notice

Cause: a process counted itself paused after the whole silence bound, while a peer that heard its last heartbeat one interval earlier gives it up sooner; a queued non-idempotent call could start after it had been called unknown.

--- a/packages/entry/src/history/create-history-client.ts
+++ b/packages/entry/src/history/create-history-client.ts
@@ -62,10 +62,10 @@
 			const {reached, replies} = await reachQuorum(
 				holders.map(async holder => askHolder(holder, {case: 'readHistory', value: {program}})),
 				reply => reply.body.case === 'history',
-				holders.length,
+				countReadQuorum(holders.length),
 			);
 			const copies = replies.flatMap(({body}) => body.case === 'history' ? [body.value] : []);
-			if (reached || copies.length >= countReadQuorum(holders.length)) {
+			if (reached) {
 				return ok(copies.flatMap(copy => decodeHistory(copy) ?? []));
 			}
 		}
--- a/packages/peer/src/create-pause-detector.ts
+++ b/packages/peer/src/create-pause-detector.ts
@@ -7,9 +7,16 @@
 import type {PauseDetector} from './pause-detector.js';
 
 const TICK_INTERVAL_MS = 200;
+/**
+The last message before a pause may be up to one heartbeat interval older than
+the pause, and an interval is at most half the silence bound: peers may give a
+process up that was paused for the other half.
+*/
+const PAUSE_SHARE_OF_SILENCE = 0.5;
 
-/** Creates a detector that calls `onPause` when the process did not run for longer than `pauseMs`. */
-export const createPauseDetector = (pauseMs: number, onPause: () => void): PauseDetector => {
+/** Creates a detector that calls `onPause` when the process did not run for so long that peers, whose bound is `silenceMs`, may have given it up. */
+export const createPauseDetector = (silenceMs: number, onPause: () => void): PauseDetector => {
+	const pauseMs = silenceMs * PAUSE_SHARE_OF_SILENCE;
 	let lastTickAt = Date.now();
 	const isWaking = () => Date.now() - lastTickAt > pauseMs;
 	const timer = setInterval(() => {
--- /dev/null
+++ b/packages/sidecar/src/__tests__/run-scheduler.test.ts
@@ -0,0 +1,189 @@
+import {create} from '@bufbuild/protobuf';
+import {expect, test} from 'vitest';
+import {admitCall} from '@siskinhub/core/decide/admit-call.js';
+import {chooseFirstCome} from '@siskinhub/core/decide/choose-first-come.js';
+import type {ClaimId} from '@siskinhub/core/ids/claim-id.js';
+import type {InstanceId} from '@siskinhub/core/ids/instance-id.js';
+import {createGrantRegistry} from '@siskinhub/core/sidecar/create-grant-registry.js';
+import {DispatchSchema, Fate} from '@siskinhub/proto/gen/siskinhub/peer/v1/peer_pb.js';
+import {createRunScheduler} from '../create-run-scheduler.js';
+import type {RunObserver} from '../run-observer.js';
+import type {RunOutcome} from '../run-outcome.js';
+import type {UpstreamClient} from '../upstream-client.js';
+
+const INSTANCE = 'sidecar-1' as InstanceId;
+const SLOTS = 2;
+const FINISHED: RunOutcome = {
+	kind: 'finished', promptTokens: 1, outputTokens: 1, finish: 'stop',
+};
+
+/** An upstream whose runs end when the test says so. */
+const createUpstream = () => {
+	const started: string[] = [];
+	const running = new Map<string, {onText: (text: string) => void; end: (outcome: RunOutcome) => void}>();
+	const client: UpstreamClient = {
+		run: async (request, onText) => new Promise(resolve => {
+			started.push(request.runId);
+			running.set(request.runId, {
+				onText,
+				end(outcome) {
+					running.delete(request.runId);
+					resolve(outcome);
+				},
+			});
+		}),
+		probe: async () => true,
+		releasePrefix: async () => true,
+		listPrefixes: async () => [],
+	};
+	return {client, started, running};
+};
+
+const settle = async () => new Promise<void>(resolve => {
+	setImmediate(resolve);
+});
+
+const createScheduler = (mayStart = () => true) => {
+	const upstream = createUpstream();
+	const scheduler = createRunScheduler({
+		upstream: upstream.client,
+		registry: createGrantRegistry({instance: INSTANCE, maxRecords: 100}),
+		slots: SLOTS,
+		order: chooseFirstCome,
+		admission: admitCall,
+		memory: () => ({memoryTokens: 0, heldTokens: 0}),
+		mayStart,
+		tracer: {
+			startSpan: () => ({end() {/* Not traced. */}}),
+			async close() {/* Nothing is open. */},
+		},
+		onUpstreamFailure() {/* Not looked at. */},
+	});
+	return {scheduler, upstream};
+};
+
+const dispatchOf = (id: number, fields: {runAlone?: boolean; idempotent?: boolean} = {}) => create(DispatchSchema, {
+	grant: {
+		claim: `c${id}`, shard: 1, epoch: 1n, sequence: BigInt(id), program: `p1-${id}`, turn: 1, requestId: `r${id}`, sidecarInstance: INSTANCE, weight: 1, ...fields,
+	},
+	input: '"input"',
+});
+
+const observe = () => {
+	const seen = {text: '', fate: undefined as Fate | undefined, isDone: false};
+	const observer: RunObserver = {
+		onChunk({text = ''}) {
+			seen.text += text;
+		},
+		onDone({fate = Fate.UNSPECIFIED}) {
+			seen.fate = fate;
+			seen.isDone = true;
+		},
+	};
+	return {seen, observer};
+};
+
+test('no more calls run than the upstream has slots', async () => {
+	const {scheduler, upstream} = createScheduler();
+	for (let id = 1; id <= 5; id++) {
+		scheduler.submit(dispatchOf(id), observe().observer, '');
+	}
+
+	await settle();
+	expect(upstream.started).toEqual(['p1-1.r1', 'p1-2.r2']);
+	upstream.running.get('p1-1.r1')?.end(FINISHED);
+	await settle();
+	expect(upstream.started).toEqual(['p1-1.r1', 'p1-2.r2', 'p1-3.r3']);
+});
+
+test('a queued call that nobody waits for any more never runs, also if its grant comes again', async () => {
+	const {scheduler, upstream} = createScheduler();
+	scheduler.submit(dispatchOf(1), observe().observer, '');
+	scheduler.submit(dispatchOf(2), observe().observer, '');
+	const third = observe();
+	scheduler.submit(dispatchOf(3), third.observer, '');
+	scheduler.detach('c3' as ClaimId, third.observer);
+	const again = observe();
+	scheduler.submit(dispatchOf(3), again.observer, '');
+	expect(again.seen.fate).toBe(Fate.NOT_RUN);
+	upstream.running.get('p1-1.r1')?.end(FINISHED);
+	await settle();
+	expect(upstream.started).not.toContain('p1-3.r3');
+});
+
+test('a second copy of a grant attaches and gets the whole answer', async () => {
+	const {scheduler, upstream} = createScheduler();
+	const first = observe();
+	scheduler.submit(dispatchOf(1), first.observer, '');
+	await settle();
+	upstream.running.get('p1-1.r1')?.onText('braided ');
+	const second = observe();
+	scheduler.submit(dispatchOf(1), second.observer, '');
+	upstream.running.get('p1-1.r1')?.onText('rope');
+	upstream.running.get('p1-1.r1')?.end(FINISHED);
+	await settle();
+	expect(upstream.started).toHaveLength(1);
+	expect([first.seen.text, second.seen.text]).toEqual(['braided rope', 'braided rope']);
+	expect(second.seen.isDone).toBe(true);
+});
+
+test('a suspected call runs alone', async () => {
+	const {scheduler, upstream} = createScheduler();
+	scheduler.submit(dispatchOf(1), observe().observer, '');
+	scheduler.submit(dispatchOf(2, {runAlone: true}), observe().observer, '');
+	scheduler.submit(dispatchOf(3), observe().observer, '');
+	await settle();
+	expect(upstream.started).toEqual(['p1-1.r1']);
+	upstream.running.get('p1-1.r1')?.end(FINISHED);
+	await settle();
+	expect(upstream.started).toEqual(['p1-1.r1', 'p1-2.r2']);
+	upstream.running.get('p1-2.r2')?.end(FINISHED);
+	await settle();
+	expect(upstream.started).toEqual(['p1-1.r1', 'p1-2.r2', 'p1-3.r3']);
+});
+
+test('nothing starts while the process wakes from a pause', async () => {
+	let isWaking = false;
+	const {scheduler, upstream} = createScheduler(() => !isWaking);
+	scheduler.submit(dispatchOf(1), observe().observer, '');
+	scheduler.submit(dispatchOf(2), observe().observer, '');
+	const third = observe();
+	scheduler.submit(dispatchOf(3), third.observer, '');
+	await settle();
+	isWaking = true;
+	upstream.running.get('p1-1.r1')?.end(FINISHED);
+	await settle();
+	expect(upstream.started).toHaveLength(SLOTS);
+	scheduler.dropQueued('the sidecar was paused');
+	expect(third.seen.fate).toBe(Fate.NOT_RUN);
+});
+
+test('a lost run is failed if it may be repeated and unknown if not', async () => {
+	const {scheduler, upstream} = createScheduler();
+	const repeatable = observe();
+	const once = observe();
+	scheduler.submit(dispatchOf(1, {idempotent: true}), repeatable.observer, '');
+	scheduler.submit(dispatchOf(2), once.observer, '');
+	await settle();
+	for (const run of upstream.running.values()) {
+		run.end({kind: 'lost', reason: 'cut', isCrash: true});
+	}
+
+	await settle();
+	expect([repeatable.seen.fate, once.seen.fate]).toEqual([Fate.FAILED, Fate.UNKNOWN]);
+});
+
+test('a leaving sidecar refuses new calls and finishes what it has', async () => {
+	const {scheduler, upstream} = createScheduler();
+	const running = observe();
+	scheduler.submit(dispatchOf(1), running.observer, '');
+	scheduler.stopAccepting();
+	const late = observe();
+	scheduler.submit(dispatchOf(2), late.observer, '');
+	expect(late.seen.fate).toBe(Fate.NOT_RUN);
+	await settle();
+	upstream.running.get('p1-1.r1')?.end(FINISHED);
+	await settle();
+	expect(running.seen.fate).toBe(Fate.UNSPECIFIED);
+	expect(scheduler.openRuns()).toBe(0);
+});
