fix(entry): a shard with one history holder gets others once

An entry that started before the others held its shards' histories alone, and took its own shards over again every 10 s for good: the watch asked for more holders, and the takeover kept the one that still answered.

Weighed: a watch that gives up after one try (ruled out: the copies would stay missing).

Checked by hand, two entries: each early shard is taken over once more after 10 s and not again in the 17 s after; before, every 10 s.

--- a/packages/entry/src/ownership/take-over-shard.ts
+++ b/packages/entry/src/ownership/take-over-shard.ts
@@ -15,6 +15,7 @@
 import type {PlatformClient} from '@siskinhub/platform/platform-client.js';
 import type {HistoryClient} from '../history/history-client.js';
 import type {ShardLog} from '../owner/shard-log.js';
+import {selectHolders} from './select-holders.js';
 
 type TakeoverOptions = {
 	readonly shard: ShardId;
@@ -38,11 +39,6 @@
 	readonly sources: ReadonlyArray<readonly HistoryHolder[]>;
 };
 
-const isSameHolder = (a: HistoryHolder, b: HistoryHolder): boolean => a.host === b.host && a.dataFolderId === b.dataFolderId;
-
-const mergeHolders = (first: readonly HistoryHolder[], second: readonly HistoryHolder[]): HistoryHolder[] =>
-	[...first, ...second.filter(holder => !first.some(other => isSameHolder(other, holder)))];
-
 /** Fails with a message for the log if the shard is owned, the platform is down, or too few holders answer. */
 export const takeOverShard = async (options: TakeoverOptions): Promise<Result<Takeover, string>> => {
 	const {shard, platform, histories, host, instance, peerAddress, createId, commitWindowMs} = options;
@@ -74,10 +70,7 @@
 		return err('no entry host with a data folder can be reached');
 	}
 
-	const kept = before.holders.filter(holder => available.some(other => isSameHolder(other, holder)));
-	const isUnchanged = kept.length === before.holders.length && kept.length > 0;
-	const holders = isUnchanged ? before.holders : mergeHolders(kept, available).slice(0, Math.max(available.length, 1));
-	const sources = isUnchanged ? before.sources : [before.holders, ...before.sources].filter(group => group.length > 0);
+	const {holders, sources} = selectHolders(before, available);
 	const epoch = (before.epoch + 1) as Epoch;
 	const appended = await shardLog.append({
 		kind: 'take-over', owner: host, instance, peerAddress, epoch, holders, sources,
