--- a/packages/entry/src/calls/create-call-runner.ts
+++ b/packages/entry/src/calls/create-call-runner.ts
@@ -29,6 +29,7 @@
 import {
 	type Done, Fate, type Grant, type HistoryHolder as HolderMessage, type Recorded,
 } from '@siskinhub/proto/gen/siskinhub/peer/v1/peer_pb.js';
+import {encodeTurn} from '../history/encode-turn.js';
 import type {HistoryClient} from '../history/history-client.js';
 import type {OwnerRouter} from '../owner/owner-router.js';
 import {buildPayload} from './build-payload.js';
@@ -36,6 +37,7 @@
 import type {CallRequest} from './call-request.js';
 import type {CallRunner} from './call-runner.js';
 import {fingerprintCall} from './fingerprint-call.js';
+import {describeRun} from './describe-run.js';
 import {followRun} from './follow-run.js';
 import type {RunResult} from './run-result.js';
 
@@ -166,11 +168,28 @@
 		});
 	};
 
+	/** Reads the history before the call; where every copy is lost, the one that the caller sent takes its place. */
+	const readHistory = async ({call, deadlineAt, traceparent}: CallProgress, holders: readonly HistoryHolder[], digest: string) => {
+		const read = await histories.readAt(holders, call.program, digest);
+		if (read.isOk() || !call.history) {
+			return read;
+		}
+
+		const {program, workspace, history} = call;
+		const restored = await router.ask(shardOf(program), {
+			case: 'restoreHistory',
+			value: {program, workspace, turns: history.map(turn => encodeTurn(turn))},
+		}, deadlineAt, traceparent);
+		return restored.isOk() && restored.value.body.case === 'acknowledged'
+			? histories.readAt(holders, program, digest)
+			: read;
+	};
+
 	const runGrant = async (progress: CallProgress, grant: Grant): Promise<RunResult> => {
 		const {call, events} = progress;
 		const holders = decodeHolders(grant.holders);
 		const isModel = call.target.kind === 'model';
-		const history = isModel ? await histories.readAt(holders, call.program, grant.digest) : undefined;
+		const history = isModel ? await readHistory(progress, holders, grant.digest) : undefined;
 		if (history?.isErr()) {
 			return {kind: 'unsent', refusal: history.error};
 		}
@@ -191,7 +210,7 @@
 			},
 			traceparent: span.traceparent,
 		});
-		span.end(result.kind);
+		span.end(describeRun(result));
 		return result;
 	};
 
@@ -209,6 +228,7 @@
 			shard: grant.shard as ShardId,
 			epoch: Number(grant.epoch) as Epoch,
 			holders: decodeHolders(grant.holders),
+			traceparent: span.traceparent,
 		}, turn);
 		span.end(stored.isOk() ? 'ok' : stored.error.code);
 		if (stored.isErr()) {
@@ -364,12 +384,20 @@
 	const run: CallRunner['run'] = async (call, events, traceparent) => {
 		retryBudget = depositAttempt(retryBudget);
 		const span = tracer.startSpan('entry.call', {traceparent, attributes: {program: call.program, request: call.requestId}});
-		const progress = createProgress(call, events, span.traceparent);
+		let outcome = 'ok';
+		const traced: CallEvents = {
+			...events,
+			onRefused(refusal) {
+				outcome = refusal.code;
+				events.onRefused(refusal);
+			},
+		};
+		const progress = createProgress(call, traced, span.traceparent);
 		let goesOn = true;
 		while (goesOn) {
 			const answer = await askGrant(progress);
 			if (answer.isErr()) {
-				events.onRefused(answer.error);
+				traced.onRefused(answer.error);
 				break;
 			}
 
@@ -383,11 +411,11 @@
 			if (body.case === 'recorded') {
 				await sendRecorded(progress, body.value);
 			} else {
-				refuseWith(events, body);
+				refuseWith(traced, body);
 			}
 		}
 
-		span.end('ended');
+		span.end(outcome);
 	};
 
 	/** Follows the run behind a grant that another request was given; true if the owner is to be asked again. */
