fix(peer): drop what was sent to a process before or during its pause

Cause: a sidecar that wakes may run its timers before it reads its sockets; the pause then counted as over, and a dispatch that its entry had given up ran. A connection opened during the pause could buffer one as well.

A link remembers how many pauses were noticed before it and is closed at the first frame after another one; messages leave only once the other side has been heard on the link. Ruled out: a grace time after waking, because what peers buffer may come later than any bound. A pause shorter than heartbeat.silenceMs is not noticed; a deadline that passes within one is not covered.

--- a/packages/peer/src/create-link.ts
+++ b/packages/peer/src/create-link.ts
@@ -5,8 +5,11 @@
 HTTP/2 pings do not replace the heartbeats: a middlebox that lost track of the
 connection drops them without closing, and only silence shows.
 */
+import type {MessageInitShape} from '@bufbuild/protobuf';
 import {err, ok, type Result} from 'neverthrow';
-import type {Envelope, Frame, Hello} from '@siskinhub/proto/gen/siskinhub/peer/v1/peer_pb.js';
+import type {
+	Envelope, EnvelopeSchema, Frame, Hello,
+} from '@siskinhub/proto/gen/siskinhub/peer/v1/peer_pb.js';
 import type {Body} from './body.js';
 import type {BodyInit} from './body-init.js';
 import type {CallObserver} from './call-observer.js';
@@ -15,6 +18,8 @@
 import type {OutboundQueue} from './outbound-queue.js';
 import type {PeerLink} from './peer-link.js';
 
+type EnvelopeInit = MessageInitShape<typeof EnvelopeSchema>;
+
 type Link = PeerLink & {
 	/** Handles one frame of the other side. */
 	readonly receive: (frame: Frame) => void;
@@ -28,6 +33,25 @@
 	let nextId = 1;
 	let remote: Hello | undefined;
 	let open = true;
+	const pausesBefore = settings.pauseDetector.pauses();
+	// Messages wait for a sign that the other side runs, so that none is buffered by a paused process and read when it wakes.
+	let held: EnvelopeInit[] | undefined = [];
+
+	const push = (envelope: EnvelopeInit) => {
+		if (held) {
+			held.push(envelope);
+		} else {
+			outbound.push(envelope);
+		}
+	};
+
+	const releaseHeld = () => {
+		const waiting = held ?? [];
+		held = undefined;
+		for (const envelope of waiting) {
+			outbound.push(envelope);
+		}
+	};
 
 	const close = (reason: string) => {
 		if (!open) {
@@ -69,7 +93,7 @@
 
 		const id = nextId++;
 		observers.set(id, observer);
-		outbound.push({id, traceparent, body});
+		push({id, traceparent, body});
 		return {
 			close() {
 				observers.delete(id);
@@ -96,7 +120,7 @@
 	});
 
 	const reply = (replyTo: number, body: BodyInit) => {
-		outbound.push({replyTo, body});
+		push({replyTo, body});
 	};
 
 	const receiveEnvelope = (envelope: Envelope) => {
@@ -134,7 +158,7 @@
 		remote: () => remote,
 		isOpen: () => open,
 		send(body) {
-			outbound.push({body});
+			push({body});
 		},
 		request,
 		openCall,
@@ -148,12 +172,13 @@
 		},
 		close,
 		receive(frame) {
-			if (settings.pauseDetector.isWaking()) {
+			if (settings.pauseDetector.isWaking() || settings.pauseDetector.pauses() !== pausesBefore) {
 				close('the process was paused; what its sockets buffered meanwhile is out of date');
 				return;
 			}
 
 			lastReceivedAt = Date.now();
+			releaseHeld();
 			for (const envelope of frame.envelopes) {
 				if (open) {
 					receiveEnvelope(envelope);
--- a/packages/peer/src/create-pause-detector.ts
+++ b/packages/peer/src/create-pause-detector.ts
@@ -11,9 +11,11 @@
 /** Creates a detector that calls `onPause` when the process did not run for longer than `pauseMs`. */
 export const createPauseDetector = (pauseMs: number, onPause: () => void): PauseDetector => {
 	let lastTickAt = Date.now();
+	let pauses = 0;
 	const isWaking = () => Date.now() - lastTickAt > pauseMs;
 	const timer = setInterval(() => {
 		if (isWaking()) {
+			pauses++;
 			onPause();
 		}
 
@@ -22,6 +24,7 @@
 	timer.unref();
 	return {
 		isWaking,
+		pauses: () => pauses,
 		stop() {
 			clearInterval(timer);
 		},
