fix(prove): an answer may end at the length that its caller asked for

The check wanted a cancelled run. It now takes the beginning of a finished run only if that run is longer than was asked and the answer says so; a shorter one is still found out (two hand-written cases).

--- a/packages/prove/src/checkers/__tests__/check-requests.test.ts
+++ b/packages/prove/src/checkers/__tests__/check-requests.test.ts
@@ -12,6 +12,7 @@
 const A1 = 'a.t1.r1';
 const A2 = 'a.t2.r1';
 const A3 = 'a.t3.r1';
+const cutAtLimit = {...final('a'), finish: 'length'} as ReturnType<typeof final>;
 const cut = {kind: 'cut', message: ''} as const;
 
 test.each([
@@ -59,6 +60,7 @@
 	['a text with a gap', run([call(A1, [0, 9], {...final('ab'), gap: 'x'} as ReturnType<typeof final>)], [ran(A1, 1, 2)]), 1],
 	['the beginning of a run that was cancelled at a limit', run([call(A1, [0, 9], {...final('a'), finish: 'budget'} as ReturnType<typeof final>)], [ran(A1, 1, 2, {fate: 'cancelled'})]), 0],
 	['the beginning of a cancelled run that no limit cut', run([call(A1, [0, 9], final('a'))], [ran(A1, 1, 2, {fate: 'cancelled'})]), 1],
+	['the beginning of a run that went on beyond what was asked', run([call(A1, [0, 9], cutAtLimit, {maxOutputTokens: 1})], [ran(A1, 1, 2, {outputTokens: 2})]), 0],
 	['the beginning of a finished run', run([call(A1, [0, 9], {...final('a'), finish: 'length'} as ReturnType<typeof final>)], [ran(A1, 1, 2)]), 1],
 	['the text of a lost run', run([call(A1, [0, 9], final('ab'))], [ran(A1, 1, 2, {fate: 'lost'})]), 1],
 	['the confirmation of another request', run([call(A1, [0, 9], final('{"confirmation":"c2"}'))], [ran(A1, 1, 2, {kind: 'service', confirmation: 'c1'})]), 1],
--- a/packages/prove/src/checkers/check-whole-answer.ts
+++ b/packages/prove/src/checkers/check-whole-answer.ts
@@ -13,16 +13,19 @@
 
 const LIMITED = new Set(['budget', 'length']);
 
-/** An answer that was cut at a limit is the beginning of a run that was cancelled there. */
-const matchesModel = ({fate, text}: Execution, answer: FinalOutcome): boolean => fate === 'finished'
-	? text === answer.text
-	: fate === 'cancelled' && LIMITED.has(answer.finish) && answer.text !== '' && text.startsWith(answer.text);
+/** An answer that was cut at a limit is the beginning of a run that was cancelled there, or that went on beyond what was asked. */
+const matchesModel = ({fate, text, outputTokens}: Execution, answer: FinalOutcome, maxOutputTokens: number): boolean => {
+	const isCutShort = LIMITED.has(answer.finish) && answer.text !== '' && text.startsWith(answer.text);
+	return fate === 'finished'
+		? text === answer.text || (isCutShort && outputTokens > maxOutputTokens)
+		: fate === 'cancelled' && isCutShort;
+};
 
-const matches = (execution: Execution, answer: FinalOutcome): boolean => execution.kind === 'service'
+const matches = (execution: Execution, answer: FinalOutcome, maxOutputTokens: number): boolean => execution.kind === 'service'
 	? answer.text.includes(`"confirmation":"${execution.confirmation ?? ''}"`)
-	: matchesModel(execution, answer);
+	: matchesModel(execution, answer, maxOutputTokens);
 
-const findFault = (outcome: Operation['outcome'], executions: readonly Execution[]): string | undefined => {
+const findFault = ({outcome, maxOutputTokens = Infinity}: Operation, executions: readonly Execution[]): string | undefined => {
 	if (outcome?.kind !== 'final') {
 		return undefined;
 	}
@@ -36,14 +39,15 @@
 		return `was answered with ${Buffer.byteLength(text)} bytes, and the final event says ${bytes}`;
 	}
 
-	return executions.some(execution => matches(execution, outcome)) ? undefined : 'was answered with a text that no run of it produced';
+	return executions.some(execution => matches(execution, outcome, maxOutputTokens)) ? undefined : 'was answered with a text that no run of it produced';
 };
 
 /** Compares every answer with the runs of its own request. */
 export const checkWholeAnswer = ({operations, executions}: RecordedRun): Violation[] => {
 	const executionsByMark = groupByMark(executions);
-	return operations.flatMap(({mark, outcome, completedAt, id}) => {
-		const fault = mark === undefined ? undefined : findFault(outcome, executionsByMark.get(mark) ?? []);
+	return operations.flatMap(operation => {
+		const {mark, completedAt, id} = operation;
+		const fault = mark === undefined ? undefined : findFault(operation, executionsByMark.get(mark) ?? []);
 		return fault ? [{message: `#${id} ${mark} ${fault}`, at: completedAt ?? 0, marks: [mark ?? '']}] : [];
 	});
 };
--- a/packages/prove/src/client/create-entry-client.ts
+++ b/packages/prove/src/client/create-entry-client.ts
@@ -77,8 +77,8 @@
 		}
 	};
 
-	const describe = ({program, mark, turn, isIdempotent}: CallRequest) => ({
-		program, mark, turn, isIdempotent,
+	const describe = ({program, mark, turn, isIdempotent, maxOutputTokens}: CallRequest) => ({
+		program, mark, turn, isIdempotent, maxOutputTokens,
 	});
 
 	return {
--- a/packages/prove/src/history/operation.ts
+++ b/packages/prove/src/history/operation.ts
@@ -32,6 +32,8 @@
 	readonly mark?: string;
 	readonly turn?: number;
 	readonly isIdempotent?: boolean;
+	/** Longest answer that the caller asked for. */
+	readonly maxOutputTokens?: number;
 	readonly invokedAt: number;
 	/** When the entry said that the call was accepted. */
 	acceptedAt?: number;
