--- a/packages/peer/src/create-pause-detector.ts
+++ b/packages/peer/src/create-pause-detector.ts
@@ -18,9 +18,11 @@
 export const createPauseDetector = (silenceMs: number, onPause: () => void): PauseDetector => {
 	const pauseMs = silenceMs * PAUSE_SHARE_OF_SILENCE;
 	let lastTickAt = Date.now();
+	let pauses = 0;
 	const isWaking = () => Date.now() - lastTickAt > pauseMs;
 	const timer = setInterval(() => {
 		if (isWaking()) {
+			pauses++;
 			onPause();
 		}
 
@@ -29,6 +31,7 @@
 	timer.unref();
 	return {
 		isWaking,
+		pauses: () => pauses,
 		stop() {
 			clearInterval(timer);
 		},
