--- a/scripts/build.mjs
+++ b/scripts/build.ts
@@ -6,7 +6,9 @@
 import process from 'node:process';
 import {build} from 'esbuild';
 
-const ENTRY_POINTS = [
+type EntryPoint = readonly [source: string, bundle: string];
+
+const ENTRY_POINTS: readonly EntryPoint[] = [
 	['packages/entry/src/siskinhub-entry.ts', 'packages/entry/dist/siskinhub-entry.js'],
 	['packages/sidecar/src/siskinhub-sidecar.ts', 'packages/sidecar/dist/siskinhub-sidecar.js'],
 	['packages/cli/src/siskinhub.ts', 'packages/cli/dist/siskinhub.js'],
