--- a/packages/sidecar/src/create-run-scheduler.ts
+++ b/packages/sidecar/src/create-run-scheduler.ts
@@ -205,7 +205,7 @@
 		}, text => {
 			appendText(run, text);
 		}, run.controller.signal);
-		span.end(outcome.kind);
+		span.end(outcome.kind === 'finished' ? 'ok' : outcome.kind);
 		running.delete(run);
 		const servedMs = Date.now() - run.startedAt;
 		rows = chargeRow(rows, run.queued, servedMs);
