--- a/packages/prove/src/checkers/__tests__/build-run.ts
+++ b/packages/prove/src/checkers/__tests__/build-run.ts
@@ -9,8 +9,8 @@
 
 /** Short forms; times are small numbers of milliseconds. */
 export const buildRun = {
-	final: (text = 'ab'): Outcome => ({
-		kind: 'final', text, bytes: text.length, digest: 'd', finish: 'stop', promptTokens: 1, outputTokens: 1,
+	final: (text = 'ab', finish = 'stop'): Outcome => ({
+		kind: 'final', text, bytes: text.length, digest: 'd', finish, promptTokens: 1, outputTokens: 1,
 	}),
 	refused: (code: 'not-run' | 'outcome-unknown'): Outcome => ({kind: 'refused', code, message: ''}),
 	call: (mark: string, [invokedAt, completedAt]: readonly [number, number], outcome: Outcome, extra: Partial<Operation> = {}): Operation => ({
--- a/packages/prove/src/checkers/__tests__/check-requests.test.ts
+++ b/packages/prove/src/checkers/__tests__/check-requests.test.ts
@@ -12,7 +12,7 @@
 const A1 = 'a.t1.r1';
 const A2 = 'a.t2.r1';
 const A3 = 'a.t3.r1';
-const cutAtLimit: ReturnType<typeof final> = {...final('a'), finish: 'length'};
+const cutAtLimit = final('a', 'length');
 const cut = {kind: 'cut', message: ''} as const;
 
 test.each([
