--- a/packages/entry/src/owner/create-shard-owner.ts
+++ b/packages/entry/src/owner/create-shard-owner.ts
@@ -253,7 +253,13 @@
 		}
 
 		const written = await histories.writeHeader(place, header);
-		return written.isErr() ? refuse(written.error) : viewProgram(book.add(header), epoch, holders);
+		if (written.isOk()) {
+			return viewProgram(book.add(header), epoch, holders);
+		}
+
+		// Holders refuse an epoch that has passed; the log tells whether that is why.
+		await shardLog.refresh();
+		return shardLog.isFenced() || isLeaving ? notOwner : refuse(written.error);
 	};
 
 	const retire = () => {
--- a/packages/entry/src/owner/create-slot-client.ts
+++ b/packages/entry/src/owner/create-slot-client.ts
@@ -31,7 +31,8 @@
 		}
 	};
 
-	const acquire = async (row: RowKey, limit: number): Promise<boolean> => {
+	const acquire = async (row: RowKey, limit: number): Promise<Refusal | undefined> => {
+		let refusal: Refusal;
 		do {
 			const answer = await router.ask(homeOf(row), {
 				case: 'acquireSlot', value: {
@@ -39,19 +40,24 @@
 				},
 			}, deadlineAt);
 			if (answer.isOk() && answer.value.body.case === 'acknowledged') {
-				return true;
+				return undefined;
 			}
 
+			refusal = answer.isErr()
+				? {code: 'unavailable', message: `The calls of ${row} cannot be counted now; send the same request again.`, retryAfterMs: RETRY_AFTER_MS}
+				: {code: 'limit-reached', message: `All ${limit} calls that ${row} may run at the same time are taken; send the same request again.`, retryAfterMs: RETRY_AFTER_MS};
+
 			await delay(POLL_MS);
 		} while (Date.now() < deadlineAt);
 
-		return false;
+		return refusal;
 	};
 
 	for (const {row, limit} of limits.concurrency) {
-		if (!await acquire(row, limit)) {
+		const refusal = await acquire(row, limit);
+		if (refusal) {
 			release();
-			return err({code: 'limit-reached', message: `All ${limit} calls that ${row} may run at the same time are taken; send the same request again.`, retryAfterMs: RETRY_AFTER_MS});
+			return err(refusal);
 		}
 
 		held.push(row);
