--- a/packages/prove/src/checkers/__tests__/check-requests.test.ts
+++ b/packages/prove/src/checkers/__tests__/check-requests.test.ts
@@ -12,7 +12,9 @@
 const A1 = 'a.t1.r1';
 const A2 = 'a.t2.r1';
 const A3 = 'a.t3.r1';
-const cutAtLimit = {...final('a'), finish: 'length'} as ReturnType<typeof final>;
+const cutAtLimit: ReturnType<typeof final> = {
+	kind: 'final', text: 'a', bytes: 1, digest: 'd', finish: 'length', promptTokens: 1, outputTokens: 1,
+};
 const cut = {kind: 'cut', message: ''} as const;
 
 test.each([
