fix(core): a refused start is told to come back when the queue has moved

Cause: retryAfterMs was what the expected wait was over the limit, often near its least of 250 ms; callers came back at once, were refused again and gave up within seconds, although the queue went down later.

Change: at least a third of the limit (20 s for a start).

--- a/packages/bench/src/plan/draw-programs.ts
+++ b/packages/bench/src/plan/draw-programs.ts
@@ -23,7 +23,7 @@
 	const dies = random() < workload.shape.deathChance;
 	const diesAfter = Math.floor(random() * steps.length);
 	const draft = {row, steps, workMs: sumWork(steps, workload.models.spec)};
-	return dies ? {...draft, diesAfter} : draft;
+	return dies && diesAfter > 0 ? {...draft, diesAfter} : draft;
 };
 
 /** Draws programs until each row has its part of the work. */
--- a/packages/core/src/decide/decide-admission.ts
+++ b/packages/core/src/decide/decide-admission.ts
@@ -15,6 +15,8 @@
 /** Longest expected wait at which a program may go on. */
 const CONTINUE_WAIT_LIMIT_MS = 60_000;
 const MIN_RETRY_AFTER_MS = 250;
+/** A queue that is just past the limit drains slowly, and a caller that comes back at once is refused again. */
+const MIN_RETRY_SHARE = 1 / 3;
 const MAX_RETRY_AFTER_MS = 30_000;
 
 const boundRetryAfter = (waitMs: number): number => Math.round(Math.min(MAX_RETRY_AFTER_MS, Math.max(MIN_RETRY_AFTER_MS, waitMs)));
@@ -44,5 +46,6 @@
 		return ok(undefined);
 	}
 
-	return err({code: 'not-run', message: 'The upstream is overloaded; send the call again after the given time.', retryAfterMs: boundRetryAfter(waitMs - limitMs)});
+	const retryAfterMs = boundRetryAfter(Math.max(waitMs - limitMs, limitMs * MIN_RETRY_SHARE));
+	return err({code: 'not-run', message: 'The upstream is overloaded; send the call again after the given time.', retryAfterMs});
 };
