fix(entry): refill until done; work that grew with the list of hosts

Change: refills are repeated, the beat always ends, ranks are kept per list, the list is read at 20 ms a host (90 s at the target), and a history is read from one holder, the own one first.

--- a/packages/entry/src/create-entry.ts
+++ b/packages/entry/src/create-entry.ts
@@ -49,11 +49,11 @@
 import {createTokenReserver} from './owner/create-token-reserver.js';
 import {createShardOwner} from './owner/create-shard-owner.js';
 import {chooseHolders} from './ownership/choose-holders.js';
+import {createCandidateRanking} from './ownership/create-candidate-ranking.js';
 import {createHolderWatch} from './ownership/create-holder-watch.js';
 import {createOwnership} from './ownership/create-ownership.js';
 import {createShardMap} from './ownership/create-shard-map.js';
 import type {Ownership} from './ownership/ownership.js';
-import {rankCandidates} from './ownership/rank-candidates.js';
 import {takeOverShard} from './ownership/take-over-shard.js';
 import {chooseNeighbours} from './table/choose-neighbours.js';
 import {createRowLimits} from './table/create-row-limits.js';
@@ -180,8 +180,8 @@
 	};
 	late.pool = createPeerPool(settings);
 	const ask = createAskPeer({ownAddress, pool, answer: answerTraced});
-	const histories = createHistoryClient(ask);
-	const rank = (shard: ShardId) => rankCandidates(shard, hosts.entries(), h32);
+	const histories = createHistoryClient(ask, ownAddress);
+	const rank = createCandidateRanking({entries: hosts.entries, hash: h32});
 	const router = createOwnerRouter({ask, map, rank});
 	const orders = createSidecarOrders(pool(), hosts);
 	const acquireSlots = createSlotClient({router, homeOf: row => h32(row) % cfg.shards as ShardId, createId});
@@ -226,9 +226,8 @@
 		instance,
 		peerAddress: ownAddress,
 		platform,
-		hosts,
+		rank,
 		map,
-		hash: h32,
 		leaseTtlMs: cfg.lease.ttlMs,
 		leaseRenewEveryMs: cfg.lease.renewEveryMs,
 		async takeOver(shard, isAlive) {
--- a/packages/entry/src/directory/create-host-directory.ts
+++ b/packages/entry/src/directory/create-host-directory.ts
@@ -1,12 +1,17 @@
 /**
-Reads the platform's list of hosts at a slow beat and keeps the last one while
-the platform is down.
+Reads the platform's list of hosts at a beat that slows with its length, and
+keeps the last one while the platform is down. Nothing urgent waits for the
+list: sidecars say themselves that they leave, owners are found by their leases.
 */
+import {isDeepStrictEqual} from 'node:util';
 import type {PlatformClient} from '@siskinhub/platform/platform-client.js';
 import type {PlatformHost} from '@siskinhub/platform/platform-host.js';
 import type {HostDirectory} from './host-directory.js';
 
-const REFRESH_INTERVAL_MS = 2000;
+const MIN_REFRESH_INTERVAL_MS = 2000;
+const MAX_REFRESH_INTERVAL_MS = 90_000;
+/** Keeps the reading of the list at a constant rate of bytes: its length is that of the fleet. */
+const REFRESH_MS_PER_HOST = 20;
 
 const groupByTarget = (sidecars: readonly PlatformHost[]): ReadonlyMap<string, readonly PlatformHost[]> => {
 	const groups = new Map<string, PlatformHost[]>();
@@ -28,13 +33,15 @@
 /** Starts the beat; the directory is empty until `refresh` was awaited once. */
 export const createHostDirectory = ({platform, region, onChange}: DirectoryOptions): HostDirectory => {
 	const isInRegion = (host: PlatformHost) => host.region === undefined || host.region === region;
+	let hosts: readonly PlatformHost[] = [];
 	let entries: readonly PlatformHost[] = [];
 	let sidecars: readonly PlatformHost[] = [];
 	let sidecarsByTarget: ReadonlyMap<string, readonly PlatformHost[]> = new Map();
 	let sidecarsById: ReadonlyMap<string, PlatformHost> = new Map();
 	const refresh = async () => {
 		const listed = await platform.listHosts();
-		if (listed.isOk()) {
+		if (listed.isOk() && !isDeepStrictEqual(listed.value, hosts)) {
+			hosts = listed.value;
 			entries = listed.value.filter(host => host.role === 'entry');
 			sidecars = listed.value.filter(host => host.role === 'sidecar' && isInRegion(host));
 			sidecarsByTarget = groupByTarget(sidecars);
@@ -43,10 +50,19 @@
 		}
 	};
 
-	const timer = setInterval(() => {
-		void refresh();
-	}, REFRESH_INTERVAL_MS);
-	timer.unref();
+	let timer: NodeJS.Timeout | undefined;
+	const scheduleRefresh = () => {
+		const intervalMs = Math.min(MAX_REFRESH_INTERVAL_MS, Math.max(MIN_REFRESH_INTERVAL_MS, hosts.length * REFRESH_MS_PER_HOST));
+		timer = setTimeout(() => {
+			void (async () => {
+				await refresh();
+				scheduleRefresh();
+			})();
+		}, intervalMs);
+		timer.unref();
+	};
+
+	scheduleRefresh();
 	return {
 		entries: () => entries,
 		sidecars: () => sidecars,
@@ -54,7 +70,7 @@
 		findSidecar: id => sidecarsById.get(id),
 		refresh,
 		stop() {
-			clearInterval(timer);
+			clearTimeout(timer);
 		},
 	};
 };
--- a/packages/entry/src/history/__tests__/history-client.test.ts
+++ b/packages/entry/src/history/__tests__/history-client.test.ts
@@ -30,11 +30,11 @@
 };
 
 test('one dead holder of three, which fails first, does not stop a read', async () => {
-	const read = await createHistoryClient(createAsk(new Set(['a']))).readLongest(holders, PROGRAM);
+	const read = await createHistoryClient(createAsk(new Set(['a'])), 'd').readLongest(holders, PROGRAM);
 	expect(read.isOk()).toBe(true);
 });
 
 test('two dead holders of three stop a read: the third may lack a stored turn', async () => {
-	const read = await createHistoryClient(createAsk(new Set(['a', 'b']))).readLongest(holders, PROGRAM);
+	const read = await createHistoryClient(createAsk(new Set(['a', 'b'])), 'd').readLongest(holders, PROGRAM);
 	expect(read._unsafeUnwrapErr().code).toBe('unavailable');
 });
--- a/packages/entry/src/history/create-history-client.ts
+++ b/packages/entry/src/history/create-history-client.ts
@@ -34,8 +34,18 @@
 
 const isAcknowledged = ({body}: HolderReply): boolean => body.case === 'acknowledged';
 
-/** Creates the client; it keeps nothing. */
-export const createHistoryClient = (ask: AskPeer): HistoryClient => {
+/** The history up to the turn with this digest; undefined if it has no such turn. */
+const cutAt = (history: ProgramHistory | undefined, digest: string): ProgramHistory | undefined => {
+	const end = digest === '' ? 0 : (history?.turns.findIndex(turn => turn.digest === digest) ?? -1) + 1;
+	return history && (digest === '' || end > 0) ? {...history, turns: history.turns.slice(0, end)} : undefined;
+};
+
+/** Creates the client of the entry at `ownAddress`; it keeps nothing. */
+export const createHistoryClient = (ask: AskPeer, ownAddress: string): HistoryClient => {
+	// A digest names one history, so the nearest holder that has it will do.
+	const preferOwn = (holders: readonly HistoryHolder[]): readonly HistoryHolder[] =>
+		holders.toSorted((a, b) => Number(b.peerAddress === ownAddress) - Number(a.peerAddress === ownAddress));
+
 	const askHolder = async (holder: HistoryHolder, body: BodyInit, traceparent?: string): Promise<HolderReply | undefined> => {
 		const reply = await ask(holder.peerAddress, body, {timeoutMs: HOLDER_TIMEOUT_MS, traceparent});
 		return reply.isOk() ? {holder, body: reply.value} : undefined;
@@ -107,15 +117,11 @@
 			});
 		},
 		async readAt(holders, program, digest) {
-			const copies = await readCopies(holders, program);
-			if (copies.isErr()) {
-				return err(copies.error);
-			}
-
-			for (const {header, turns, ended} of copies.value) {
-				const end = digest === '' ? 0 : turns.findIndex(turn => turn.digest === digest) + 1;
-				if (digest === '' || end > 0) {
-					return ok({header, turns: turns.slice(0, end), ended});
+			for (const holder of preferOwn(holders)) {
+				const reply = await askHolder(holder, {case: 'readHistory', value: {program}});
+				const history = reply?.body.case === 'history' ? cutAt(decodeHistory(reply.body.value), digest) : undefined;
+				if (history) {
+					return ok(history);
 				}
 			}
 
--- a/packages/entry/src/owner/refill-holders.ts
+++ b/packages/entry/src/owner/refill-holders.ts
@@ -5,10 +5,10 @@
 import type {ProgramBook} from './program-book.js';
 import type {ShardOwnerOptions} from './shard-owner-options.js';
 
-/** Reads every program once, which repairs its copies, then says in the log that the earlier holders are no longer needed. */
-export const refillHolders = async ({shard, sources, histories, shardLog, log}: ShardOwnerOptions, book: ProgramBook): Promise<void> => {
+/** Reads every program once, which repairs its copies, then says in the log that the earlier holders are no longer needed; false if not all could be read. */
+export const refillHolders = async ({shard, sources, histories, shardLog, log}: ShardOwnerOptions, book: ProgramBook): Promise<boolean> => {
 	if (sources.length === 0) {
-		return;
+		return true;
 	}
 
 	let copied = 0;
@@ -16,14 +16,14 @@
 		const listed = await histories.listPrograms(group, shard);
 		if (listed.isErr()) {
 			log.warn('the earlier history holders cannot be read yet', {shard, reason: listed.error.message});
-			return;
+			return false;
 		}
 
 		for (const program of listed.value) {
 			const found = await book.find(program);
 			if (found.isErr()) {
 				log.warn('a history could not be copied', {shard, programId: program, reason: found.error.message});
-				return;
+				return false;
 			}
 
 			copied++;
@@ -32,4 +32,5 @@
 
 	const appended = await shardLog.append({kind: 'refilled'});
 	log.info('history holders refilled', {shard, programs: copied, ok: appended.isOk()});
+	return appended.isOk() || shardLog.isFenced();
 };
--- a/packages/entry/src/owner/shard-owner.ts
+++ b/packages/entry/src/owner/shard-owner.ts
@@ -34,8 +34,8 @@
 	readonly enforceTimeLimits: () => Promise<void>;
 	/** True once another owner has taken the shard over. */
 	readonly isFenced: () => boolean;
-	/** Copies every program of earlier holders to the present ones; does nothing without earlier holders. */
-	readonly refill: () => Promise<void>;
+	/** Copies every program of earlier holders to the present ones; false if that must be tried again. */
+	readonly refill: () => Promise<boolean>;
 	/** Answers `not-owner` from now on. */
 	readonly retire: () => void;
 	/** Retires, and says so in the log. */
--- a/packages/entry/src/ownership/__tests__/create-ownership.test.ts
+++ b/packages/entry/src/ownership/__tests__/create-ownership.test.ts
@@ -6,8 +6,8 @@
 import {createLogger} from '@siskinhub/observe/create-logger.js';
 import {createPlatformClient} from '@siskinhub/platform/create-platform-client.js';
 import {createPlatformServer} from '@siskinhub/standins/platform/create-platform-server.js';
-import type {HostDirectory} from '../../directory/host-directory.js';
 import type {ShardOwner} from '../../owner/shard-owner.js';
+import {createCandidateRanking} from '../create-candidate-ranking.js';
 import {createOwnership} from '../create-ownership.js';
 import {createShardMap} from '../create-shard-map.js';
 
@@ -23,19 +23,12 @@
 const hash = (text: string): number => [...text].reduce((sum, letter) => ((sum * 31) + letter.codePointAt(0)!) % 65_521, 7);
 
 /** The host list arrives a moment after the entry has started, as in a real start. */
-const createHosts = (): HostDirectory => {
+const createRank = () => {
 	const startedAt = Date.now();
 	const entries = HOSTS.map(id => ({
 		id, role: 'entry' as const, peerAddress: id, dataCentre: 'delta-a', state: 'live' as const,
 	}));
-	return {
-		entries: () => Date.now() - startedAt < 100 ? [] : entries,
-		sidecars: () => [],
-		sidecarsFor: () => [],
-		findSidecar: () => undefined,
-		refresh: async () => undefined,
-		stop: () => undefined,
-	};
+	return createCandidateRanking({entries: () => Date.now() - startedAt < 100 ? [] : entries, hash});
 };
 
 const startEntries = async () => {
@@ -47,15 +40,14 @@
 		instance: `i-${host}`,
 		peerAddress: host,
 		platform: createPlatformClient({address: server.address, callTimeoutMs: 500}),
-		hosts: createHosts(),
+		rank: createRank(),
 		map: createShardMap(),
-		hash,
 		leaseTtlMs: LEASE_TTL_MS,
 		leaseRenewEveryMs: RENEW_EVERY_MS,
 		async takeOver(shard: ShardId) {
 			takeovers.push(`${host} ${shard}`);
 			const owner: Partial<ShardOwner> = {
-				shard, epoch: takeovers.length as Epoch, holders: [], isFenced: () => false, retire: () => undefined, refill: async () => undefined,
+				shard, epoch: takeovers.length as Epoch, holders: [], isFenced: () => false, retire: () => undefined, refill: async () => true,
 			};
 			return ok(owner as ShardOwner);
 		},
--- a/packages/entry/src/ownership/create-ownership.ts
+++ b/packages/entry/src/ownership/create-ownership.ts
@@ -6,20 +6,21 @@
 An owner keeps one lease, not one for each shard, and announces its shards in
 one key under it.
 */
+import {setTimeout as delay} from 'node:timers/promises';
 import {err, ok, type Result} from 'neverthrow';
 import type {ShardId} from '@siskinhub/core/ids/shard-id.js';
 import type {Logger} from '@siskinhub/observe/logger.js';
 import type {PlatformClient} from '@siskinhub/platform/platform-client.js';
-import type {HostDirectory} from '../directory/host-directory.js';
+import type {PlatformHost} from '@siskinhub/platform/platform-host.js';
 import type {ShardOwner} from '../owner/shard-owner.js';
 import type {Ownership} from './ownership.js';
 import {ownerRecordSchema} from './owner-record.js';
 import {createTakeoverGuard} from './create-takeover-guard.js';
-import {rankCandidates} from './rank-candidates.js';
 import type {ShardMap} from './shard-map.js';
 
 const OWNERS_PREFIX = 'owners/';
 const BEAT_INTERVAL_MS = 500;
+const REFILL_RETRY_MS = 2000;
 /** Beats that each lower rank waits before it takes a shard over. */
 const BEATS_PER_RANK = 3;
 /** Entries that watch for the loss of a shard's owner; the rest spare the platform's service and ask these. */
@@ -31,9 +32,9 @@
 	readonly instance: string;
 	readonly peerAddress: string;
 	readonly platform: PlatformClient;
-	readonly hosts: HostDirectory;
+	/** The entries in the order in which they may take a shard over. */
+	readonly rank: (shard: ShardId) => readonly PlatformHost[];
 	readonly map: ShardMap;
-	readonly hash: (text: string) => number;
 	readonly leaseTtlMs: number;
 	readonly leaseRenewEveryMs: number;
 	/** Takes one shard over; fails with the reason. */
@@ -47,7 +48,7 @@
 
 /** Starts the beats. */
 export const createOwnership = (options: OwnershipOptions): Ownership => {
-	const {shards, host, instance, peerAddress, platform, hosts, map, hash, log} = options;
+	const {shards, host, instance, peerAddress, platform, map, log} = options;
 	const owned = new Map<ShardId, ShardOwner>();
 	const beatsWithoutOwner = new Map<ShardId, number>();
 	let liveInstances = new Set<string>();
@@ -132,15 +133,24 @@
 		}
 	};
 
+	const ownRank = (shard: ShardId): number => options.rank(shard).slice(0, CANDIDATES_PER_SHARD).findIndex(entry => entry.id === host);
+
 	const mayTry = (shard: ShardId): boolean => {
-		const rank = rankCandidates(shard, hosts.entries(), hash).findIndex(entry => entry.id === host);
+		const rank = ownRank(shard);
 		const beats = (beatsWithoutOwner.get(shard) ?? 0) + 1;
 		beatsWithoutOwner.set(shard, beats);
-		return rank !== -1 && rank < CANDIDATES_PER_SHARD && beats > rank * BEATS_PER_RANK;
+		return rank !== -1 && beats > rank * BEATS_PER_RANK;
 	};
 
 	const hasOtherOwner = (shard: ShardId): boolean => (liveOwners.get(shard)?.instance ?? instance) !== instance;
 
+	/** Until earlier holders are no longer needed, losing one of them can stop the next takeover. */
+	const keepRefilling = async (owner: ShardOwner): Promise<void> => {
+		while (owned.get(owner.shard) === owner && !await owner.refill()) {
+			await delay(REFILL_RETRY_MS);
+		}
+	};
+
 	const tryShard = async (shard: ShardId): Promise<void> => {
 		const taken = await options.takeOver(shard, other => liveInstances.has(other));
 		if (taken.isErr()) {
@@ -156,7 +166,7 @@
 		owned.get(shard)?.retire();
 		owned.set(shard, taken.value);
 		options.onOwned();
-		void taken.value.refill();
+		void keepRefilling(taken.value);
 		beatsWithoutOwner.delete(shard);
 		map.note(shard, {host, peerAddress, epoch: taken.value.epoch});
 		log.info('shard taken over', {shard, epoch: taken.value.epoch});
@@ -174,8 +184,7 @@
 
 	const ranksForAny = (): boolean => {
 		for (let shard = 0; shard < shards; shard++) {
-			const rank = rankCandidates(shard as ShardId, hosts.entries(), hash).findIndex(entry => entry.id === host);
-			if (rank !== -1 && rank < CANDIDATES_PER_SHARD) {
+			if (ownRank(shard as ShardId) !== -1) {
 				return true;
 			}
 		}
@@ -245,10 +254,15 @@
 		}
 
 		isBusy = true;
-		dropFenced();
-		await search();
-		await renewHolders();
-		isBusy = false;
+		try {
+			dropFenced();
+			await search();
+			await renewHolders();
+		} catch (error) {
+			log.error('a search for shards failed', {error: String(error)});
+		} finally {
+			isBusy = false;
+		}
 	};
 
 	const beatTimer = setInterval(() => {
