fix(peer): the pause detector's tick follows its bound

Cause: with a short silence bound the tick of 200 ms was as long as the pause it looks for, so the process counted as waking between ticks (link.test 'heartbeats keep an idle link open', 3 of 3 on a busy machine). The tick is a tenth of the pause now.

--- a/packages/peer/src/create-pause-detector.ts
+++ b/packages/peer/src/create-pause-detector.ts
@@ -6,7 +6,8 @@
 */
 import type {PauseDetector} from './pause-detector.js';
 
-const TICK_INTERVAL_MS = 200;
+/** Ticks in the shortest pause that counts; a tick that comes a little late is none. */
+const TICKS_PER_PAUSE = 10;
 /**
 The last message before a pause may be up to one heartbeat interval older than
 the pause, and an interval is at most half the silence bound: peers may give a
@@ -27,7 +28,7 @@
 		}
 
 		lastTickAt = Date.now();
-	}, TICK_INTERVAL_MS);
+	}, pauseMs / TICKS_PER_PAUSE);
 	timer.unref();
 	return {
 		isWaking,
