--- a/packages/core/src/history/__tests__/history-chain.test.ts
+++ b/packages/core/src/history/__tests__/history-chain.test.ts
@@ -27,6 +27,7 @@
 			output,
 			promptTokens: 1,
 			outputTokens: 1,
+			finish: 'stop',
 		};
 		turns.push({...turn, digest: computeDigest(turn)});
 	}
@@ -41,7 +42,7 @@
 	expect(verifyChain(createHeader('p1-a'), turns)._unsafeUnwrap()).toBe(turns.at(-1)?.digest);
 });
 
-test.prop([outputs, fc.nat(), fc.constantFrom('program', 'drop', 'swap', 'input', 'output', 'outputTokens')])('any change of a chain is found', (texts, at, change) => {
+test.prop([outputs, fc.nat(), fc.constantFrom('program', 'drop', 'swap', 'input', 'output', 'outputTokens', 'finish')])('any change of a chain is found', (texts, at, change) => {
 	const turns = createTurns('p1-a', [...texts, 'x', 'y']);
 	const index = at % (turns.length - 1);
 	const turn = turns[index]!;
@@ -52,6 +53,7 @@
 		input: turns.with(index, {...turn, input: `${turn.input} `}),
 		output: turns.with(index, {...turn, output: `${turn.output}x`}),
 		outputTokens: turns.with(index, {...turn, outputTokens: turn.outputTokens + 1}),
+		finish: turns.with(index, {...turn, finish: 'length'}),
 	}[change];
 	expect(verifyChain(createHeader('p1-a'), changed).isErr()).toBe(true);
 });
--- a/packages/core/src/history/compute-digest.ts
+++ b/packages/core/src/history/compute-digest.ts
@@ -16,6 +16,7 @@
 		turn.output,
 		turn.promptTokens,
 		turn.outputTokens,
+		turn.finish,
 	];
 	return createHash('sha256').update(JSON.stringify(fields)).digest('hex') as Digest;
 };
--- a/packages/core/src/history/turn-record.ts
+++ b/packages/core/src/history/turn-record.ts
@@ -20,4 +20,6 @@
 	readonly output: string;
 	readonly promptTokens: number;
 	readonly outputTokens: number;
+	/** How the run ended: `stop`, or `length` where the answer was cut at its limit. */
+	readonly finish: string;
 };
--- /dev/null
+++ b/packages/entry/src/calls/create-call-progress.ts
@@ -0,0 +1,17 @@
+/**
+Begins the account of a call.
+*/
+import type {CallEvents} from './call-events.js';
+import type {CallProgress} from './call-progress.js';
+import type {CallRequest} from './call-request.js';
+
+/** The deadline counts from now. */
+export const createCallProgress = (call: CallRequest, events: CallEvents, traceparent = ''): CallProgress => ({
+	call,
+	events,
+	deadlineAt: Date.now() + call.deadlineMs,
+	traceparent,
+	attempts: 0,
+	sentBytes: 0,
+	accepted: false,
+});
--- a/packages/entry/src/history/decode-turn.ts
+++ b/packages/entry/src/history/decode-turn.ts
@@ -19,4 +19,5 @@
 	output: turn.output,
 	promptTokens: turn.promptTokens,
 	outputTokens: turn.outputTokens,
+	finish: turn.finish,
 });
--- a/packages/entry/src/http/call-body.ts
+++ b/packages/entry/src/http/call-body.ts
@@ -25,6 +25,7 @@
 		output: z.string(),
 		promptTokens: z.number(),
 		outputTokens: z.number(),
+		finish: z.string(),
 	})),
 });
 
--- a/packages/history/src/__tests__/create-turns.ts
+++ b/packages/history/src/__tests__/create-turns.ts
@@ -24,6 +24,7 @@
 			output: `${program} is told ${number}${label}\n\tñ`,
 			promptTokens: number,
 			outputTokens: 2,
+			finish: 'stop',
 		};
 		turns.push({...turn, digest: computeDigest(turn)});
 	}
