refactor(sidecar): the scheduler without its builders; expired calls are refused while they wait

Cause of the change of behaviour: a queued call whose deadline had passed was refused only when its turn came, so its caller waited for the queue.

--- a/packages/sidecar/src/__tests__/run-scheduler.test.ts
+++ b/packages/sidecar/src/__tests__/run-scheduler.test.ts
@@ -1,5 +1,7 @@
 import {create} from '@bufbuild/protobuf';
-import {expect, test} from 'vitest';
+import {
+	expect, onTestFinished, test, vi,
+} from 'vitest';
 import {admitCall} from '@siskinhub/core/decide/admit-call.js';
 import {chooseFirstCome} from '@siskinhub/core/decide/choose-first-come.js';
 import type {ClaimId} from '@siskinhub/core/ids/claim-id.js';
@@ -62,7 +64,7 @@
 	return {scheduler, upstream};
 };
 
-const dispatchOf = (id: number, fields: {runAlone?: boolean; idempotent?: boolean} = {}) => create(DispatchSchema, {
+const dispatchOf = (id: number, fields: {runAlone?: boolean; idempotent?: boolean; startWithinMs?: number} = {}) => create(DispatchSchema, {
 	grant: {
 		claim: `c${id}`, shard: 1, epoch: 1n, sequence: BigInt(id), program: `p1-${id}`, turn: 1, requestId: `r${id}`, sidecarInstance: INSTANCE, weight: 1, ...fields,
 	},
@@ -187,3 +189,22 @@
 	expect(running.seen.fate).toBe(Fate.UNSPECIFIED);
 	expect(scheduler.openRuns()).toBe(0);
 });
+
+test('a call that waits longer than its deadline is refused while it waits, and never runs', async () => {
+	vi.useFakeTimers();
+	onTestFinished(() => {
+		vi.useRealTimers();
+	});
+	const {scheduler, upstream} = createScheduler();
+	scheduler.submit(dispatchOf(1), observe().observer, '');
+	scheduler.submit(dispatchOf(2), observe().observer, '');
+	const third = observe();
+	scheduler.submit(dispatchOf(3, {startWithinMs: 1000}), third.observer, '');
+	vi.advanceTimersByTime(900);
+	scheduler.dropExpired();
+	expect(third.seen.isDone).toBe(false);
+	vi.advanceTimersByTime(200);
+	scheduler.dropExpired();
+	expect(third.seen.fate).toBe(Fate.NOT_RUN);
+	expect(upstream.started).toHaveLength(SLOTS);
+});
--- a/packages/sidecar/src/create-run-scheduler.ts
+++ b/packages/sidecar/src/create-run-scheduler.ts
@@ -15,25 +15,28 @@
 import type {ClaimId} from '@siskinhub/core/ids/claim-id.js';
 import type {Epoch} from '@siskinhub/core/ids/epoch.js';
 import type {InstanceId} from '@siskinhub/core/ids/instance-id.js';
-import type {ProgramId} from '@siskinhub/core/ids/program-id.js';
 import type {ShardId} from '@siskinhub/core/ids/shard-id.js';
 import type {GrantRegistry} from '@siskinhub/core/sidecar/grant-registry.js';
-import type {RowKey} from '@siskinhub/core/table/row-key.js';
 import type {Tracer} from '@siskinhub/observe/tracer.js';
 import {
 	type Dispatch, type DoneSchema, Fate, type Grant,
 } from '@siskinhub/proto/gen/siskinhub/peer/v1/peer_pb.js';
+import {buildRunRequest} from './build-run-request.js';
+import {createRun} from './create-run.js';
 import {createRunStore} from './create-run-store.js';
 import {createRunStatistics} from './create-run-statistics.js';
+import {describeEnd} from './describe-end.js';
 import type {Run} from './run.js';
 import type {RunObserver} from './run-observer.js';
-import type {RunOutcome} from './run-outcome.js';
 import type {RunScheduler} from './run-scheduler.js';
 import {sliceUtf8} from './slice-utf8.js';
+import {viewAdmission} from './view-admission.js';
 import type {UpstreamClient} from './upstream-client.js';
 
 type Done = MessageInitShape<typeof DoneSchema>;
 
+const WAITED_TOO_LONG = 'the call waited longer than its deadline allows';
+
 type SchedulerOptions = {
 	readonly upstream: UpstreamClient;
 	readonly registry: GrantRegistry;
@@ -49,60 +52,6 @@
 	readonly onUpstreamFailure: () => void;
 };
 
-const createRun = (dispatch: Dispatch, grant: Grant, traceparent: string): Run => {
-	const now = Date.now();
-	return {
-		claim: grant.claim as ClaimId,
-		program: grant.program as ProgramId,
-		dispatch,
-		traceparent,
-		queued: {
-			row: grant.row as RowKey,
-			weight: grant.weight || 1,
-			priority: grant.priority,
-			queuedAt: now,
-			programStartedAt: now - Number(grant.programAgeMs),
-			attainedMs: Number(grant.attainedMs),
-			startsProgram: grant.startsProgram,
-			missingTokens: Number(grant.missingTokens),
-		},
-		observers: new Set(),
-		controller: new AbortController(),
-		state: 'queued',
-		text: '',
-		bytes: 0,
-		startedAt: 0,
-		endedAt: 0,
-		ranAlone: false,
-	};
-};
-
-const describeEnd = (run: Run, grant: Grant, outcome: RunOutcome): Done => {
-	const slotMs = BigInt(Date.now() - run.startedAt);
-	const common = {bytes: BigInt(run.bytes), slotMs, ranAlone: run.ranAlone};
-	switch (outcome.kind) {
-		case 'finished': {
-			return {
-				...common, promptTokens: outcome.promptTokens, outputTokens: outcome.outputTokens, finish: outcome.finish,
-			};
-		}
-
-		case 'not-sent': {
-			return {...common, fate: Fate.NOT_RUN, reason: outcome.reason};
-		}
-
-		case 'lost': {
-			return {
-				...common, fate: grant.idempotent ? Fate.FAILED : Fate.UNKNOWN, reason: outcome.reason, upstreamCrashed: outcome.isCrash,
-			};
-		}
-
-		case 'cancelled': {
-			return {...common, fate: grant.idempotent ? Fate.CANCELLED : Fate.UNKNOWN, reason: 'the call was cancelled while it ran'};
-		}
-	}
-};
-
 /** Creates an empty queue that accepts calls. */
 export const createRunScheduler = ({upstream, registry, slots, order, admission, memory, mayStart, tracer, onUpstreamFailure}: SchedulerOptions): RunScheduler => {
 	const runs = createRunStore();
@@ -162,6 +111,11 @@
 		};
 	};
 
+	const isExpired = (run: Run): boolean => {
+		const {startWithinMs} = grantOf(run);
+		return startWithinMs > 0 && Date.now() - run.queued.queuedAt > startWithinMs;
+	};
+
 	const takeNext = (): Run | undefined => {
 		const runningAlone = [...running].some(run => grantOf(run).runAlone);
 		if (waiting.length === 0 || running.size >= slots || runningAlone || !mayStart()) {
@@ -189,20 +143,8 @@
 
 	const execute = async (run: Run) => {
 		const grant = grantOf(run);
-		const {dispatch} = run;
 		const span = tracer.startSpan('sidecar.upstream', {traceparent: run.traceparent});
-		const outcome = await upstream.run({
-			runId: `${grant.program}.${grant.requestId}`,
-			program: grant.program,
-			payload: dispatch.payload,
-			model: dispatch.model,
-			operation: dispatch.operation,
-			maxOutputTokens: grant.maxOutputTokens,
-			priority: grant.priority,
-			fencingNumber: grant.epoch,
-			isIdempotent: grant.idempotent,
-			traceparent: span.traceparent ?? '',
-		}, text => {
+		const outcome = await upstream.run(buildRunRequest(run.dispatch, grant, span.traceparent), text => {
 			appendText(run, text);
 		}, run.controller.signal);
 		span.end(outcome.kind === 'finished' ? 'ok' : outcome.kind);
@@ -225,14 +167,13 @@
 	const startWaiting = () => {
 		for (let run = takeNext(); run; run = takeNext()) {
 			const grant = grantOf(run);
-			const waitedMs = Date.now() - run.queued.queuedAt;
 			if (!registry.isCurrent(grant.shard as ShardId, Number(grant.epoch) as Epoch)) {
 				refuseQueued(run, 'a later owner has spoken for the shard');
 				continue;
 			}
 
-			if (grant.startWithinMs > 0 && waitedMs > grant.startWithinMs) {
-				refuseQueued(run, `the call waited ${waitedMs} ms, longer than its deadline allows`);
+			if (isExpired(run)) {
+				refuseQueued(run, WAITED_TOO_LONG);
 				continue;
 			}
 
@@ -246,29 +187,9 @@
 		notifyChange();
 	};
 
-	const checkLoad = (grant: Grant) => {
-		const rowRuns = [...waiting, ...running].filter(run => run.queued.row === grant.row);
-		const waitingRows = new Map(waiting.map(run => [run.queued.row, run.queued.weight]));
-		waitingRows.set(grant.row as RowKey, grant.weight || 1);
-		let totalWeight = 0;
-		for (const weight of waitingRows.values()) {
-			totalWeight += weight;
-		}
-
-		return admission({
-			startsProgram: grant.startsProgram,
-			deadlineMs: grant.startWithinMs,
-			slots,
-			running: running.size,
-			callMs: statistics.callMs(),
-			queued: waiting.length,
-			programMs: statistics.programMs(),
-			rowQueuedStarts: rowRuns.filter(run => run.state === 'queued' && run.queued.startsProgram).length,
-			rowQueued: rowRuns.filter(run => run.state === 'queued').length,
-			rowOpen: rowRuns.length,
-			rowShare: (grant.weight || 1) / totalWeight,
-		});
-	};
+	const checkLoad = (grant: Grant) => admission(viewAdmission(grant, {
+		waiting, running, slots, callMs: statistics.callMs(), programMs: statistics.programMs(),
+	}));
 
 	const attach = (run: Run, observer: RunObserver, offset: number) => {
 		delete run.abandonedAt;
@@ -400,6 +321,11 @@
 			isAccepting = false;
 		},
 		isAccepting: () => isAccepting,
+		dropExpired() {
+			for (const run of waiting.filter(queued => isExpired(queued))) {
+				refuseQueued(run, WAITED_TOO_LONG);
+			}
+		},
 		dropQueued(reason) {
 			for (const run of waiting) {
 				refuseQueued(run, reason);
--- a/packages/sidecar/src/create-sidecar.ts
+++ b/packages/sidecar/src/create-sidecar.ts
@@ -25,6 +25,7 @@
 import {createUpstreamMonitor} from './create-upstream-monitor.js';
 import type {Sidecar} from './sidecar.js';
 
+const EXPIRY_INTERVAL_MS = 250;
 const STOP_POLL_MS = 20;
 /** Time for the last replies to leave before the links close. */
 const LAST_REPLIES_MS = 50;
@@ -87,6 +88,8 @@
 		}),
 		pauseDetector,
 	};
+	const expiryTimer = setInterval(scheduler.dropExpired, EXPIRY_INTERVAL_MS);
+	expiryTimer.unref();
 	const server = await createPeerServer({
 		ip: cfg.peer.ip,
 		port: cfg.peer.port,
@@ -116,6 +119,7 @@
 			const isClean = scheduler.openRuns() === 0;
 			keeper.stop();
 			monitor.stop();
+			clearInterval(expiryTimer);
 			await delay(LAST_REPLIES_MS);
 			await server.close();
 			pauseDetector.stop();
--- a/packages/sidecar/src/run-scheduler.ts
+++ b/packages/sidecar/src/run-scheduler.ts
@@ -22,6 +22,8 @@
 	/** Refuses new calls from now on; those that are queued or running finish. */
 	readonly stopAccepting: () => void;
 	readonly isAccepting: () => boolean;
+	/** Refuses queued calls whose deadline has passed. */
+	readonly dropExpired: () => void;
 	/** Drops calls that have not started, for example after a pause of the process. */
 	readonly dropQueued: (reason: string) => void;
 	readonly openRuns: () => number;
