--- a/packages/sidecar/src/create-run-scheduler.ts
+++ b/packages/sidecar/src/create-run-scheduler.ts
@@ -19,7 +19,7 @@
 import type {GrantRegistry} from '@siskinhub/core/sidecar/grant-registry.js';
 import type {Tracer} from '@siskinhub/observe/tracer.js';
 import {
-	type Dispatch, type DoneSchema, Fate, type Grant,
+	type DoneSchema, Fate, type Grant,
 } from '@siskinhub/proto/gen/siskinhub/peer/v1/peer_pb.js';
 import {buildRunRequest} from './build-run-request.js';
 import {createRun} from './create-run.js';
