--- a/packages/entry/src/owner/create-shard-owner.ts
+++ b/packages/entry/src/owner/create-shard-owner.ts
@@ -12,8 +12,6 @@
 import type {TurnNumber} from '@siskinhub/core/ids/turn-number.js';
 import type {WorkspaceId} from '@siskinhub/core/ids/workspace-id.js';
 import type {Digest} from '@siskinhub/core/ids/digest.js';
-import type {ProgramHeader} from '@siskinhub/core/history/program-header.js';
-import {verifyChain} from '@siskinhub/core/history/verify-chain.js';
 import type {ClosedFate} from '@siskinhub/core/owner/closed-fate.js';
 import {decideGrant} from '@siskinhub/core/owner/decide-grant.js';
 import {mayHaveRun} from '@siskinhub/core/owner/may-have-run.js';
@@ -21,17 +19,16 @@
 import type {OwnedCall} from '@siskinhub/core/owner/owned-call.js';
 import type {ShardLogItem} from '@siskinhub/core/owner/shard-log-item.js';
 import type {BodyInit} from '@siskinhub/peer/body-init.js';
-import {Fate, type Release, type StartProgram} from '@siskinhub/proto/gen/siskinhub/peer/v1/peer_pb.js';
-import {decodeTurn} from '../history/decode-turn.js';
+import {Fate, type Release} from '@siskinhub/proto/gen/siskinhub/peer/v1/peer_pb.js';
 import {createGrantGiver} from './create-grant-giver.js';
 import {createProgramBook} from './create-program-book.js';
+import {createProgramService} from './create-program-service.js';
 import {EARLIER_RUN_POSSIBLE} from './earlier-run-possible.js';
-import {endPrograms} from './end-programs.js';
+import {findProgram} from './find-program.js';
 import {refillHolders} from './refill-holders.js';
 import {refuse} from './refuse.js';
 import type {ShardOwner} from './shard-owner.js';
 import type {ShardOwnerOptions} from './shard-owner-options.js';
-import {viewProgram} from './view-program.js';
 
 const ACKNOWLEDGED: BodyInit = {case: 'acknowledged', value: {}};
 /** Time that a word of not-run may take to become durable before it is given all the same. */
@@ -49,12 +46,12 @@
 
 /** Creates the owner of a shard whose log this process has just taken over. */
 export const createShardOwner = (options: ShardOwnerOptions): ShardOwner => {
-	const {shard, epoch, shardLog, holders, histories, upstreams, crashes, orders, log} = options;
-	const place = {shard, epoch, holders};
+	const {shard, epoch, shardLog, holders, upstreams, crashes, orders, log} = options;
 	const book = createProgramBook(options);
 	const giver = createGrantGiver(options, book);
 	const notOwner: BodyInit = {case: 'notOwner', value: {shard}};
 	let isLeaving = false;
+	const isOwner = () => !isLeaving && !shardLog.isFenced();
 
 	const append = async (item: ShardLogItem, timeoutMs?: number) => shardLog.append(item, timeoutMs === undefined ? {} : {timeoutMs});
 
@@ -87,7 +84,7 @@
 			after: message.after,
 		};
 		for (;;) {
-			if (shardLog.isFenced() || isLeaving) {
+			if (!isOwner()) {
 				return notOwner;
 			}
 
@@ -205,63 +202,6 @@
 		return ACKNOWLEDGED;
 	};
 
-	const createHeader = (message: StartProgram): ProgramHeader => ({
-		program: message.program as ProgramId,
-		workspace: message.workspace as WorkspaceId,
-		kind: message.kind,
-		deployment: message.deployment,
-		...(message.parent !== '' && {parent: message.parent as ProgramId}),
-		startedAt: Date.now(),
-	});
-
-	const checkParent = async (header: ProgramHeader): Promise<BodyInit | undefined> => {
-		if (!header.parent) {
-			return undefined;
-		}
-
-		const parent = await book.find(header.parent);
-		if (parent.isErr()) {
-			return refuse(parent.error);
-		}
-
-		if (parent.value.header.workspace !== header.workspace) {
-			return refuse({code: 'wrong-workspace', message: 'The parent program belongs to another workspace.'});
-		}
-
-		if (parent.value.ended) {
-			return refuse({code: 'program-ended', message: 'The parent program has ended.'});
-		}
-
-		parent.value.children.add(header.program);
-		return undefined;
-	};
-
-	const startProgram: ShardOwner['startProgram'] = async message => {
-		if (shardLog.isFenced() || isLeaving) {
-			return notOwner;
-		}
-
-		const header = createHeader(message);
-		const limits = options.limitsOf(header);
-		if (limits.isErr()) {
-			return refuse(limits.error);
-		}
-
-		const refusal = await checkParent(header);
-		if (refusal) {
-			return refusal;
-		}
-
-		const written = await histories.writeHeader(place, header);
-		if (written.isOk()) {
-			return viewProgram(book.add(header), epoch, holders);
-		}
-
-		// Holders refuse an epoch that has passed; the log tells whether that is why.
-		await shardLog.refresh();
-		return shardLog.isFenced() || isLeaving ? notOwner : refuse(written.error);
-	};
-
 	const retire = () => {
 		isLeaving = true;
 		for (const program of book.all()) {
@@ -269,52 +209,23 @@
 		}
 	};
 
-	const ender = endPrograms({...options, book});
+	const programs = createProgramService({...options, book, isOwner});
 
 	return {
 		shard,
 		epoch,
 		holders,
-		startProgram,
+		...programs,
 		grant,
 		settle,
 		release,
-		async getProgram(message) {
-			const found = await book.find(message.program as ProgramId);
-			if (found.isErr()) {
-				return refuse(found.error);
-			}
-
-			if (message.workspace !== '' && message.workspace !== found.value.header.workspace) {
-				return refuse({code: 'wrong-workspace', message: 'The program belongs to another workspace.'});
-			}
-
-			return viewProgram(found.value, epoch, holders);
-		},
-		async endProgram(message) {
-			const found = await book.find(message.program as ProgramId);
-			if (found.isErr()) {
-				return refuse(found.error);
-			}
-
-			if (message.workspace !== '' && message.workspace !== found.value.header.workspace) {
-				return refuse({code: 'wrong-workspace', message: 'The program belongs to another workspace.'});
-			}
-
-			const ended = await ender.end(found.value);
-			return ended.isErr() ? refuse(ended.error) : viewProgram(found.value, epoch, holders);
-		},
 		async cancel(message) {
-			const found = await book.find(message.program as ProgramId);
+			const found = await findProgram(book, message);
 			if (found.isErr()) {
 				return refuse(found.error);
 			}
 
 			const program = found.value;
-			if (message.workspace !== '' && message.workspace !== program.header.workspace) {
-				return refuse({code: 'wrong-workspace', message: 'The program belongs to another workspace.'});
-			}
-
 			const call = program.current;
 			if (call?.requestId !== message.requestId) {
 				return refuse({code: 'unknown-request', message: 'No such request is running; it may have ended already.'});
@@ -361,36 +272,7 @@
 				}
 			}
 		},
-		async restore(message) {
-			const found = await book.find(message.program as ProgramId);
-			if (found.isErr()) {
-				return refuse(found.error);
-			}
-
-			const {header, digest, ended} = found.value;
-			const turns = message.turns.map(turn => decodeTurn(turn));
-			const verified = verifyChain(header, turns);
-			if (message.workspace !== header.workspace || verified.isErr() || verified.value !== digest) {
-				return refuse({code: 'history-mismatch', message: `The history that came with the call is not the program's, whose digest is ${digest || '(none)'}.`});
-			}
-
-			const repaired = await histories.repair(place, {header, turns, ended});
-			return repaired.isErr() ? refuse(repaired.error) : ACKNOWLEDGED;
-		},
-		async listAlive(programs) {
-			const alive: string[] = [];
-			for (const id of programs) {
-				const found = await book.find(id as ProgramId);
-				const isGone = found.isErr() ? found.error.code === 'unknown-program' : found.value.ended;
-				if (!isGone) {
-					alive.push(id);
-				}
-			}
-
-			return alive;
-		},
 		openPrograms: book.size,
-		enforceTimeLimits: ender.enforceTimeLimits,
 		isFenced: shardLog.isFenced,
 		refill: async () => refillHolders(options, book),
 		retire,
