fix(history): a copy of the latest epoch goes before a longer or equal one of an earlier epoch

Cause, found by reading: with three holders, an earlier owner's entry may leave a turn on one holder only, unacknowledged. If that holder is away while the next owner goes on with the other two and one of these is lost later, the choice among copies of equal length was made by digest, and the stray turn could replace one that a caller had been told of. Copies now name the epoch under which they were last written (the store had it, and its compaction no longer raises it), and the highest epoch goes first, as the terms of leader-based replication do. Red with the comparison off: 'a fork that was written under an earlier epoch ...'.

--- a/packages/core/src/history/__tests__/history-chain.test.ts
+++ b/packages/core/src/history/__tests__/history-chain.test.ts
@@ -1,6 +1,7 @@
 import {fc, test} from '@fast-check/vitest';
 import {expect} from 'vitest';
 import type {Digest} from '../../ids/digest.js';
+import type {Epoch} from '../../ids/epoch.js';
 import type {ProgramId} from '../../ids/program-id.js';
 import type {RequestId} from '../../ids/request-id.js';
 import type {TurnNumber} from '../../ids/turn-number.js';
@@ -64,7 +65,9 @@
 
 test.prop([outputs, outputs])('the longest valid chain is chosen in whatever order the copies come, and a broken one never', (first, second) => {
 	const header = createHeader('p1-a');
-	const copyOf = (turns: readonly TurnRecord[]) => ({header, turns, ended: false});
+	const copyOf = (turns: readonly TurnRecord[], epoch = 1) => ({
+		header, turns, ended: false, epoch: epoch as Epoch,
+	});
 	const broken = copyOf(createTurns('p1-a', [...first, ...second, 'x', 'y']).toSpliced(0, 1));
 	const copies = [copyOf(createTurns('p1-a', first)), copyOf(createTurns('p1-a', second)), broken];
 	const chosen = chooseLongestValidChain(copies);
@@ -72,3 +75,15 @@
 	expect(chooseLongestValidChain(copies.toReversed())?.turns).toEqual(chosen?.turns);
 	expect(chooseLongestValidChain([broken])).toBeUndefined();
 });
+
+test.prop([outputs, outputs])('a fork that was written under an earlier epoch and on no quorum is never chosen over a later owner\'s turns', (stored, fork) => {
+	const header = createHeader('p1-a');
+	const later = {
+		header, turns: createTurns('p1-a', stored), ended: false, epoch: 2 as Epoch,
+	};
+	const stale = {
+		header, turns: createTurns('p1-a', fork), ended: false, epoch: 1 as Epoch,
+	};
+	expect(chooseLongestValidChain([stale, later])).toBe(later);
+	expect(chooseLongestValidChain([later, stale])).toBe(later);
+});
--- a/packages/entry/src/create-entry.ts
+++ b/packages/entry/src/create-entry.ts
@@ -22,6 +22,7 @@
 import {createPeerServer} from '@siskinhub/peer/create-peer-server.js';
 import type {IncomingMessage} from '@siskinhub/peer/incoming-message.js';
 import type {LinkSettings} from '@siskinhub/peer/link-settings.js';
+import type {PeerLink} from '@siskinhub/peer/peer-link.js';
 import type {PeerPool} from '@siskinhub/peer/peer-pool.js';
 import type {PlatformClient} from '@siskinhub/platform/platform-client.js';
 import {createShardBudgets} from '@siskinhub/platform/budget/create-shard-budgets.js';
@@ -283,7 +284,24 @@
 			return reply.isOk() && reply.value.case === 'acknowledged';
 		},
 	};
-	const peerServer = await createPeerServer({ip: cfg.peer.ip, port: cfg.peer.port, settings});
+	const inbound = new Set<PeerLink>();
+	const peerServer = await createPeerServer({
+		ip: cfg.peer.ip,
+		port: cfg.peer.port,
+		settings,
+		onLink(link) {
+			inbound.add(link);
+			link.onClosed(() => {
+				inbound.delete(link);
+			});
+		},
+	});
+	// A new revision does not wait for the next heartbeat, so that a chain of neighbours learns it within milliseconds a step.
+	table.subscribe(() => {
+		for (const link of [...inbound, ...pool().links()]) {
+			link.send({case: 'heartbeat', value: settings.describeSelf()});
+		}
+	});
 	await hosts.refresh();
 	await table.refresh();
 	const http = await createHttpServer({
--- a/packages/entry/src/history/create-history-holder-service.ts
+++ b/packages/entry/src/history/create-history-holder-service.ts
@@ -56,8 +56,13 @@
 const readHistory = async (store: HistoryStore, program: ProgramId): Promise<BodyInit> => {
 	const read = await store.readHistory(program);
 	if (read.isOk()) {
-		const {header, turns, ended} = read.value;
-		return {case: 'history', value: {header, turns: turns.map(turn => encodeTurn(turn)), ended}};
+		const {header, turns, ended, epoch} = read.value;
+		return {
+			case: 'history',
+			value: {
+				header, turns: turns.map(turn => encodeTurn(turn)), ended, epoch: BigInt(epoch),
+			},
+		};
 	}
 
 	// A copy that never had the program is an answer too: it counts towards the read quorum.
--- a/packages/entry/src/history/decode-history.ts
+++ b/packages/entry/src/history/decode-history.ts
@@ -2,6 +2,7 @@
 Whole histories as they arrive from other processes.
 */
 import type {ProgramHistory} from '@siskinhub/core/history/program-history.js';
+import type {Epoch} from '@siskinhub/core/ids/epoch.js';
 import type {History} from '@siskinhub/proto/gen/siskinhub/peer/v1/peer_pb.js';
 import {decodeHeader} from './decode-header.js';
 import {decodeTurn} from './decode-turn.js';
@@ -11,4 +12,5 @@
 	header: decodeHeader(history.header),
 	turns: history.turns.map(turn => decodeTurn(turn)),
 	ended: history.ended,
+	epoch: Number(history.epoch) as Epoch,
 };
--- a/packages/entry/src/owner/create-program-book.ts
+++ b/packages/entry/src/owner/create-program-book.ts
@@ -3,6 +3,7 @@
 for, so that a takeover costs nothing for programs that stay quiet.
 */
 import {err, ok, type Result} from 'neverthrow';
+import {chooseLongestValidChain} from '@siskinhub/core/history/choose-longest-valid-chain.js';
 import type {ProgramHistory} from '@siskinhub/core/history/program-history.js';
 import type {ProgramId} from '@siskinhub/core/ids/program-id.js';
 import {createOpenProgram} from '@siskinhub/core/owner/create-open-program.js';
@@ -20,19 +21,18 @@
 	const waiters = new Map<ProgramId, Set<() => void>>();
 
 	const readFrom = async (id: ProgramId): Promise<Result<ProgramHistory | undefined, Refusal>> => {
-		let longest: ProgramHistory | undefined;
+		const copies: ProgramHistory[] = [];
 		for (const group of [holders, ...sources]) {
 			const read = await histories.readLongest(group, id);
 			if (read.isErr()) {
 				return err(read.error);
 			}
 
-			if ((read.value?.turns.length ?? -1) > (longest?.turns.length ?? -1)) {
-				longest = read.value;
-			}
+			copies.push(...read.value ? [read.value] : []);
 		}
 
-		return ok(longest);
+		const longest = chooseLongestValidChain(copies);
+		return ok(longest && {...longest, ended: copies.some(copy => copy.ended)});
 	};
 
 	const load = async (id: ProgramId): Promise<Result<OpenProgram, Refusal>> => {
--- a/packages/entry/src/owner/create-program-service.ts
+++ b/packages/entry/src/owner/create-program-service.ts
@@ -115,7 +115,9 @@
 				return refuse({code: 'history-mismatch', message: `The history that came with the call is not the program's, whose digest is ${digest || '(none)'}.`});
 			}
 
-			const repaired = await histories.repair(place, {header, turns, ended});
+			const repaired = await histories.repair(place, {
+				header, turns, ended, epoch,
+			});
 			return repaired.isErr() ? refuse(repaired.error) : {case: 'acknowledged', value: {}};
 		},
 		async listAlive(programs) {
--- a/packages/history/src/__tests__/history-store.test.ts
+++ b/packages/history/src/__tests__/history-store.test.ts
@@ -60,7 +60,9 @@
 		await store.close();
 		store = await openStore(folder);
 		const {header, turns} = createTurns('p1-a', 3);
-		expect(await unwrap(store.readHistory(A))).toEqual({header, turns, ended: true});
+		expect(await unwrap(store.readHistory(A))).toEqual({
+			header, turns, ended: true, epoch: EPOCH,
+		});
 		expect(store.listPrograms(SHARD)).toEqual([{
 			program: A, digest: turns[2]!.digest, turns: 3, ended: true,
 		}]);
--- a/packages/history/src/create-compactor.ts
+++ b/packages/history/src/create-compactor.ts
@@ -5,8 +5,6 @@
 */
 import {unlink} from 'node:fs/promises';
 import type {ProgramId} from '@siskinhub/core/ids/program-id.js';
-import type {ShardId} from '@siskinhub/core/ids/shard-id.js';
-import {shardOfProgram} from '@siskinhub/core/ids/shard-of-program.js';
 import {err, ok, type Result} from 'neverthrow';
 import type {ProgramIndex} from './create-program-index.js';
 import type {HistoryError} from './history-error.js';
@@ -16,7 +14,6 @@
 import {segmentFiles} from './log/segment-files.js';
 import {syncFolder} from './log/sync-folder.js';
 
-const MOST_SHARDS = 100_000;
 // Copying forward pays only once less than this share of the files is alive.
 const LEAST_LIVE_SHARE = 0.5;
 
@@ -64,9 +61,8 @@
 		return copyForward({index, writer, readHistory} as Compactor, id);
 	}
 
-	const epoch = index.fences.get(shardOfProgram(id, MOST_SHARDS) ?? 0 as ShardId)!;
 	const meta = {
-		kind: 'copy', program: id, epoch, turns: program.turns, digest: program.digest, endedAt: program.endedAt,
+		kind: 'copy', program: id, epoch: program.epoch, turns: program.turns, digest: program.digest, endedAt: program.endedAt,
 	} as const;
 	const {location, done} = writer.append(encodeEntry(meta, {header, turns}));
 	index.apply(meta, location);
--- a/packages/history/src/create-program-index.ts
+++ b/packages/history/src/create-program-index.ts
@@ -46,7 +46,7 @@
 		}
 	};
 
-	const begin = (program: ProgramId, location: Location, state: Pick<IndexedProgram, 'digest' | 'turns' | 'endedAt'>): void => {
+	const begin = (program: ProgramId, location: Location, state: Pick<IndexedProgram, 'digest' | 'turns' | 'endedAt' | 'epoch'>): void => {
 		programs.set(program, {...state, last: location, spans: [{segment: location.segment, bytes: location.length}]});
 	};
 
@@ -66,6 +66,7 @@
 			return false;
 		}
 
+		program.epoch = meta.epoch;
 		program.last = location;
 		addSpan(program, location);
 		return true;
@@ -86,12 +87,14 @@
 				}
 
 				case 'start': {
-					begin(meta.program, location, {digest: EMPTY_HISTORY, turns: 0});
+					begin(meta.program, location, {digest: EMPTY_HISTORY, turns: 0, epoch: meta.epoch});
 					return true;
 				}
 
 				case 'copy': {
-					begin(meta.program, location, {digest: meta.digest, turns: meta.turns, endedAt: meta.endedAt});
+					begin(meta.program, location, {
+						digest: meta.digest, turns: meta.turns, endedAt: meta.endedAt, epoch: meta.epoch,
+					});
 					return true;
 				}
 
--- a/packages/history/src/read-program.ts
+++ b/packages/history/src/read-program.ts
@@ -17,7 +17,7 @@
 const checkChain = (base: Base, program: IndexedProgram, corrupt: HistoryError): Result<ProgramHistory, HistoryError> => {
 	const digest = verifyChain(base.header, base.turns);
 	return digest.isOk() && digest.value === program.digest
-		? ok({...base, ended: program.endedAt !== undefined})
+		? ok({...base, ended: program.endedAt !== undefined, epoch: program.epoch})
 		: err(corrupt);
 };
 
