fix(entry): not-run only when it lasts; replaced owners fall silent; histories by quorum

The word is now given only once the log has it; else the call is asked for at the new owner, or answered unavailable. 2. history: an owner whose lease had lapsed in an outage did not know that it had been replaced, and a history read through it lacked a turn that the new owner had settled. Owners now compare their epochs with those announced, and the history is read from a quorum of holders instead of up to the owner's digest.

Ruled out for 1: telling the caller not-run without the log while the platform is down, as before: the next owner might run the copy.

--- a/packages/entry/src/http/create-program-routes.ts
+++ b/packages/entry/src/http/create-program-routes.ts
@@ -4,12 +4,12 @@
 import * as z from 'zod';
 import {createProgramId} from '@siskinhub/core/ids/create-program-id.js';
 import type {ProgramId} from '@siskinhub/core/ids/program-id.js';
-import type {HostId} from '@siskinhub/core/ids/host-id.js';
 import type {ShardId} from '@siskinhub/core/ids/shard-id.js';
 import type {RefusalCode} from '@siskinhub/core/refusal/refusal-code.js';
 import type {Body} from '@siskinhub/peer/body.js';
 import type {BodyInit} from '@siskinhub/peer/body-init.js';
 import type {ProgramView} from '@siskinhub/proto/gen/siskinhub/peer/v1/peer_pb.js';
+import {decodeHolders} from '../history/decode-holders.js';
 import type {HttpRequest} from './http-request.js';
 import type {HttpRoute} from './http-route.js';
 import {readJson} from './read-json.js';
@@ -109,14 +109,15 @@
 			return;
 		}
 
-		const {digest, holders} = reply.value;
-		const read = await histories.readAt(holders.map(({host, peerAddress, dataFolderId}) => ({host: host as HostId, peerAddress, dataFolderId})), program, digest);
+		// A read quorum has every turn that a caller was told of, also where the owner that answered has just been replaced.
+		const read = await histories.readLongest(decodeHolders(reply.value.holders), program);
 		if (read.isErr()) {
 			sendRefusal(request.res, read.error);
 			return;
 		}
 
-		sendJson(request.res, 200, {program, digest, turns: read.value.turns});
+		const turns = read.value?.turns ?? [];
+		sendJson(request.res, 200, {program, digest: turns.at(-1)?.digest ?? '', turns});
 	};
 
 	return [
--- a/packages/entry/src/owner/create-grant-giver.ts
+++ b/packages/entry/src/owner/create-grant-giver.ts
@@ -18,6 +18,7 @@
 import {checkLimits} from './check-limits.js';
 import {EARLIER_RUN_POSSIBLE} from './earlier-run-possible.js';
 import type {GrantGiver} from './grant-giver.js';
+import {NOT_CERTAIN} from './not-certain.js';
 import type {ProgramBook} from './program-book.js';
 import {refuse} from './refuse.js';
 import type {RowLimits} from './row-limits.js';
@@ -35,6 +36,14 @@
 /** Tokens that an engine adds to a message for its role and its ends. */
 const MESSAGE_OVERHEAD_TOKENS = 16;
 
+const CLAIM_NOT_RECORDED: Refusal = {
+	code: 'not-run',
+	message: 'The claim could not be recorded before the deadline; the call did not run.',
+	retryAfterMs: RETRY_AFTER_MS,
+};
+
+type CloseRequest = Parameters<GrantGiver['give']>[3];
+
 type CallAccount = {
 	readonly limits: RowLimits;
 	readonly reservation?: TokenReservation;
@@ -48,7 +57,7 @@
 const estimatePrompt = (program: OpenProgram, inputBytes: number): number => program.historyTokens + Math.ceil(inputBytes / BYTES_PER_TOKEN);
 
 /** Creates the giver of one shard's owner. */
-export const createGrantGiver = (options: ShardOwnerOptions, book: ProgramBook): GrantGiver => {
+export const createGrantGiver = (options: ShardOwnerOptions, book: ProgramBook, isOwner: () => boolean): GrantGiver => {
 	const {shard, epoch, shardLog, holders, upstreams, crashes, chooseUpstream, random, createId} = options;
 	const accounts = new WeakMap<OwnedCall, CallAccount>();
 	const attainedMs = new Map<string, number>();
@@ -126,7 +135,7 @@
 				return err({code: 'cancelled', message: 'The call was cancelled before it was sent to an upstream.'});
 			}
 
-			if (Date.now() >= deadlineAt) {
+			if (!isOwner() || Date.now() >= deadlineAt) {
 				return err({code: 'not-run', message: `No live upstream serves ${message.target}; send the call again under a new request id later.`, retryAfterMs: RETRY_AFTER_MS});
 			}
 
@@ -183,6 +192,23 @@
 		return ok({limits, reservation: reserved.value, releaseSlots: slots.value});
 	};
 
+	/** Refuses a call that was not sent, with a word that stays true whoever owns the shard. */
+	const refuseUnsent = async (program: OpenProgram, call: OwnedCall, refusal: Refusal, closeRequest: CloseRequest): Promise<BodyInit> => {
+		const {code} = refusal;
+		if (code === 'not-run' && mayHaveRun(program, call)) {
+			abandon(program, call);
+			return refuse(EARLIER_RUN_POSSIBLE);
+		}
+
+		const isCertain = (code !== 'not-run' && code !== 'cancelled') || await closeRequest(program, call.requestId, call.turn, code);
+		abandon(program, call);
+		if (!isOwner()) {
+			return {case: 'notOwner', value: {shard}};
+		}
+
+		return refuse(isCertain ? refusal : NOT_CERTAIN);
+	};
+
 	const give: GrantGiver['give'] = async (program, message, deadlineAt, closeRequest) => {
 		const resolved = options.limitsOf(program.header);
 		if (resolved.isErr()) {
@@ -214,26 +240,14 @@
 		accounts.set(call, {limits: resolved.value});
 		const opened = await openAccount(resolved.value, worstCase, deadlineAt);
 		if (opened.isErr()) {
-			if (opened.error.code === 'not-run') {
-				await closeRequest(program, call.requestId, call.turn, 'not-run');
-			}
-
-			abandon(program, call);
-			return refuse(opened.error);
+			return refuseUnsent(program, call, opened.error, closeRequest);
 		}
 
 		const account = opened.value;
 		accounts.set(call, account);
 		const upstream = await waitForUpstream(program, call, message, deadlineAt);
 		if (upstream.isErr()) {
-			if (upstream.error.code === 'not-run' && mayHaveRun(program, call)) {
-				abandon(program, call);
-				return refuse(EARLIER_RUN_POSSIBLE);
-			}
-
-			await closeRequest(program, call.requestId, call.turn, upstream.error.code === 'cancelled' ? 'cancelled' : 'not-run');
-			abandon(program, call);
-			return refuse(upstream.error);
+			return refuseUnsent(program, call, upstream.error, closeRequest);
 		}
 
 		account.missingTokens = estimatePrompt(program, message.inputBytes) - (program.prefixHolder === upstream.value.id ? program.historyTokens : 0);
@@ -254,11 +268,7 @@
 		if (!call.idempotent) {
 			const claimed = await claimInLog(program, call, upstream.value, claim, deadlineAt);
 			if (claimed.isErr()) {
-				await closeRequest(program, call.requestId, call.turn, 'not-run');
-				abandon(program, call);
-				return shardLog.isFenced()
-					? {case: 'notOwner', value: {shard}}
-					: refuse({code: 'not-run', message: 'The claim could not be recorded before the deadline; the call did not run.', retryAfterMs: RETRY_AFTER_MS});
+				return refuseUnsent(program, call, CLAIM_NOT_RECORDED, closeRequest);
 			}
 		}
 
--- a/packages/entry/src/owner/create-shard-owner.ts
+++ b/packages/entry/src/owner/create-shard-owner.ts
@@ -20,38 +20,34 @@
 import type {ShardLogItem} from '@siskinhub/core/owner/shard-log-item.js';
 import type {BodyInit} from '@siskinhub/peer/body-init.js';
 import {Fate, type Release} from '@siskinhub/proto/gen/siskinhub/peer/v1/peer_pb.js';
+import {decideClosing} from './decide-closing.js';
 import {createGrantGiver} from './create-grant-giver.js';
 import {createProgramBook} from './create-program-book.js';
 import {createProgramService} from './create-program-service.js';
 import {EARLIER_RUN_POSSIBLE} from './earlier-run-possible.js';
 import {findProgram} from './find-program.js';
+import {NOT_CERTAIN} from './not-certain.js';
 import {refillHolders} from './refill-holders.js';
 import {refuse} from './refuse.js';
 import type {ShardOwner} from './shard-owner.js';
 import type {ShardOwnerOptions} from './shard-owner-options.js';
 
 const ACKNOWLEDGED: BodyInit = {case: 'acknowledged', value: {}};
-/** Time that a word of not-run may take to become durable before it is given all the same. */
+/** Time that the word of not-run may take to become durable; without that it is not given. */
 const CLOSE_TIMEOUT_MS = 2000;
 
 /** A platform that does not answer must not hold up a planned stop; the lease lapses then. */
 const HAND_OVER_TIMEOUT_MS = 3000;
 const ATTACH_RETRY_MS = 500;
 
-const FATES: Readonly<Partial<Record<Fate, ClosedFate>>> = {
-	[Fate.NOT_RUN]: 'not-run',
-	[Fate.UNKNOWN]: 'outcome-unknown',
-	[Fate.CANCELLED]: 'cancelled',
-};
-
 /** Creates the owner of a shard whose log this process has just taken over. */
 export const createShardOwner = (options: ShardOwnerOptions): ShardOwner => {
 	const {shard, epoch, shardLog, holders, upstreams, crashes, orders, log} = options;
 	const book = createProgramBook(options);
-	const giver = createGrantGiver(options, book);
 	const notOwner: BodyInit = {case: 'notOwner', value: {shard}};
 	let isLeaving = false;
 	const isOwner = () => !isLeaving && !shardLog.isFenced();
+	const giver = createGrantGiver(options, book, isOwner);
 
 	const append = async (item: ShardLogItem, timeoutMs?: number) => shardLog.append(item, timeoutMs === undefined ? {} : {timeoutMs});
 
@@ -67,12 +63,28 @@
 		book.signal(program.header.program);
 	};
 
-	/** Makes sure that the request never runs again under its id, whoever owns the shard. */
-	const closeRequest = async (program: OpenProgram, requestId: RequestId, turn: TurnNumber, fate: ClosedFate) => {
-		program.closed.set(requestId, fate);
-		await append({
+	/** Makes sure that the request never runs again under its id, whoever owns the shard; false if the log did not take it. */
+	const closeRequest = async (program: OpenProgram, requestId: RequestId, turn: TurnNumber, fate: ClosedFate): Promise<boolean> => {
+		if (fate === 'outcome-unknown') {
+			// Holds at this owner at once; for the next one the claim stands in the log.
+			program.closed.set(requestId, fate);
+		}
+
+		const closed = await append({
 			kind: 'close', program: program.header.program, turn, requestId, fate,
 		}, CLOSE_TIMEOUT_MS);
+		if (closed.isOk()) {
+			program.closed.set(requestId, fate);
+		}
+
+		return closed.isOk();
+	};
+
+	/** The log may have taken a closing whose answer came too late. */
+	const noteClosed = (program: OpenProgram) => {
+		for (const {requestId, fate} of shardLog.state().programs[program.header.program]?.closed ?? []) {
+			program.closed.set(requestId as RequestId, fate);
+		}
 	};
 
 	const grant: ShardOwner['grant'] = async message => {
@@ -95,6 +107,7 @@
 
 			const program = found.value;
 			program.lastSeenAt = Date.now();
+			noteClosed(program);
 			const decision = decideGrant(program, question);
 			switch (decision.kind) {
 				case 'refuse': {
@@ -162,8 +175,6 @@
 		return ACKNOWLEDGED;
 	};
 
-	const isMayHaveRun = (message: Release) => message.fate !== Fate.NOT_RUN;
-
 	const release: ShardOwner['release'] = async message => {
 		const found = await book.find(message.program as ProgramId);
 		if (found.isErr()) {
@@ -182,8 +193,8 @@
 			crashes.noteCrash(call.fingerprint, message.ranAlone);
 		}
 
-		giver.release(program, call, isMayHaveRun(message), Number(message.usedTokens));
-		if (call.idempotent && isMayHaveRun(message)) {
+		giver.release(program, call, message.fate !== Fate.NOT_RUN, Number(message.usedTokens));
+		if (call.idempotent && message.fate !== Fate.NOT_RUN) {
 			program.doubtful.add(call.requestId);
 		} else if (message.fate === Fate.NOT_RUN && mayHaveRun(program, call)) {
 			// Only this grant did not run.
@@ -191,14 +202,13 @@
 			return refuse(EARLIER_RUN_POSSIBLE);
 		}
 
-		const isUncertain = !call.idempotent && isMayHaveRun(message);
-		const fate = isUncertain ? 'outcome-unknown' : FATES[message.fate];
-		if (isUncertain || (message.final && fate)) {
-			const closed: ClosedFate = isUncertain ? 'outcome-unknown' : (fate ?? 'not-run');
-			await closeRequest(program, call.requestId, call.turn, closed);
+		const fate = decideClosing(call, message);
+		const isCertain = fate === undefined || await closeRequest(program, call.requestId, call.turn, fate);
+		freeTurn(program, call);
+		if (!isCertain && fate === 'not-run') {
+			return isOwner() ? refuse(NOT_CERTAIN) : notOwner;
 		}
 
-		freeTurn(program, call);
 		return ACKNOWLEDGED;
 	};
 
--- a/packages/entry/src/owner/grant-giver.ts
+++ b/packages/entry/src/owner/grant-giver.ts
@@ -9,7 +9,7 @@
 import type {BodyInit} from '@siskinhub/peer/body-init.js';
 import type {GrantRequest} from '@siskinhub/proto/gen/siskinhub/peer/v1/peer_pb.js';
 
-type CloseRequest = (program: OpenProgram, requestId: RequestId, turn: TurnNumber, fate: ClosedFate) => Promise<void>;
+type CloseRequest = (program: OpenProgram, requestId: RequestId, turn: TurnNumber, fate: ClosedFate) => Promise<boolean>;
 
 /** The parts of a grant's life that touch limits, budget, upstream and log. */
 export type GrantGiver = {
--- a/packages/entry/src/ownership/create-ownership.ts
+++ b/packages/entry/src/ownership/create-ownership.ts
@@ -172,9 +172,13 @@
 		log.info('shard taken over', {shard, epoch: taken.value.epoch});
 	};
 
+	/** An owner that another has replaced learns of it here before it touches the log again, so that it answers no more from what it knew. */
+	const isReplaced = ({shard, epoch}: ShardOwner): boolean => hasOtherOwner(shard) && (liveOwners.get(shard)?.epoch ?? 0) > epoch;
+
 	const dropFenced = (): void => {
 		for (const [shard, owner] of owned) {
-			if (owner.isFenced()) {
+			if (owner.isFenced() || isReplaced(owner)) {
+				owner.retire();
 				owned.delete(shard);
 				map.forget(shard, owner.epoch);
 				log.warn('shard lost to another owner', {shard, epoch: owner.epoch});
@@ -217,6 +221,7 @@
 			return;
 		}
 
+		dropFenced();
 		// Without a lease its shards would not be announced, and others would take them over.
 		if (lease === undefined || hasReturned) {
 			await keepLease();
