--- a/packages/entry/src/owner/create-shard-owner.ts
+++ b/packages/entry/src/owner/create-shard-owner.ts
@@ -19,7 +19,7 @@
 import type {OwnedCall} from '@siskinhub/core/owner/owned-call.js';
 import type {ShardLogItem} from '@siskinhub/core/owner/shard-log-item.js';
 import type {BodyInit} from '@siskinhub/peer/body-init.js';
-import {Fate, type Release} from '@siskinhub/proto/gen/siskinhub/peer/v1/peer_pb.js';
+import {Fate} from '@siskinhub/proto/gen/siskinhub/peer/v1/peer_pb.js';
 import {decideClosing} from './decide-closing.js';
 import {createGrantGiver} from './create-grant-giver.js';
 import {createProgramBook} from './create-program-book.js';
