--- a/packages/entry/src/owner/create-owner-service.ts
+++ b/packages/entry/src/owner/create-owner-service.ts
@@ -31,10 +31,12 @@
 
 	const listAlive = async (programs: readonly string[]): Promise<BodyInit> => {
 		const alive: string[] = [];
+		const epochs: Record<number, bigint> = {};
 		for (const program of programs) {
 			const shard = shardOf(program as ProgramId);
 			const owner = shard === undefined ? undefined : ownership().get(shard);
 			if (owner) {
+				epochs[owner.shard] = BigInt(owner.epoch);
 				alive.push(...await owner.listAlive([program]));
 			} else if (shard !== undefined && !map.ownerOf(shard)) {
 				// Nobody is known to own the shard, so nobody can say that the program ended.
@@ -42,7 +44,7 @@
 			}
 		}
 
-		return {case: 'programsAlive', value: {programs: alive}};
+		return {case: 'programsAlive', value: {programs: alive, epochs}};
 	};
 
 	const describeOwner = (shard: ShardId): BodyInit => {
--- a/packages/sidecar/src/create-prefix-keeper.ts
+++ b/packages/sidecar/src/create-prefix-keeper.ts
@@ -9,6 +9,7 @@
 */
 import type {Epoch} from '@siskinhub/core/ids/epoch.js';
 import type {ProgramId} from '@siskinhub/core/ids/program-id.js';
+import {shardOfProgram} from '@siskinhub/core/ids/shard-of-program.js';
 import type {Logger} from '@siskinhub/observe/logger.js';
 import type {PeerLink} from '@siskinhub/peer/peer-link.js';
 import {Role} from '@siskinhub/proto/gen/siskinhub/peer/v1/peer_pb.js';
@@ -24,6 +25,17 @@
 	readonly log: Logger;
 };
 
+type OwnersAnswer = {
+	/** Whether every entry with a link answered. */
+	readonly answered: boolean;
+	readonly alive: ReadonlySet<string>;
+	/** Epochs of the owners that answered, by shard. */
+	readonly epochs: ReadonlyMap<number, Epoch>;
+};
+
+/** More shards than any deployment has; a sidecar need not know the real count. */
+const MOST_SHARDS = 100_000;
+const NO_EPOCH = 0 as Epoch;
 const OWNER_TIMEOUT_MS = 2000;
 /** Answers in a row that must miss a program before its prefix goes. */
 const MISSING_ANSWERS = 2;
@@ -44,23 +56,28 @@
 		}
 	};
 
-	const askOwners = async (programs: string[]): Promise<{answered: boolean; alive: Set<string>}> => {
+	const askOwners = async (programs: string[]): Promise<OwnersAnswer> => {
 		const entries = [...links].filter(link => link.remote()?.role === Role.ENTRY);
 		const replies = await Promise.all(entries.map(async link => link.request({case: 'programsAlive', value: {programs}}, {timeoutMs: OWNER_TIMEOUT_MS})));
 		const alive = new Set<string>();
+		const epochs = new Map<number, Epoch>();
 		let isComplete = entries.length > 0;
 		for (const reply of replies) {
 			if (reply.isOk() && reply.value.case === 'programsAlive') {
 				for (const program of reply.value.value.programs) {
 					alive.add(program);
 				}
+
+				for (const [shard, epoch] of Object.entries(reply.value.value.epochs)) {
+					epochs.set(Number(shard), Number(epoch) as Epoch);
+				}
 			} else {
 				// An entry that did not answer may own the program.
 				isComplete = false;
 			}
 		}
 
-		return {answered: isComplete, alive};
+		return {answered: isComplete, alive, epochs};
 	};
 
 	const reconcile = async () => {
@@ -82,7 +99,7 @@
 			return;
 		}
 
-		const {answered, alive} = await askOwners(idle);
+		const {answered, alive, epochs} = await askOwners(idle);
 		if (!answered) {
 			return;
 		}
@@ -92,7 +109,8 @@
 			missing.set(program, times);
 			if (times >= MISSING_ANSWERS) {
 				missing.delete(program);
-				ordered.set(program as ProgramId, 0 as Epoch);
+				// An upstream that checks fencing numbers takes the release only under the present owner's.
+				ordered.set(program as ProgramId, epochs.get(shardOfProgram(program as ProgramId, MOST_SHARDS) ?? -1) ?? NO_EPOCH);
 				log.info('releasing the prefix of a program that no owner knows', {programId: program});
 			}
 		}
