fix(entry,sidecar): an inherited claim is stored under the present owner's epoch

Cause: after a takeover the owner gave the claims that it found in the log with the epoch under which they had been given, and history holders refuse that epoch: the answer of a non-idempotent call that had run could never be stored, and every copy of its request was told so until the program ended (found by the soak: graceful-stop). A grant now carries the present epoch, and beside it the claim's own, by which the sidecar numbers what it has forgotten.

--- a/packages/core/src/sidecar/__tests__/grant-registry.test.ts
+++ b/packages/core/src/sidecar/__tests__/grant-registry.test.ts
@@ -12,6 +12,7 @@
 	claim: `c${epoch}-${sequence}` as ClaimId,
 	shard: 0 as ShardId,
 	epoch: epoch as Epoch,
+	claimEpoch: epoch as Epoch,
 	sequence,
 	sidecarInstance: INSTANCE,
 	attachOnly,
@@ -53,3 +54,11 @@
 	const registry = createGrantRegistry({instance: 'sidecar-2' as InstanceId, maxRecords: 10});
 	expect(registry.admit(grantOf(1), true).kind).toBe('unknown');
 });
+
+test('a claim of an earlier epoch that was forgotten is unknown to the later owner, not refused', () => {
+	const registry = createGrantRegistry({instance: INSTANCE, maxRecords: 1});
+	expect(registry.admit(grantOf(5, 1), true).kind).toBe('run');
+	expect(registry.admit(grantOf(6, 1), true).kind).toBe('run');
+	const inherited = {...grantOf(5, 1, true), epoch: 2 as Epoch};
+	expect(registry.admit(inherited, true).kind).toBe('unknown');
+});
--- a/packages/core/src/sidecar/create-grant-registry.ts
+++ b/packages/core/src/sidecar/create-grant-registry.ts
@@ -57,7 +57,7 @@
 				return {kind: 'unknown', reason: 'the grant names an earlier lifetime of this sidecar'};
 			}
 
-			const series = `${grant.shard}/${grant.epoch}`;
+			const series = `${grant.shard}/${grant.claimEpoch}`;
 			if (grant.sequence <= (highestForgotten.get(series) ?? 0)) {
 				return {kind: 'unknown', reason: 'the grant is older than what this sidecar remembers'};
 			}
--- a/packages/core/src/sidecar/grant-registry.ts
+++ b/packages/core/src/sidecar/grant-registry.ts
@@ -11,6 +11,8 @@
 	readonly claim: ClaimId;
 	readonly shard: ShardId;
 	readonly epoch: Epoch;
+	/** Epoch under which the claim was numbered. */
+	readonly claimEpoch: Epoch;
 	readonly sequence: number;
 	readonly sidecarInstance: InstanceId;
 	/** The grant may have run already: never start it anew. */
