--- a/packages/bench/src/capacity/usage/measure-usage.ts
+++ b/packages/bench/src/capacity/usage/measure-usage.ts
@@ -4,14 +4,7 @@
 import type {ManagedProcess} from '@siskinhub/standins/cluster/managed-process.js';
 import {readUsage} from './read-usage.js';
 import type {Usage} from './usage.js';
-
-/** Rates over the window, and the resident memory at its end. */
-export type UsageRate = {
-	readonly cpuMsPerS: number;
-	readonly readBytesPerS: number;
-	readonly writtenBytesPerS: number;
-	readonly residentMb: number;
-};
+import type {UsageRate} from './usage-rate.js';
 
 const MS_PER_S = 1000;
 
--- /dev/null
+++ b/packages/bench/src/capacity/usage/usage-rate.ts
@@ -0,0 +1,11 @@
+/**
+What a process used in a window of time.
+*/
+
+/** Rates over the window, and the resident memory at its end. */
+export type UsageRate = {
+	readonly cpuMsPerS: number;
+	readonly readBytesPerS: number;
+	readonly writtenBytesPerS: number;
+	readonly residentMb: number;
+};
--- a/packages/history/src/create-compactor.ts
+++ b/packages/history/src/create-compactor.ts
@@ -6,7 +6,7 @@
 import {unlink} from 'node:fs/promises';
 import type {ProgramId} from '@siskinhub/core/ids/program-id.js';
 import {err, ok, type Result} from 'neverthrow';
-import type {ProgramIndex} from './create-program-index.js';
+import type {ProgramIndex} from './program-index.js';
 import type {HistoryError} from './history-error.js';
 import type {HistoryStore} from './history-store.js';
 import {encodeEntry} from './log/encode-entry.js';
--- a/packages/history/src/create-program-index.ts
+++ b/packages/history/src/create-program-index.ts
@@ -9,21 +9,12 @@
 import type {IndexedProgram} from './indexed-program.js';
 import type {EntryMeta} from './log/entry-meta.js';
 import type {Location} from './log/location.js';
+import type {ProgramIndex} from './program-index.js';
 
 // More shards than any deployment has; the store need not know the real count.
 const MOST_SHARDS = 100_000;
 const EMPTY_HISTORY = '' as Digest;
 
-/** Programs and fences, without input or output. */
-export type ProgramIndex = {
-	readonly programs: ReadonlyMap<ProgramId, IndexedProgram>;
-	/** Highest epoch seen by each shard. */
-	readonly fences: ReadonlyMap<ShardId, Epoch>;
-	/** Folds one entry in; `false` means that it does not follow the entries before it. */
-	readonly apply: (meta: EntryMeta, location: Location) => boolean;
-	readonly forget: (program: ProgramId) => void;
-};
-
 const shardOf = (program: ProgramId): ShardId | undefined => shardOfProgram(program, MOST_SHARDS);
 
 const addSpan = (program: IndexedProgram, {segment, length}: Location): void => {
--- a/packages/history/src/create-reader.ts
+++ b/packages/history/src/create-reader.ts
@@ -4,7 +4,7 @@
 import type {ProgramHistory} from '@siskinhub/core/history/program-history.js';
 import type {ProgramId} from '@siskinhub/core/ids/program-id.js';
 import {err, type Result} from 'neverthrow';
-import type {ProgramIndex} from './create-program-index.js';
+import type {ProgramIndex} from './program-index.js';
 import type {HistoryError} from './history-error.js';
 import type {LogWriter} from './log/open-log-writer.js';
 import {readProgram} from './read-program.js';
--- a/packages/history/src/create-writes.ts
+++ b/packages/history/src/create-writes.ts
@@ -10,7 +10,7 @@
 import type {ShardId} from '@siskinhub/core/ids/shard-id.js';
 import {shardOfProgram} from '@siskinhub/core/ids/shard-of-program.js';
 import {err, ok, type Result} from 'neverthrow';
-import type {ProgramIndex} from './create-program-index.js';
+import type {ProgramIndex} from './program-index.js';
 import type {HistoryError} from './history-error.js';
 import type {HistoryStore} from './history-store.js';
 import type {IndexedProgram} from './indexed-program.js';
--- a/packages/history/src/open-history-store.ts
+++ b/packages/history/src/open-history-store.ts
@@ -6,7 +6,7 @@
 import {mkdir} from 'node:fs/promises';
 import {err, ok, type Result} from 'neverthrow';
 import {createCompactor} from './create-compactor.js';
-import type {ProgramIndex} from './create-program-index.js';
+import type {ProgramIndex} from './program-index.js';
 import {createReader} from './create-reader.js';
 import {createWrites} from './create-writes.js';
 import type {HistoryError} from './history-error.js';
--- a/packages/history/src/recover-index.ts
+++ b/packages/history/src/recover-index.ts
@@ -3,7 +3,8 @@
 */
 import {open, readFile, unlink} from 'node:fs/promises';
 import {err, ok, type Result} from 'neverthrow';
-import {createProgramIndex, type ProgramIndex} from './create-program-index.js';
+import type {ProgramIndex} from './program-index.js';
+import {createProgramIndex} from './create-program-index.js';
 import type {HistoryError} from './history-error.js';
 import {scanSegment} from './log/scan-segment.js';
 import {segmentFiles} from './log/segment-files.js';
--- a/packages/prove/src/cluster/cluster.ts
+++ b/packages/prove/src/cluster/cluster.ts
@@ -3,7 +3,7 @@
 */
 import type {PlatformHost} from '@siskinhub/platform/platform-host.js';
 import type {ManagedProcess} from '@siskinhub/standins/cluster/managed-process.js';
-import type {TcpCutter} from './create-tcp-cutter.js';
+import type {TcpCutter} from './tcp-cutter.js';
 
 /** An entry and where clients reach it, through its relay. */
 type EntryNode = {readonly name: string; readonly address: string; readonly process: ManagedProcess};
--- a/packages/prove/src/cluster/create-tcp-cutter.ts
+++ b/packages/prove/src/cluster/create-tcp-cutter.ts
@@ -6,17 +6,7 @@
 import {
 	createServer, connect, type Socket,
 } from 'node:net';
-
-/** A relay before one address. */
-export type TcpCutter = {
-	readonly port: number;
-	/** Stops forwarding on every open connection, for good; returns how many there were. */
-	readonly silence: () => number;
-	/** Refuses new connections, as a host without the process would. */
-	readonly refuse: () => void;
-	readonly accept: () => void;
-	readonly close: () => void;
-};
+import type {TcpCutter} from './tcp-cutter.js';
 
 const forward = (from: Socket, to: Socket): void => {
 	from.pipe(to);
--- a/packages/prove/src/cluster/start-cluster.ts
+++ b/packages/prove/src/cluster/start-cluster.ts
@@ -13,7 +13,8 @@
 import type {ManagedProcess} from '@siskinhub/standins/cluster/managed-process.js';
 import type {Cluster} from './cluster.js';
 import type {ClusterOptions} from './cluster-options.js';
-import {createTcpCutter, type TcpCutter} from './create-tcp-cutter.js';
+import type {TcpCutter} from './tcp-cutter.js';
+import {createTcpCutter} from './create-tcp-cutter.js';
 import {sendJsonRequest} from './send-json-request.js';
 import {writeSettings} from './write-settings.js';
 
--- a/packages/prove/src/points/create-request-point.ts
+++ b/packages/prove/src/points/create-request-point.ts
@@ -3,7 +3,7 @@
 */
 import type {Operation} from '../history/operation.js';
 import type {RecordedRun} from '../history/recorded-run.js';
-import type {FaultKind} from '../schedule/fault.js';
+import type {FaultKind} from '../schedule/fault-kind.js';
 import {checkRequests} from './check-requests.js';
 import {drivePrograms} from './drive-programs.js';
 import {listFaultTargets} from './list-fault-targets.js';
--- a/packages/prove/src/points/list-fault-targets.ts
+++ b/packages/prove/src/points/list-fault-targets.ts
@@ -1,7 +1,7 @@
 /**
 Names every target that faults may strike.
 */
-import type {FaultKind} from '../schedule/fault.js';
+import type {FaultKind} from '../schedule/fault-kind.js';
 import type {ProofContext} from './proof-context.js';
 
 /** The kinds that are asked for, with all their targets. */
--- a/packages/prove/src/points/point.ts
+++ b/packages/prove/src/points/point.ts
@@ -4,7 +4,7 @@
 import type {ClusterOptions} from '../cluster/cluster-options.js';
 import type {RecordedRun} from '../history/recorded-run.js';
 import type {Violation} from '../history/violation.js';
-import type {FaultKind} from '../schedule/fault.js';
+import type {FaultKind} from '../schedule/fault-kind.js';
 import type {ProofContext} from './proof-context.js';
 
 /** Targets that a schedule may draw, by kind. */
--- a/packages/prove/src/schedule/draw-schedule.ts
+++ b/packages/prove/src/schedule/draw-schedule.ts
@@ -2,7 +2,8 @@
 Draws a fault schedule from a seed.
 */
 import type {Random} from '@siskinhub/core/decide/random.js';
-import type {Fault, FaultKind} from './fault.js';
+import type {FaultKind} from './fault-kind.js';
+import type {Fault} from './fault.js';
 
 const TOGETHER_SHARE = 0.3;
 const TWICE_SHARE = 0.2;
--- a/packages/standins/src/cluster/deployment.ts
+++ b/packages/standins/src/cluster/deployment.ts
@@ -2,6 +2,7 @@
 The processes of one deployment on the loopback interface.
 */
 import type {ManagedProcess} from './managed-process.js';
+import type {StopReport} from './stop-report.js';
 
 type EntryNode = {
 	readonly name: string;
@@ -21,12 +22,6 @@
 	readonly sidecar: ManagedProcess;
 };
 
-/** How the processes of a deployment ended. */
-export type StopReport = {
-	/** Names of daemons that did not exit with 0 by themselves. */
-	readonly unclean: readonly string[];
-};
-
 /** Everything runs under one temporary folder. */
 export type Deployment = {
 	readonly folder: string;
--- a/packages/standins/src/cluster/stop-in-order.ts
+++ b/packages/standins/src/cluster/stop-in-order.ts
@@ -1,7 +1,7 @@
 /**
 Stops the processes of a deployment gracefully.
 */
-import type {StopReport} from './deployment.js';
+import type {StopReport} from './stop-report.js';
 import type {ManagedProcess} from './managed-process.js';
 
 const STOP_TIMEOUT_MS = 15_000;
--- a/packages/standins/src/engine/create-batch.ts
+++ b/packages/standins/src/engine/create-batch.ts
@@ -3,20 +3,10 @@
 request that ends makes room for the waiting one of the highest priority.
 */
 import type {Run} from './run.js';
+import type {Batch} from './batch.js';
 
 const UNTHROTTLED_TOKENS_PER_TICK = 64;
 
-/** The running and the waiting requests of one engine. */
-export type Batch = {
-	readonly add: (run: Run) => void;
-	/** Takes the run out, whether it runs or waits. */
-	readonly remove: (run: Run) => void;
-	readonly running: () => number;
-	readonly queued: () => number;
-	readonly has: (group: string) => boolean;
-	readonly stop: () => void;
-};
-
 /** `tokenDelayMs` is asked before each tick; `advance` generates up to `count` tokens and says whether the run goes on. */
 export const createBatch = (
 	slots: number,
--- a/packages/standins/src/engine/create-cache-event-feed.ts
+++ b/packages/standins/src/engine/create-cache-event-feed.ts
@@ -3,6 +3,7 @@
 */
 import type {ServerResponse} from 'node:http';
 import type {ResolvedFaults} from './resolved-faults.js';
+import type {CacheEventFeed} from './cache-event-feed.js';
 
 // A multiplicative hash spreads the dropped events evenly and the same way each time.
 const HASH_FACTOR = 2_654_435_761;
@@ -10,12 +11,6 @@
 
 const isDropped = (sequence: number, share: number): boolean => (sequence * HASH_FACTOR) % HASH_RANGE < share * HASH_RANGE;
 
-/** Subscribers of one engine's cache events. */
-export type CacheEventFeed = {
-	readonly publish: (change: {readonly type: string; readonly group: string; readonly tokens: number}) => void;
-	readonly subscribe: (res: ServerResponse) => void;
-};
-
 /** Events carry a rising `sequence`, so that a reader can notice a gap. */
 export const createCacheEventFeed = (faults: ResolvedFaults): CacheEventFeed => {
 	const subscribers = new Set<ServerResponse>();
--- a/packages/standins/src/engine/create-fence.ts
+++ b/packages/standins/src/engine/create-fence.ts
@@ -1,9 +1,7 @@
 /**
 Fencing numbers as an engine that checks them remembers them.
 */
-
-/** Says whether an order with this number may still take effect in its scope. */
-export type Fence = (scope: string, fencingNumber: number | undefined) => boolean;
+import type {Fence} from './fence.js';
 
 /** Numbers are compared within a scope: a cache group, or the engine itself for its orders. */
 export const createFence = (checks: boolean): Fence => {
--- a/packages/standins/src/engine/create-prefix-cache.ts
+++ b/packages/standins/src/engine/create-prefix-cache.ts
@@ -2,19 +2,11 @@
 The stand-in engine's limited memory of prompt prefixes, one per cache group,
 evicted by least recent use; groups that are in use stay.
 */
+import type {PrefixCache} from './prefix-cache.js';
 
 /** A change that is reported as a cache event. */
 type CacheChange = {readonly type: 'stored' | 'removed'; readonly group: string; readonly tokens: number};
 
-/** Prefixes by group. */
-export type PrefixCache = {
-	readonly get: (group: string) => number;
-	readonly store: (group: string, tokens: number) => void;
-	readonly remove: (group: string) => boolean;
-	readonly list: () => Array<{readonly group: string; readonly tokens: number}>;
-	readonly totalTokens: () => number;
-};
-
 /** Creates an empty cache of `capacity` tokens. `isInUse` protects a group from eviction. */
 export const createPrefixCache = (
 	capacity: number,
--- a/playground/agent/diagnose-blind.ts
+++ b/playground/agent/diagnose-blind.ts
@@ -5,6 +5,7 @@
 import {setTimeout as sleep} from 'node:timers/promises';
 import type {Step} from '../timeline/step.js';
 import type {AgentClient} from './agent-client.js';
+import type {DiagnosisReport} from './diagnosis-report.js';
 
 const TOOL_PAUSE_MS = 600;
 const OUTPUT_TOKENS = 40;
@@ -16,16 +17,6 @@
 	readonly onStep: (step: Step) => void;
 };
 
-/** What the program did, for the checks after it. */
-export type DiagnosisReport = {
-	readonly program: string;
-	readonly child: string;
-	readonly bookingRequestId: string;
-	/** Answers to the two copies of the booking. */
-	readonly bookingAnswers: readonly [string, string];
-	readonly turns: number;
-};
-
 const askModel = (model: string, program: string, turn: number, content: string) => ({
 	program,
 	turn,
--- a/playground/check-outcome.ts
+++ b/playground/check-outcome.ts
@@ -4,7 +4,7 @@
 import type {Deployment} from '@siskinhub/standins/cluster/deployment.js';
 import {sendJsonRequest} from '@siskinhub/prove/cluster/send-json-request.js';
 import type {AgentClient} from './agent/agent-client.js';
-import type {DiagnosisReport} from './agent/diagnose-blind.js';
+import type {DiagnosisReport} from './agent/diagnosis-report.js';
 import type {CheckResult} from './check-result.js';
 
 type UpstreamNode = Deployment['upstreams'][number];
