feat(gateway): the path of a request on the new machines, thin and whole

Cause: the product could not be reached on the platform's machines: no routes by host and prefix, no turns kept by request id, no reading of the platform's store.

Weighed: turns and budgets in the store (2 to 3 priced calls a turn, nothing during its outages), owners of shards as elsewhere in the product (each loss of an owner stalls its programs), facts on the disks of the storage machines by quorum with only the list of holders in the store. The last is built: no owner, no lease, no election.

Change: packages/declared (the declared state merged by revision), turns (holders, quorum, disk), gateway (routes, placement, forwarding), and the adapter in platform/. The log's lines in packages/history take any meta.

--- /dev/null
+++ b/packages/gateway/src/call/upstream-head.ts
@@ -0,0 +1,21 @@
+/**
+The head of an upstream's answer, decoded once where it arrives.
+*/
+
+/** What the answer's status and headers say. */
+export type UpstreamHead = {
+	readonly status: number;
+	/** Headers to pass on, names and values in turn. */
+	readonly headers: string[];
+	/** The request that the upstream says it answers. */
+	readonly answers?: string;
+	/** The answer carries the upstream's signature. */
+	readonly isSigned: boolean;
+	/** The upstream states that it did not run the request. */
+	readonly hasNotRun: boolean;
+	/** The upstream that was expected is not the one at this address. */
+	readonly isOtherUpstream: boolean;
+	/** The upstream will close the connection; it may be leaving. */
+	readonly isClosing: boolean;
+	readonly contentLength?: number;
+};
--- /dev/null
+++ b/packages/gateway/src/forward/caller-answer.ts
@@ -0,0 +1,22 @@
+/**
+The answer to one caller, which begins and ends at most once.
+*/
+import type {Buffer} from 'node:buffer';
+
+/** After the end nothing more is written; the caller may leave at any time. */
+export type CallerAnswer = {
+	readonly isStarted: () => boolean;
+	readonly isOver: () => boolean;
+	/** The connection was closed by the caller before the end. */
+	readonly isGone: () => boolean;
+	readonly onGone: (listener: () => void) => void;
+	/** Ends with an answer of the system's own. */
+	readonly refuse: (status: number, retryAfterMs?: number) => void;
+	readonly start: (status: number, headers: string[]) => void;
+	/** `false` asks to wait for `onDrain`. */
+	readonly write: (bytes: Buffer) => boolean;
+	readonly onDrain: (listener: () => void) => void;
+	readonly finish: (bytes?: Buffer) => void;
+	/** Closes the connection, so that what was written does not look whole. */
+	readonly breakOff: () => void;
+};
--- /dev/null
+++ b/packages/gateway/src/forward/create-event-splitter.ts
@@ -0,0 +1,44 @@
+/**
+Splits a stream of events at event ends, so that a break never leaves half an
+event with the caller.
+*/
+import {Buffer} from 'node:buffer';
+import {createParser, type EventSourceMessage} from 'eventsource-parser';
+
+type SplitEvents = {
+	/** The bytes up to the last whole event, unchanged. */
+	readonly bytes: Buffer;
+	readonly events: readonly EventSourceMessage[];
+};
+
+const EVENT_END = '\n\n';
+
+/** Takes chunks in and gives whole events out. */
+export const createEventSplitter = () => {
+	let rest: Buffer = Buffer.alloc(0);
+	let events: EventSourceMessage[] = [];
+	const parser = createParser({
+		onEvent(event) {
+			events.push(event);
+		},
+	});
+
+	return {
+		push(chunk: Buffer): SplitEvents {
+			const bytes = rest.length > 0 ? Buffer.concat([rest, chunk]) : chunk;
+			const end = bytes.lastIndexOf(EVENT_END);
+			if (end === -1) {
+				rest = bytes;
+				return {bytes: Buffer.alloc(0), events: []};
+			}
+
+			const whole = bytes.subarray(0, end + EVENT_END.length);
+			rest = bytes.subarray(end + EVENT_END.length);
+			events = [];
+			parser.feed(whole.toString('utf8'));
+			return {bytes: whole, events};
+		},
+		/** Bytes of an event that has not ended. */
+		rest: (): Buffer => rest,
+	};
+};
--- /dev/null
+++ b/packages/gateway/src/forward/gateway-parts.ts
@@ -0,0 +1,25 @@
+/**
+What forwarding works with.
+*/
+import type {Logger} from '@siskinhub/observe/logger.js';
+import type {TurnKeeper} from '@siskinhub/turns/keeper/turn-keeper.js';
+import type {CallCodec} from '../call/call-codec.js';
+import type {GatewayMetrics} from '../metrics/gateway-metrics.js';
+import type {LoadBook} from '../placement/load-book.js';
+import type {RouteTable} from '../routes/route-table.js';
+import type {UpstreamDirectory} from '../upstreams/upstream-directory.js';
+import type {UpstreamPools} from './upstream-pools.js';
+
+/** Shared by all requests of the process. */
+export type GatewayParts = {
+	readonly codec: CallCodec;
+	readonly routes: RouteTable;
+	readonly directory: UpstreamDirectory;
+	readonly loads: LoadBook;
+	readonly pools: UpstreamPools;
+	readonly keeper: TurnKeeper;
+	readonly metrics: GatewayMetrics;
+	readonly log: Logger;
+	/** Draws evenly from 0 to 1. */
+	readonly random: () => number;
+};
--- /dev/null
+++ b/packages/gateway/src/forward/prepare-turn.ts
@@ -0,0 +1,46 @@
+/**
+Prepares a turn of a program: reserves its tokens and gives the upstream the
+turns that it goes on from.
+*/
+import {Buffer} from 'node:buffer';
+import type {TurnKeeper} from '@siskinhub/turns/keeper/turn-keeper.js';
+import type {CallHead} from '../call/call-head.js';
+import type {Route} from '../routes/route.js';
+
+/** Time for a quorum of holders to answer. */
+const HOLDERS_TIMEOUT_MS = 1200;
+
+type PreparedTurn =
+	| {readonly kind: 'ready'; readonly body: Buffer; readonly isReserved: boolean}
+	| {readonly kind: 'over-budget' | 'unknown-turn' | 'unavailable'; readonly isReserved: boolean};
+
+/** `body` is what the caller sent; `leftMs` the time until its deadline. */
+export const prepareTurn = async (keeper: TurnKeeper, call: CallHead, route: Route, {body, leftMs}: {readonly body: Buffer; readonly leftMs: number}): Promise<PreparedTurn> => {
+	const {program, prompt} = call;
+	const timeoutMs = Math.min(HOLDERS_TIMEOUT_MS, leftMs);
+	const reserving = program?.tokenBudget === undefined || !prompt
+		? undefined
+		: keeper.reserve({
+			program: program.id, attempt: call.id, tokens: prompt.maxTokens, retentionMs: route.retentionMs, budget: program.tokenBudget,
+		}, timeoutMs);
+	const previous = route.keepsTurns ? program?.previousTurn : undefined;
+	const [reserved, turns] = await Promise.all([
+		reserving,
+		previous === undefined ? undefined : keeper.readTurns(previous, timeoutMs),
+	]);
+	const isReserved = reserved !== undefined;
+	if (turns?.kind === 'unknown') {
+		return {kind: 'unknown-turn', isReserved};
+	}
+
+	if (reserved === 'over-budget') {
+		return {kind: 'over-budget', isReserved};
+	}
+
+	if (reserved === 'unavailable' || turns?.kind === 'unavailable') {
+		return {kind: 'unavailable', isReserved};
+	}
+
+	const before = turns?.kind === 'found' ? turns.turns.flatMap(({input, output}) => [input, output]) : [];
+	return {kind: 'ready', body: before.length > 0 ? Buffer.concat([...before, body]) : body, isReserved};
+};
--- /dev/null
+++ b/packages/gateway/src/forward/send-to-upstream.ts
@@ -0,0 +1,89 @@
+/**
+Sends one request to one upstream and reports what comes back.
+*/
+import type {Buffer} from 'node:buffer';
+import type {Dispatcher} from 'undici';
+
+type OutboundRequest = {
+	readonly method: string;
+	readonly path: string;
+	readonly headers: string[];
+	readonly body: Buffer;
+};
+
+/** `onFailed` and `onEnd` are the last; `wasSent` is false only where no byte of the request left this process. */
+type SendObserver = {
+	readonly onHead: (status: number, headers: Record<string, string | string[] | undefined>) => void;
+	readonly onData: (chunk: Buffer) => void;
+	readonly onEnd: () => void;
+	readonly onFailed: (failure: {readonly wasSent: boolean; readonly message: string}) => void;
+};
+
+type Sending = {
+	readonly wasSent: () => boolean;
+	/** Closes the connection; nothing is reported afterwards. */
+	readonly abort: () => void;
+	readonly pause: () => void;
+	readonly resume: () => void;
+};
+
+const FIRST_FINAL_STATUS = 200;
+
+/** Starts sending at once. */
+export const sendToUpstream = (pool: Dispatcher, {method, path, headers, body}: OutboundRequest, observer: SendObserver): Sending => {
+	let controller: Dispatcher.DispatchController | undefined;
+	let wasSent = false;
+	let isOver = false;
+
+	pool.dispatch({
+		method: method as Dispatcher.HttpMethod, path, headers, body: body.length > 0 ? body : null,
+	}, {
+		onRequestStart(started) {
+			controller = started;
+			if (isOver) {
+				started.abort(new Error('The request was given up before it was sent.'));
+				return;
+			}
+
+			wasSent = true;
+		},
+		onResponseStart(_controller, status, answerHeaders) {
+			if (!isOver && status >= FIRST_FINAL_STATUS) {
+				observer.onHead(status, answerHeaders);
+			}
+		},
+		onResponseData(_controller, chunk) {
+			if (!isOver) {
+				observer.onData(chunk);
+			}
+		},
+		onResponseEnd() {
+			if (!isOver) {
+				isOver = true;
+				observer.onEnd();
+			}
+		},
+		onResponseError(_controller, error) {
+			if (!isOver) {
+				isOver = true;
+				observer.onFailed({wasSent, message: error.message});
+			}
+		},
+	});
+
+	return {
+		wasSent: () => wasSent,
+		abort() {
+			if (!isOver) {
+				isOver = true;
+				controller?.abort(new Error('The request was given up.'));
+			}
+		},
+		pause() {
+			controller?.pause();
+		},
+		resume() {
+			controller?.resume();
+		},
+	};
+};
--- /dev/null
+++ b/packages/gateway/src/host/apply-declared.ts
@@ -0,0 +1,53 @@
+/**
+Carries changes of the declared state over to the routes and upstreams in force.
+*/
+import type {DeclaredView} from '@siskinhub/declared/declared-view.js';
+import type {Logger} from '@siskinhub/observe/logger.js';
+import type {RouteTable} from '../routes/route-table.js';
+import type {UpstreamDirectory} from '../upstreams/upstream-directory.js';
+import type {DeclaredKeys} from './declared-keys.js';
+
+type ApplyOptions = {
+	readonly view: DeclaredView;
+	readonly keys: DeclaredKeys;
+	readonly routes: RouteTable;
+	readonly directory: UpstreamDirectory;
+	readonly log: Logger;
+};
+
+/** From now on; an unreadable revision of the routes leaves the last good one in force. */
+export const applyDeclared = ({view, keys, routes, directory, log}: ApplyOptions): void => {
+	view.onChange(entry => {
+		const fact = keys.decode(entry);
+		switch (fact.kind) {
+			case 'routes': {
+				const {routes: next} = fact;
+				if (next.isErr()) {
+					log.error('declared routes cannot be read; the last good revision stays in force', {revision: entry.revision, reason: next.error});
+				} else if (routes.replace(next.value)) {
+					log.info('declared routes in force', {version: next.value.version, revision: entry.revision, routes: next.value.routes.length});
+				}
+
+				return;
+			}
+
+			case 'upstream': {
+				const {id, upstream} = fact;
+				if (!upstream) {
+					log.info('upstream removed from the list', {upstream: id, revision: entry.revision});
+					directory.remove(id);
+				} else if (upstream.isOk()) {
+					const held = directory.get(id);
+					directory.update(upstream.value);
+					if (held?.isLeaving !== upstream.value.isLeaving || held.bornAtMs !== upstream.value.bornAtMs) {
+						log.info('upstream listed', {upstream: id, isLeaving: upstream.value.isLeaving, revision: entry.revision});
+					}
+				}
+
+				return;
+			}
+
+			case 'other':
+		}
+	});
+};
--- /dev/null
+++ b/packages/gateway/src/host/create-host-links.ts
@@ -0,0 +1,78 @@
+/**
+The links of a process to the others of the system.
+*/
+import {randomUUID} from 'node:crypto';
+import type {HostId} from '@siskinhub/core/ids/host-id.js';
+import type {DeclarationSource} from '@siskinhub/declared/declaration-source.js';
+import type {DeclaredView} from '@siskinhub/declared/declared-view.js';
+import {createPauseDetector} from '@siskinhub/peer/create-pause-detector.js';
+import {createPeerPool} from '@siskinhub/peer/create-peer-pool.js';
+import type {IncomingMessage} from '@siskinhub/peer/incoming-message.js';
+import type {LinkSettings} from '@siskinhub/peer/link-settings.js';
+import type {PeerLink} from '@siskinhub/peer/peer-link.js';
+import {Role} from '@siskinhub/proto/gen/siskinhub/peer/v1/peer_pb.js';
+import {err, ok} from 'neverthrow';
+
+/** A heartbeat costs a wake-up on both sides; silence for two and a half of them means that the link is dead. */
+const HEARTBEAT_INTERVAL_MS = 800;
+const SILENCE_MS = 2000;
+const NEIGHBOUR_TIMEOUT_MS = 500;
+
+type HostLinksOptions = {
+	readonly host: HostId;
+	readonly view: DeclaredView;
+	/** Id of this host's disk, if it holds copies. */
+	readonly diskId?: string;
+	/** Returns whether the message is being answered. */
+	readonly onMessage?: (message: IncomingMessage) => boolean;
+	readonly onPause: () => void;
+};
+
+/** Links answer neighbours that ask for the declared state. */
+export const createHostLinks = ({host, view, diskId = '', onMessage = () => false, onPause}: HostLinksOptions) => {
+	const settings: LinkSettings = {
+		hello: {host, instance: randomUUID(), role: Role.ENTRY, dataFolderId: diskId},
+		heartbeatIntervalMs: HEARTBEAT_INTERVAL_MS,
+		silenceMs: SILENCE_MS,
+		describeSelf: () => ({}),
+		pauseDetector: createPauseDetector(SILENCE_MS, onPause),
+		onMessage(message) {
+			const {body, reply} = message;
+			if (body.case !== 'changesSince') {
+				if (!onMessage(message)) {
+					reply({case: 'refused', value: {}});
+				}
+
+				return;
+			}
+
+			const {entries, revision, isWhole} = view.changesSince(body.value.revision);
+			reply({case: 'changes', value: {
+				entries: entries.map(({key, revision: changed, value}) => ({
+					key, revision: changed, value: value ?? '', deleted: value === undefined,
+				})), revision, whole: isWhole,
+			}});
+		},
+	};
+	const pool = createPeerPool(settings);
+
+	const toSource = (link: PeerLink): DeclarationSource => ({
+		async readChanges(after) {
+			const answer = await link.request({case: 'changesSince', value: {revision: after}}, {timeoutMs: NEIGHBOUR_TIMEOUT_MS});
+			if (answer.isErr() || answer.value.case !== 'changes') {
+				return err({kind: 'unavailable', message: 'a neighbour did not answer'});
+			}
+
+			const {entries, revision, whole} = answer.value.value;
+			return ok({
+				entries: entries.map(({key, revision: changed, value, deleted}) => ({key, revision: changed, ...(!deleted && {value})})),
+				revision,
+				isWhole: whole,
+			});
+		},
+	});
+
+	return {settings, linkTo: (address: string): PeerLink => pool.get(address), toSource, close: () => {
+		pool.closeAll('the process is stopping');
+	}};
+};
--- /dev/null
+++ b/packages/gateway/src/host/start-gateway.ts
@@ -0,0 +1,147 @@
+/**
+The process that takes callers' requests: follows the declared state, keeps
+links to the copy holders and passes requests on.
+*/
+import type {DeclarationStore} from '@siskinhub/declared/declaration-store.js';
+import {createDeclaredView} from '@siskinhub/declared/create-declared-view.js';
+import type {Logger} from '@siskinhub/observe/logger.js';
+import {createPeerServer} from '@siskinhub/peer/create-peer-server.js';
+import {createTurnKeeper} from '@siskinhub/turns/keeper/create-turn-keeper.js';
+import type {HolderList} from '@siskinhub/turns/holders/holder-list.js';
+import {listAllHolders} from '@siskinhub/turns/holders/list-all-holders.js';
+import type {CallCodec} from '../call/call-codec.js';
+import {createUpstreamPools} from '../forward/create-upstream-pools.js';
+import {runCall} from '../forward/run-call.js';
+import {createGatewayServer} from '../http/create-gateway-server.js';
+import type {GatewayMetrics} from '../metrics/gateway-metrics.js';
+import {createLoadBook} from '../placement/create-load-book.js';
+import {createRouteTable} from '../routes/create-route-table.js';
+import {createUpstreamDirectory} from '../upstreams/create-upstream-directory.js';
+import {applyDeclared} from './apply-declared.js';
+import {createHolderRegistry} from './create-holder-registry.js';
+import {createHostLinks} from './create-host-links.js';
+import type {DeclaredKeys} from './declared-keys.js';
+import {followStore} from './follow-store.js';
+import type {HostConfig} from './host-config.js';
+import {serveText} from './serve-text.js';
+
+/** Share of an upstream's connections that one of several gateways may open. */
+const CONNECTION_SHARE = 0.25;
+const DEFAULT_CONNECTIONS = 64;
+const DEFAULT_MEMORY_TOKENS = 100_000;
+/** The balancer asks once a second and takes a process out after two misses. */
+const LEAVE_ROTATION_MS = 2300;
+/** Left between the last request's end and the kill. */
+const STOP_MARGIN_MS = 400;
+const STOP_CHECK_MS = 50;
+
+type GatewayOptions = {
+	readonly codec: CallCodec;
+	readonly keys: DeclaredKeys;
+	readonly store: DeclarationStore;
+	readonly metrics: GatewayMetrics;
+	readonly log: Logger;
+};
+
+/** Resolves once the process listens; `stop` resolves once no request is under way. */
+export const startGateway = async (cfg: HostConfig, {codec, keys, store, metrics, log}: GatewayOptions): Promise<{readonly stop: () => Promise<void>}> => {
+	const stopping = new AbortController();
+	const view = createDeclaredView();
+	const routes = createRouteTable();
+	const links = createHostLinks({host: cfg.host, view, onPause() {
+		log.warn('the process was paused', {});
+	}});
+	const registry = createHolderRegistry(view, store, keys.holders);
+	let told: HolderList | undefined;
+	const readList = (): HolderList | undefined => {
+		const declared = registry.read();
+		return told && told.version > (declared?.version ?? 0) ? told : declared;
+	};
+
+	const listNeighbours = () => {
+		const list = readList();
+		const addresses = [...list ? listAllHolders(list).map(({address}) => address) : [], ...cfg.seeds].filter(address => address !== `http://${cfg.peers.ip}:${cfg.peers.port}`);
+		return addresses.map(address => links.linkTo(address)).filter(link => link.remote()).map(link => links.toSource(link));
+	};
+
+	const follower = followStore({
+		view, store, listNeighbours, relistMs: cfg.relistMs, log, signal: stopping.signal,
+	});
+	const directory = createUpstreamDirectory({graceUntil: follower.graceUntil});
+	applyDeclared({
+		view, keys, routes, directory, log,
+	});
+	const services = () => routes.current()?.services;
+	const pools = createUpstreamPools({
+		countConnections: service => Math.floor((services()?.get(service)?.maxConnections ?? DEFAULT_CONNECTIONS) * CONNECTION_SHARE),
+	});
+	const loads = createLoadBook({
+		dataCentre: cfg.dataCentre, memoryTokens: service => services()?.get(service)?.engine?.memoryTokens ?? DEFAULT_MEMORY_TOKENS,
+	});
+	directory.onGone(upstream => {
+		pools.drop(upstream);
+		loads.forget(upstream);
+	});
+	const keeper = createTurnKeeper({
+		readList, linkTo: holder => links.linkTo(holder.address), losses: cfg.losses, adoptList(list) {
+			told = list;
+		},
+	});
+	const parts = {
+		codec, routes, directory, loads, pools, keeper, metrics, log, random: Math.random,
+	};
+	await createPeerServer({ip: cfg.peers.ip, port: cfg.peers.port, settings: links.settings});
+	const server = await createGatewayServer({
+		ip: cfg.callers!.ip,
+		port: cfg.callers!.port,
+		codec,
+		limits: () => routes.current()?.limits,
+		async onCall(call, body, answer, arrivedAt) {
+			await runCall(parts, call, body, answer, arrivedAt);
+		},
+		onRejected(reason, status) {
+			log.warn('request rejected', {reason, status});
+		},
+	});
+	const isReady = (): boolean => !stopping.signal.aborted && routes.current() !== undefined && keeper.isReady();
+	let wasReady = false;
+	const readiness = cfg.readiness && serveText(cfg.readiness, () => {
+		const ready = isReady();
+		if (ready !== wasReady) {
+			wasReady = ready;
+			log.info(ready ? 'takes callers' : 'takes no callers', {version: routes.current()?.version, holders: readList()?.version});
+		}
+
+		return {status: ready ? 200 : 503, text: ''};
+	});
+	const metricsServer = serveText(cfg.metrics, async () => ({status: 200, text: await metrics.render()}));
+	log.info('gateway started', {dataCentre: cfg.dataCentre, callers: cfg.callers});
+
+	return {
+		async stop() {
+			const startedAt = Date.now();
+			log.info('gateway stops', {active: server.countActive()});
+			stopping.abort();
+			server.drain();
+			const killAt = startedAt + cfg.stopWithinMs - STOP_MARGIN_MS;
+			await new Promise<void>(resolve => {
+				const timer = setInterval(() => {
+					const now = Date.now();
+					if (now - startedAt >= LEAVE_ROTATION_MS) {
+						server.stopListening();
+					}
+
+					if ((now - startedAt >= LEAVE_ROTATION_MS && server.countActive() === 0) || now >= killAt) {
+						clearInterval(timer);
+						resolve();
+					}
+				}, STOP_CHECK_MS);
+			});
+			readiness?.close();
+			metricsServer.close();
+			links.close();
+			pools.close();
+			log.info('gateway stopped', {active: server.countActive()});
+		},
+	};
+};
--- /dev/null
+++ b/packages/gateway/src/host/start-holder.ts
@@ -0,0 +1,128 @@
+/**
+The process that holds copies of turns and token uses on its host's disk.
+*/
+import {createDeclaredView} from '@siskinhub/declared/create-declared-view.js';
+import type {DeclarationStore} from '@siskinhub/declared/declaration-store.js';
+import type {Logger} from '@siskinhub/observe/logger.js';
+import {createPeerServer} from '@siskinhub/peer/create-peer-server.js';
+import {openCopyStore} from '@siskinhub/turns/disk/open-copy-store.js';
+import {copyFromHolders} from '@siskinhub/turns/holder/copy-from-holders.js';
+import {createCopyService} from '@siskinhub/turns/holder/create-copy-service.js';
+import {runHolder} from '@siskinhub/turns/holder/run-holder.js';
+import type {Holder} from '@siskinhub/turns/holders/holder.js';
+import {listAllHolders} from '@siskinhub/turns/holders/list-all-holders.js';
+import type {GatewayMetrics} from '../metrics/gateway-metrics.js';
+import {createHolderRegistry} from './create-holder-registry.js';
+import {createHostLinks} from './create-host-links.js';
+import type {DeclaredKeys} from './declared-keys.js';
+import {followStore} from './follow-store.js';
+import type {HostConfig} from './host-config.js';
+import {serveText} from './serve-text.js';
+
+/** A holder that is silent for longer than a restart or a short cut takes is given up where enough others are there. */
+const LOST_AFTER_MS = 3000;
+
+type HolderOptions = {
+	readonly keys: DeclaredKeys;
+	readonly store: DeclarationStore;
+	readonly metrics: GatewayMetrics;
+	readonly log: Logger;
+};
+
+/** Resolves once the process serves; rejects if its disk cannot be used. */
+export const startHolder = async (cfg: HostConfig, {keys, store, metrics, log}: HolderOptions): Promise<{readonly stop: () => Promise<void>}> => {
+	const opened = await openCopyStore(cfg.dataFolder!);
+	if (opened.isErr()) {
+		throw new Error(`The folder ${cfg.dataFolder} cannot be used: ${opened.error}`);
+	}
+
+	const copies = opened.value;
+	const stopping = new AbortController();
+	const view = createDeclaredView();
+	const registry = createHolderRegistry(view, store, keys.holders);
+	const linkTo = (holder: Holder) => links.linkTo(holder.address);
+	const syncCopy = async (listVersion: number): Promise<boolean> => copyFromHolders({
+		store: copies, listVersion, losses: cfg.losses, linkTo,
+	});
+	const links = createHostLinks({
+		host: cfg.host,
+		view,
+		diskId: copies.diskId,
+		onMessage: createCopyService({store: copies, syncCopy, onError(reason) {
+			log.error('the disk refused a write', {reason});
+		}}),
+		onPause() {
+			log.warn('the process was paused', {});
+		},
+	});
+	const self: Holder = {diskId: copies.diskId, host: cfg.host, address: `http://${cfg.peers.ip}:${cfg.peers.port}`};
+	await createPeerServer({ip: cfg.peers.ip, port: cfg.peers.port, settings: links.settings});
+	followStore({
+		view, store, relistMs: cfg.relistMs, log, signal: stopping.signal, listNeighbours() {
+			const list = registry.read();
+			const others = list ? listAllHolders(list).filter(({diskId}) => diskId !== self.diskId) : [];
+			return [...others.map(({address}) => address), ...cfg.seeds].map(address => links.linkTo(address)).filter(link => link.remote()).map(link => links.toSource(link));
+		},
+	});
+
+	const retiring = new Set<string>();
+	const emptied = new Set<string>();
+	const tell = async (host: string, isDone: boolean): Promise<void> => {
+		const {key, value} = keys.writeRetired(host, isDone);
+		if (view.get(key)?.value === value) {
+			return;
+		}
+
+		const written = await store.write(key, value, undefined);
+		log.info('told operators about a host to be emptied', {host, isDone, isWritten: written !== undefined});
+		if (written) {
+			view.apply({entries: [written], revision: 0, isWhole: false});
+		}
+	};
+
+	view.onChange(({key, value}) => {
+		const host = keys.readRetiring(key);
+		if (host === undefined) {
+			return;
+		}
+
+		if (value === undefined) {
+			retiring.delete(host);
+			emptied.delete(host);
+			return;
+		}
+
+		retiring.add(host);
+		void tell(host, false);
+	});
+
+	void runHolder({
+		self,
+		store: copies,
+		registry,
+		linkTo,
+		listRetiring: () => retiring,
+		onEmptied(host) {
+			if (!emptied.has(host)) {
+				emptied.add(host);
+				void tell(host, true);
+			}
+		},
+		losses: cfg.losses,
+		lostAfterMs: LOST_AFTER_MS,
+		log,
+		signal: stopping.signal,
+	}, syncCopy);
+	const metricsServer = serveText(cfg.metrics, async () => ({status: 200, text: await metrics.render()}));
+	log.info('copy holder started', {diskId: copies.diskId, isNewDisk: copies.isNew, records: copies.index.size()});
+
+	return {
+		async stop() {
+			log.info('copy holder stops', {records: copies.index.size()});
+			stopping.abort();
+			metricsServer.close();
+			links.close();
+			await copies.close();
+		},
+	};
+};
--- /dev/null
+++ b/packages/gateway/src/http/create-caller-answer.ts
@@ -0,0 +1,70 @@
+/**
+A caller's answer over Node's HTTP server.
+*/
+import type {ServerResponse} from 'node:http';
+import type {CallerAnswer} from '../forward/caller-answer.js';
+
+/** `encodeRefusal` gives the headers of an answer of the system's own. */
+export const createCallerAnswer = (res: ServerResponse, encodeRefusal: (retryAfterMs: number | undefined) => Record<string, string>): CallerAnswer => {
+	let isOver = false;
+	let isGone = false;
+	const goneListeners: Array<() => void> = [];
+	res.on('close', () => {
+		if (isOver) {
+			return;
+		}
+
+		isOver = true;
+		isGone = true;
+		for (const listener of goneListeners) {
+			listener();
+		}
+	});
+
+	return {
+		isStarted: () => res.headersSent,
+		isOver: () => isOver,
+		isGone: () => isGone,
+		onGone(listener) {
+			if (isGone) {
+				listener();
+			} else {
+				goneListeners.push(listener);
+			}
+		},
+		refuse(status, retryAfterMs) {
+			if (isOver) {
+				return;
+			}
+
+			if (res.headersSent) {
+				isOver = true;
+				res.destroy();
+				return;
+			}
+
+			isOver = true;
+			res.writeHead(status, {...encodeRefusal(retryAfterMs), 'content-length': 0});
+			res.end();
+		},
+		start(status, headers) {
+			if (!isOver) {
+				res.writeHead(status, headers);
+			}
+		},
+		write: bytes => isOver || res.write(bytes),
+		onDrain(listener) {
+			res.once('drain', listener);
+		},
+		finish(bytes) {
+			if (!isOver) {
+				isOver = true;
+				res.end(bytes);
+			}
+		},
+		breakOff() {
+			isOver = true;
+			res.destroy();
+		},
+	};
+};
--- /dev/null
+++ b/packages/gateway/src/http/create-gateway-server.ts
@@ -0,0 +1,102 @@
+/**
+Takes callers' requests over HTTP, whole, and hands each to `onCall`.
+*/
+import {Buffer} from 'node:buffer';
+import {once} from 'node:events';
+import {
+	createServer, type IncomingMessage, type Server, type ServerResponse,
+} from 'node:http';
+import type {CallCodec} from '../call/call-codec.js';
+import type {CallHead} from '../call/call-head.js';
+import type {CallerAnswer} from '../forward/caller-answer.js';
+import type {DeclaredRoutes} from '../routes/declared-routes.js';
+import {createCallerAnswer} from './create-caller-answer.js';
+import {readBody} from './read-body.js';
+
+type GatewayServerOptions = {
+	readonly ip: string;
+	readonly port: number;
+	readonly codec: CallCodec;
+	readonly limits: () => DeclaredRoutes['limits'] | undefined;
+	readonly onCall: (call: CallHead, body: Buffer, answer: CallerAnswer, arrivedAt: number) => Promise<void>;
+	readonly onRejected: (reason: string, status: number) => void;
+};
+
+type GatewayServer = {
+	/** Requests whose answers are not over. */
+	readonly countActive: () => number;
+	/** Ends each connection after the answer under way, from now on. */
+	readonly drain: () => void;
+	/** Takes no new connections and closes idle ones. */
+	readonly stopListening: () => void;
+};
+
+/** Above what any declaration allows; the declared bound is checked on each request. */
+const MAX_HEADER_BYTES = 64 * 1024;
+const DEFAULT_MAX_BODY_BYTES = 4 * 1024 * 1024;
+const CHECK_INTERVAL_MS = 1000;
+const DEFAULT_IDLE_TIMEOUT_MS = 15_000;
+const DEFAULT_HEADER_TIMEOUT_MS = 3000;
+
+const applyLimits = (server: Server, limits: DeclaredRoutes['limits'] | undefined): void => {
+	server.keepAliveTimeout = limits?.idleTimeoutMs ?? DEFAULT_IDLE_TIMEOUT_MS;
+	server.headersTimeout = limits?.headerTimeoutMs ?? DEFAULT_HEADER_TIMEOUT_MS;
+};
+
+/** Starts listening; rejects only if the address cannot be bound. */
+export const createGatewayServer = async ({ip, port, codec, limits, onCall, onRejected}: GatewayServerOptions): Promise<GatewayServer> => {
+	let active = 0;
+	let isDraining = false;
+
+	const handle = async (req: IncomingMessage, res: ServerResponse): Promise<void> => {
+		const arrivedAt = Date.now();
+		applyLimits(server, limits());
+		if (isDraining) {
+			res.shouldKeepAlive = false;
+		}
+
+		const call = codec.decodeCall(req);
+		const answer = createCallerAnswer(res, retryAfterMs => codec.encodeRefusal(call.isOk() ? call.value : undefined, retryAfterMs));
+		if (call.isErr()) {
+			onRejected(call.error, 400);
+			answer.refuse(400);
+			return;
+		}
+
+		const body = await readBody(req, limits()?.maxBodyBytes ?? DEFAULT_MAX_BODY_BYTES);
+		if (body.kind === 'whole') {
+			await onCall(call.value, body.bytes, answer, arrivedAt);
+			return;
+		}
+
+		if (body.kind === 'too-large') {
+			res.shouldKeepAlive = false;
+			onRejected('the body is larger than allowed', 413);
+			answer.refuse(413);
+		}
+	};
+
+	const server = createServer({
+		maxHeaderSize: MAX_HEADER_BYTES, connectionsCheckingInterval: CHECK_INTERVAL_MS, requestTimeout: 0, noDelay: true,
+	}, async (req, res) => {
+		active++;
+		res.on('close', () => {
+			active--;
+		});
+		await handle(req, res);
+	});
+	applyLimits(server, undefined);
+	server.listen(port, ip);
+	await once(server, 'listening');
+
+	return {
+		countActive: () => active,
+		drain() {
+			isDraining = true;
+		},
+		stopListening() {
+			server.close();
+			server.closeIdleConnections();
+		},
+	};
+};
--- /dev/null
+++ b/packages/gateway/src/http/read-body.ts
@@ -0,0 +1,32 @@
+/**
+Reads the body of a request.
+*/
+import {Buffer} from 'node:buffer';
+import type {IncomingMessage} from 'node:http';
+
+type ReadBody = {readonly kind: 'whole'; readonly bytes: Buffer} | {readonly kind: 'too-large' | 'broken-off'};
+
+/** Stops reading where the body passes `maxBytes`. */
+export const readBody = async (req: IncomingMessage, maxBytes: number): Promise<ReadBody> => new Promise(resolve => {
+	const chunks: Buffer[] = [];
+	let bytes = 0;
+	req.on('data', (chunk: Buffer) => {
+		bytes += chunk.length;
+		if (bytes > maxBytes) {
+			req.pause();
+			resolve({kind: 'too-large'});
+			return;
+		}
+
+		chunks.push(chunk);
+	});
+	req.on('end', () => {
+		resolve({kind: 'whole', bytes: chunks.length === 1 ? chunks[0]! : Buffer.concat(chunks)});
+	});
+	req.on('error', () => {
+		resolve({kind: 'broken-off'});
+	});
+	req.on('close', () => {
+		resolve({kind: 'broken-off'});
+	});
+});
--- /dev/null
+++ b/packages/gateway/src/metrics/create-gateway-metrics.ts
@@ -0,0 +1,37 @@
+/**
+Counters and latency histograms, by prom-client. Labels come from small fixed sets.
+*/
+import {Counter, Histogram, Registry} from 'prom-client';
+import type {GatewayMetrics} from './gateway-metrics.js';
+
+const LATENCY_BUCKETS_MS = [5, 10, 25, 50, 100, 250, 500, 1000, 2500, 5000, 10_000];
+
+/** Creates a registry of its own. */
+export const createGatewayMetrics = (): GatewayMetrics => {
+	const registers = [new Registry()];
+	const calls = new Counter({
+		name: 'siskinhub_calls_total', help: 'Requests of callers by outcome and status.', labelNames: ['outcome', 'status'], registers,
+	});
+	const durations = new Histogram({
+		name: 'siskinhub_call_duration_ms', help: 'Milliseconds from a request to the end of its answer.', labelNames: ['outcome'], buckets: LATENCY_BUCKETS_MS, registers,
+	});
+	const attempts = new Counter({
+		name: 'siskinhub_attempts_total', help: 'Requests sent to upstreams by how they ended.', labelNames: ['end'], registers,
+	});
+	const storeCalls = new Counter({
+		name: 'siskinhub_platform_calls_total', help: 'Calls to the platform\'s service by kind and outcome.', labelNames: ['kind', 'outcome'], registers,
+	});
+	return {
+		countCall(outcome, status, durationMs) {
+			calls.inc({outcome, status: String(status)});
+			durations.observe({outcome}, durationMs);
+		},
+		countAttempt(end) {
+			attempts.inc({end});
+		},
+		countStoreCall(kind, outcome) {
+			storeCalls.inc({kind, outcome});
+		},
+		render: async () => registers[0]!.metrics(),
+	};
+};
--- /dev/null
+++ b/packages/gateway/src/routes/create-route-table.ts
@@ -0,0 +1,26 @@
+/**
+Holds the declared routes that are in force.
+*/
+import type {DeclaredRoutes} from './declared-routes.js';
+import {findRoute} from './find-route.js';
+import {indexRoutes} from './index-routes.js';
+import type {RouteTable} from './route-table.js';
+
+/** Creates a table without routes. */
+export const createRouteTable = (): RouteTable => {
+	let current: DeclaredRoutes | undefined;
+	let index = indexRoutes([]);
+	return {
+		replace(next) {
+			if (current && next.version <= current.version) {
+				return false;
+			}
+
+			current = next;
+			index = indexRoutes(next.routes);
+			return true;
+		},
+		current: () => current,
+		find: (host, path) => findRoute(index, host.toLowerCase(), path),
+	};
+};
--- /dev/null
+++ b/packages/gateway/src/routes/route-table.ts
@@ -0,0 +1,13 @@
+/**
+The routes in force in this process.
+*/
+import type {DeclaredRoutes} from './declared-routes.js';
+import type {Route} from './route.js';
+
+/** Goes from one whole revision to a later one and never back. */
+export type RouteTable = {
+	/** Whether the revision is newer than the one in force, which it then replaces. */
+	readonly replace: (next: DeclaredRoutes) => boolean;
+	readonly current: () => DeclaredRoutes | undefined;
+	readonly find: (host: string, path: string) => Route | undefined;
+};
--- a/packages/history/src/log/encode-entry.ts
+++ b/packages/history/src/log/encode-entry.ts
@@ -4,10 +4,9 @@
 */
 import {Buffer} from 'node:buffer';
 import {checksumOf} from './checksum-of.js';
-import type {EntryMeta} from './entry-meta.js';
 
 /** Returns the line with its line break. */
-export const encodeEntry = (meta: EntryMeta, body?: unknown): Uint8Array => {
+export const encodeEntry = (meta: unknown, body?: unknown): Uint8Array => {
 	const content = Buffer.from(`${JSON.stringify(meta)}\t${JSON.stringify(body ?? null)}`);
 	return Buffer.concat([Buffer.from(`${checksumOf(content)} `), content, Buffer.from('\n')]);
 };
--- a/packages/history/src/log/read-entry.ts
+++ b/packages/history/src/log/read-entry.ts
@@ -6,11 +6,12 @@
 import {err, ok, type Result} from 'neverthrow';
 import type {HistoryError} from '../history-error.js';
 import {decodeEntry} from './decode-entry.js';
+import type {EntryMeta} from './entry-meta.js';
 import type {Location} from './location.js';
 import {segmentFiles} from './segment-files.js';
 
 /** Fails with `corrupt` if the line no longer matches its checksum. */
-export const readEntry = async (folder: string, location: Location): Promise<Result<NonNullable<ReturnType<typeof decodeEntry>>, HistoryError>> => {
+export const readEntry = async (folder: string, location: Location): Promise<Result<NonNullable<ReturnType<typeof decodeEntry<EntryMeta>>>, HistoryError>> => {
 	const file = segmentFiles.pathOf(folder, location.segment);
 	let handle: FileHandle | undefined;
 	try {
--- /dev/null
+++ b/packages/turns/src/disk/copy-store.ts
@@ -0,0 +1,18 @@
+/**
+Copies on one disk.
+*/
+import type {Result} from 'neverthrow';
+import type {createCopyIndex} from './create-copy-index.js';
+import type {CopyRecord} from './copy-record.js';
+
+/** `add` resolves once the fact is on the disk; the index has it at once. */
+export type CopyStore = {
+	readonly diskId: string;
+	/** The folder was empty: nothing that was ever stored elsewhere is here. */
+	readonly isNew: boolean;
+	readonly index: ReturnType<typeof createCopyIndex>;
+	readonly add: (fact: CopyRecord) => Promise<Result<void, string>>;
+	/** Number of fsyncs so far. */
+	readonly syncs: () => number;
+	readonly close: () => Promise<void>;
+};
--- /dev/null
+++ b/packages/turns/src/holder/copy-from-holders.ts
@@ -0,0 +1,56 @@
+/**
+Copies what the current holders have to this host's disk.
+*/
+import type {PeerLink} from '@siskinhub/peer/peer-link.js';
+import type {CopyStore} from '../disk/copy-store.js';
+import {fromWireList} from '../holders/from-wire-list.js';
+import {hasQuorum} from '../holders/has-quorum.js';
+import type {Holder} from '../holders/holder.js';
+
+const PULL_TIMEOUT_MS = 1500;
+
+type CopyOptions = {
+	readonly store: CopyStore;
+	readonly listVersion: number;
+	readonly losses: number;
+	readonly linkTo: (holder: Holder) => PeerLink;
+};
+
+const pullAll = async ({store, listVersion}: CopyOptions, link: PeerLink): Promise<boolean> => {
+	for (let offset = 0; ;) {
+		const answer = await link.request({case: 'pullRecords', value: {listVersion, offset}}, {timeoutMs: PULL_TIMEOUT_MS});
+		if (answer.isErr() || answer.value.case !== 'records') {
+			return false;
+		}
+
+		const {records, nextOffset, done} = answer.value.value;
+		const facts = records.map(({fact}) => fact).filter(fact => fact.case !== undefined && fact.case !== 'list');
+		const stored = await Promise.all(facts.map(async fact => store.add(fact)));
+		if (stored.some(result => result.isErr())) {
+			return false;
+		}
+
+		if (done) {
+			return true;
+		}
+
+		offset = nextOffset;
+	}
+};
+
+/** Whether a read quorum of the current holders was copied from, this disk counted if it is one of them. */
+export const copyFromHolders = async (options: CopyOptions): Promise<boolean> => {
+	const {store, listVersion, losses, linkTo} = options;
+	const list = fromWireList(store.index.list());
+	if (list?.version !== listVersion) {
+		return false;
+	}
+
+	const copied = new Set<string>();
+	await Promise.all(list.current.map(async holder => {
+		if (holder.diskId === store.diskId || await pullAll(options, linkTo(holder))) {
+			copied.add(holder.diskId);
+		}
+	}));
+	return hasQuorum({version: list.version, current: list.current}, 'read', copied, losses);
+};
--- /dev/null
+++ b/packages/turns/src/holder/create-copy-service.ts
@@ -0,0 +1,131 @@
+/**
+Answers the other processes about the copies on this host's disk.
+
+A message names the version of the list of holders that its sender goes by. The
+holder answers only under its own version: whoever knows the older list learns
+the newer one first, so that no write is counted under a list that has passed.
+*/
+import type {HolderList as WireHolderList, Record as WireRecord} from '@siskinhub/proto/gen/siskinhub/peer/v1/peer_pb.js';
+import type {Body} from '@siskinhub/peer/body.js';
+import type {BodyInit} from '@siskinhub/peer/body-init.js';
+import type {IncomingMessage} from '@siskinhub/peer/incoming-message.js';
+import type {CopyStore} from '../disk/copy-store.js';
+import {readChain} from './read-chain.js';
+
+type CopyServiceOptions = {
+	readonly store: CopyStore;
+	/** Copies what the current holders have, under that version of the list; answers whether all of it is here. */
+	readonly syncCopy: (listVersion: number) => Promise<boolean>;
+	readonly onError: (message: string) => void;
+};
+
+/** Bytes of records in one answer, so that a copy does not hold up the link. */
+const PULL_BYTES = 256 * 1024;
+const RECORD_OVERHEAD_BYTES = 100;
+
+const sizeOf = ({fact}: WireRecord): number => RECORD_OVERHEAD_BYTES + (fact.case === 'turn' ? fact.value.input.length + fact.value.output.length : 0);
+
+const REFUSED: BodyInit = {case: 'refused', value: {}};
+
+/** Returns whether a message was one of the copies' and is being answered. */
+export const createCopyService = ({store, syncCopy, onError}: CopyServiceOptions): (message: IncomingMessage) => boolean => {
+	const {index} = store;
+
+	const wrongList = (version: number): BodyInit | undefined => {
+		const list = index.list();
+		return list?.version === version ? undefined : {case: 'wrongHolders', value: {list: list ?? {}}};
+	};
+
+	const adopt = async (list: WireHolderList | undefined): Promise<BodyInit> => {
+		if (!list || list.version < (index.list()?.version ?? 0)) {
+			return {case: 'wrongHolders', value: {list: index.list() ?? {}}};
+		}
+
+		return answerWhenStored(store.add({case: 'list', value: list}), {case: 'acknowledged', value: {}});
+	};
+
+	const answerWhenStored = async (stored: ReturnType<CopyStore['add']>, answer: BodyInit): Promise<BodyInit> => {
+		const result = await stored;
+		if (result.isErr()) {
+			onError(result.error);
+			return REFUSED;
+		}
+
+		return answer;
+	};
+
+	const pull = (offset: number): BodyInit => {
+		const all = index.recordsFrom(offset);
+		let bytes = 0;
+		let count = 0;
+		while (count < all.length && bytes < PULL_BYTES) {
+			bytes += sizeOf(all[count]!);
+			count++;
+		}
+
+		return {case: 'records', value: {records: all.slice(0, count), nextOffset: offset + count, done: count === all.length}};
+	};
+
+	/** `undefined` if the message is none of the copies'. */
+	const answer = (body: Body): Promise<BodyInit> | BodyInit | undefined => {
+		switch (body.case) {
+			case 'reserveTokens': {
+				const {listVersion, program, use, expiresAtMs} = body.value;
+				return wrongList(listVersion) ?? answerReservation(program, store.add({case: 'use', value: {program, use, expiresAtMs}}));
+			}
+
+			case 'settleTurn': {
+				return wrongList(body.value.listVersion) ?? settle(body.value);
+			}
+
+			case 'readTurns': {
+				return wrongList(body.value.listVersion) ?? {case: 'turns', value: readChain(index.findTurn, body.value.turn)};
+			}
+
+			case 'adoptHolders': {
+				return adopt(body.value.list);
+			}
+
+			case 'syncCopy': {
+				return wrongList(body.value.listVersion) ?? answerSync(body.value.listVersion);
+			}
+
+			case 'pullRecords': {
+				return wrongList(body.value.listVersion) ?? pull(body.value.offset);
+			}
+
+			default: {
+				return undefined;
+			}
+		}
+	};
+
+	const answerReservation = async (program: string, stored: ReturnType<CopyStore['add']>): Promise<BodyInit> => {
+		const failed = await answerWhenStored(stored, {case: 'acknowledged', value: {}});
+		return failed.case === 'refused' ? failed : {case: 'tokensReserved', value: {uses: [...index.listUses(program)]}};
+	};
+
+	const settle = async ({program, use, expiresAtMs, turn}: Extract<Body, {case: 'settleTurn'}>['value']): Promise<BodyInit> => {
+		const stored = [store.add({case: 'use', value: {program, use, expiresAtMs}})];
+		if (turn) {
+			stored.push(store.add({case: 'turn', value: turn}));
+		}
+
+		const answers = await Promise.all(stored.map(async each => answerWhenStored(each, {case: 'acknowledged', value: {}})));
+		return answers.find(each => each.case === 'refused') ?? {case: 'acknowledged', value: {}};
+	};
+
+	const answerSync = async (listVersion: number): Promise<BodyInit> => await syncCopy(listVersion) ? {case: 'acknowledged', value: {}} : REFUSED;
+
+	return ({body, reply}) => {
+		const answered = answer(body);
+		if (answered === undefined) {
+			return false;
+		}
+
+		void (async () => {
+			reply(await answered);
+		})();
+		return true;
+	};
+};
--- /dev/null
+++ b/packages/turns/src/keeper/ask-holders.ts
@@ -0,0 +1,88 @@
+/**
+Asks every holder at once and stops at the first quorum.
+
+A holder that goes by another version of the list answers with its own: the
+newer list is taken over and the round begins again under it.
+*/
+import type {PeerLink} from '@siskinhub/peer/peer-link.js';
+import type {Body} from '@siskinhub/peer/body.js';
+import type {BodyInit} from '@siskinhub/peer/body-init.js';
+import {fromWireList} from '../holders/from-wire-list.js';
+import type {Holder} from '../holders/holder.js';
+import type {HolderList} from '../holders/holder-list.js';
+import {listAllHolders} from '../holders/list-all-holders.js';
+import {toWireList} from '../holders/to-wire-list.js';
+
+type Round = {
+	readonly list: HolderList;
+	readonly linkTo: (holder: Holder) => PeerLink;
+	readonly ask: (listVersion: number) => BodyInit;
+	/** Takes an answer in; returns whether the answers so far suffice. */
+	readonly onAnswer: (holder: Holder, answer: Body) => boolean;
+	readonly timeoutMs: number;
+};
+
+/** `enough`, `newer` with the list to go by, or `too-few` once the time is up. */
+type RoundResult = {readonly kind: 'enough' | 'too-few'} | {readonly kind: 'newer'; readonly list: HolderList};
+
+/** Wait before a holder whose link broke is asked again, so that a dead one is not dialled in a loop. */
+const RETRY_MS = 100;
+
+/** Runs one round under one version of the list. */
+export const askHolders = async ({list, linkTo, ask, onAnswer, timeoutMs}: Round): Promise<RoundResult> => new Promise(resolve => {
+	const deadline = Date.now() + timeoutMs;
+	let isDone = false;
+	const finish = (result: RoundResult): void => {
+		if (!isDone) {
+			isDone = true;
+			clearTimeout(timer);
+			resolve(result);
+		}
+	};
+
+	const timer = setTimeout(() => {
+		finish({kind: 'too-few'});
+	}, timeoutMs);
+
+	const takeAnswer = async (holder: Holder, answer: Body): Promise<'again' | 'done'> => {
+		if (answer.case !== 'wrongHolders') {
+			if (answer.case !== 'refused' && onAnswer(holder, answer)) {
+				finish({kind: 'enough'});
+			}
+
+			return 'done';
+		}
+
+		const theirs = fromWireList(answer.value.list);
+		if (theirs && theirs.version > list.version) {
+			finish({kind: 'newer', list: theirs});
+			return 'done';
+		}
+
+		await linkTo(holder).request({case: 'adoptHolders', value: {list: toWireList(list)}}, {timeoutMs: Math.max(1, deadline - Date.now())});
+		return 'again';
+	};
+
+	const askOne = async (holder: Holder): Promise<void> => {
+		while (!isDone && Date.now() < deadline) {
+			const answer = await linkTo(holder).request(ask(list.version), {timeoutMs: Math.max(1, deadline - Date.now())});
+			if (isDone) {
+				return;
+			}
+
+			if (answer.isOk()) {
+				if (await takeAnswer(holder, answer.value) === 'done') {
+					return;
+				}
+			} else {
+				await new Promise(wake => {
+					setTimeout(wake, RETRY_MS);
+				});
+			}
+		}
+	};
+
+	for (const holder of listAllHolders(list)) {
+		void askOne(holder);
+	}
+});
