fix(turns): another disk at a holder's address does not answer for the holder

Cause: a wiped host came back at its old address with an empty disk; asked under the old disk's name it adopted the list of holders and its empty answers counted towards a read quorum. A turn on one other disk could be called unknown.

--- /dev/null
+++ b/packages/declared/src/__tests__/follow-declarations.test.ts
@@ -0,0 +1,73 @@
+import {err, ok} from 'neverthrow';
+import {
+	afterEach, beforeEach, describe, expect, it, vi,
+} from 'vitest';
+import {createDeclaredView} from '../create-declared-view.js';
+import type {DeclarationSource} from '../declaration-source.js';
+import {followDeclarations} from '../follow-declarations.js';
+
+const INTERVAL_MS = 600;
+
+const createSource = (answers: Array<Awaited<ReturnType<DeclarationSource['readChanges']>>>) => {
+	const asked: number[] = [];
+	const source: DeclarationSource = {
+		async readChanges(after) {
+			asked.push(after);
+			return answers.shift() ?? err({kind: 'unavailable', message: 'silent'});
+		},
+	};
+	return {source, asked};
+};
+
+describe('followDeclarations', () => {
+	beforeEach(() => {
+		vi.useFakeTimers();
+	});
+	afterEach(() => {
+		vi.useRealTimers();
+	});
+
+	const follow = (service: DeclarationSource, neighbours: readonly DeclarationSource[]) => {
+		const view = createDeclaredView();
+		const stopping = new AbortController();
+		const heard: boolean[] = [];
+		void followDeclarations({
+			view, service, listNeighbours: () => neighbours, intervalMs: INTERVAL_MS, signal: stopping.signal, onReachable(isReachable) {
+				heard.push(isReachable);
+			},
+		});
+		return {view, stopping, heard};
+	};
+
+	it('reads the whole state again where the history is gone', async () => {
+		const {source, asked} = createSource([
+			ok({entries: [{key: 'a', revision: 1, value: 'x'}], revision: 1, isWhole: true}),
+			err({kind: 'compacted', message: 'gone'}),
+			ok({entries: [{key: 'b', revision: 9, value: 'y'}], revision: 9, isWhole: true}),
+		]);
+		const {view, stopping} = follow(source, []);
+		await vi.advanceTimersByTimeAsync(INTERVAL_MS * 1.5);
+		stopping.abort();
+		expect(asked).toEqual([0, 1, 0]);
+		expect(view.get('a')?.value).toBeUndefined();
+		expect(view.get('b')?.value).toBe('y');
+	});
+
+	it('learns from a neighbour what the service does not tell this host', async () => {
+		const {source} = createSource([]);
+		const neighbour = createSource([ok({entries: [{key: 'a', revision: 4, value: 'x'}], revision: 4, isWhole: true})]);
+		const {view, stopping, heard} = follow(source, [neighbour.source]);
+		await vi.advanceTimersByTimeAsync(10);
+		stopping.abort();
+		expect(view.get('a')?.value).toBe('x');
+		expect(heard).toEqual([false]);
+	});
+
+	it('calls the service once an interval, however much changes', async () => {
+		const {source, asked} = createSource(Array.from({length: 20}, (_, index) => ok({entries: [], revision: index + 1, isWhole: false})));
+		const {stopping} = follow(source, []);
+		await vi.advanceTimersByTimeAsync(INTERVAL_MS * 10.5);
+		stopping.abort();
+		expect(asked.length).toBe(11);
+	});
+});
--- a/packages/declared/src/create-declared-view.ts
+++ b/packages/declared/src/create-declared-view.ts
@@ -36,7 +36,7 @@
 	/** A whole list proves that every other key was gone at its revision. */
 	const deleteMissing = ({entries: listed, revision}: DeclaredChanges): void => {
 		const present = new Set(listed.map(entry => entry.key));
-		for (const entry of [...entries.values()]) {
+		for (const entry of entries.values()) {
 			if (!present.has(entry.key) && entry.value !== undefined && entry.revision <= revision) {
 				applyEntry({key: entry.key, revision});
 			}
--- a/packages/declared/src/follow-declarations.ts
+++ b/packages/declared/src/follow-declarations.ts
@@ -5,7 +5,7 @@
 interval and not as each one happens. A host that the service turns away asks
 its neighbours instead: their copies merge by revision.
 */
-import {setTimeout as delay} from 'node:timers/promises';
+import {waitUnlessAborted} from '@siskinhub/core/time/wait-unless-aborted.js';
 import type {DeclarationSource} from './declaration-source.js';
 import type {DeclaredChanges} from './declared-changes.js';
 import type {DeclaredView} from './declared-view.js';
@@ -74,6 +74,6 @@
 			await askNeighbours(options);
 		}
 
-		await delay(intervalMs, undefined, {signal, ref: false}).catch(() => undefined);
+		await waitUnlessAborted(intervalMs, signal);
 	}
 };
--- /dev/null
+++ b/packages/gateway/src/forward/__tests__/decide-next-step.test.ts
@@ -0,0 +1,60 @@
+import {fc, test} from '@fast-check/vitest';
+import {describe, expect, it} from 'vitest';
+import type {Route} from '../../routes/route.js';
+import type {AttemptEnd} from '../attempt-end.js';
+import {decideNextStep} from '../decide-next-step.js';
+
+const route = (changes: Partial<Route> = {}): Route => ({
+	name: 'r', host: 'h', prefix: '/',
+	kind: 'once', targets: [], timeoutMs: 1000, objectiveMs: 100, maxRuns: 1,
+	rank: 0, isResumable: false, keepsTurns: false, retentionMs: 0, isSticky: false, ...changes,
+});
+
+const PROMISES = new Set([408, 421, 429, 503]);
+
+describe('decideNextStep', () => {
+	it('sends a request elsewhere that certainly has not run', () => {
+		const step = decideNextStep(route(), {runs: 0, refusals: 1, isLate: false}, {kind: 'not-run', isFull: true, message: ''});
+		expect(step).toEqual({kind: 'retry'});
+	});
+
+	it('promises "not run" only before anything may have run', () => {
+		const end: AttemptEnd = {kind: 'not-run', isFull: true, message: ''};
+		expect(decideNextStep(route(), {runs: 0, refusals: Infinity, isLate: false}, end)).toMatchObject({status: 503, isRefusal: true});
+		expect(decideNextStep(route({kind: 'idempotent', maxRuns: 2}), {runs: 1, refusals: Infinity, isLate: false}, end)).toMatchObject({status: 502, isRefusal: false});
+	});
+
+	it('lets a request that must run once never run again', () => {
+		expect(decideNextStep(route(), {runs: 1, refusals: 0, isLate: false}, {kind: 'unknown', message: ''})).toMatchObject({kind: 'answer', status: 502});
+	});
+
+	it('goes on with a resumable stream that broke, and breaks off another', () => {
+		const end: AttemptEnd = {kind: 'broken', message: ''};
+		expect(decideNextStep(route({kind: 'stream', isResumable: true, maxRuns: 2}), {runs: 1, refusals: 0, isLate: false}, end).kind).toBe('retry');
+		expect(decideNextStep(route({kind: 'stream', maxRuns: 2}), {runs: 1, refusals: 0, isLate: false}, end).kind).toBe('break-off');
+	});
+
+	const kinds = fc.constantFrom('idempotent' as const, 'once' as const, 'stream' as const);
+	const ends = fc.constantFrom<AttemptEnd>(
+		{kind: 'not-run', isFull: false, message: ''},
+		{kind: 'unknown', message: ''},
+		{kind: 'broken', message: ''},
+		{kind: 'timed-out', wasSent: true},
+		{kind: 'timed-out', wasSent: false},
+	);
+	const runsMany = fc.record({runs: fc.integer({min: 0, max: 3}), refusals: fc.integer({min: 0, max: 9}), isLate: fc.boolean()});
+
+	test.prop([kinds, fc.boolean(), fc.integer({min: 1, max: 3}), runsMany, ends])('never promises too much and never runs more often than allowed', (kind, isResumable, maxRuns, counted, end) => {
+		const ran = end.kind === 'not-run' || (end.kind === 'timed-out' && !end.wasSent) ? counted.runs : Math.max(1, counted.runs);
+		const state = {...counted, runs: end.kind === 'timed-out' && !end.wasSent ? counted.runs + 1 : ran};
+		const step = decideNextStep(route({kind, isResumable, maxRuns}), state, end);
+		if (step.kind === 'answer' && PROMISES.has(step.status)) {
+			expect(ran).toBe(0);
+		}
+
+		if (step.kind === 'retry' && end.kind !== 'not-run') {
+			expect(ran).toBeLessThan(maxRuns);
+			expect(kind).not.toBe('once');
+		}
+	});
+});
--- /dev/null
+++ b/packages/gateway/src/forward/__tests__/judge-head.test.ts
@@ -0,0 +1,24 @@
+import {describe, expect, it} from 'vitest';
+import type {UpstreamHead} from '../../call/upstream-head.js';
+import {judgeHead} from '../judge-head.js';
+
+const head = (changes: Partial<UpstreamHead>): UpstreamHead => ({
+	status: 200, headers: [], answers: 'a', isSigned: true, hasNotRun: false, isOtherUpstream: false, isClosing: false, ...changes,
+});
+
+describe('judgeHead', () => {
+	it.each([
+		['the answer to its own request', head({}), 'success'],
+		['an answer to another request', head({answers: 'b'}), 'foreign'],
+		['a success without a signature', head({isSigned: false}), 'unproven'],
+		['a promise of which nothing says that it is true', head({status: 503}), 'unproven'],
+		['a refusal that states it has not run', head({status: 503, hasNotRun: true, isSigned: false}), 'full'],
+		['another upstream at the address', head({
+			status: 421, isOtherUpstream: true, isSigned: false, answers: undefined,
+		}), 'not-run'],
+		['a failure of the upstream\'s own', head({status: 500}), 'server-failure'],
+		['a refusal of the request itself', head({status: 409}), 'failure'],
+	])('takes %s as such', (_name, answer, verdict) => {
+		expect(judgeHead(answer, 'a')).toBe(verdict);
+	});
+});
--- a/packages/gateway/src/forward/call-plan.ts
+++ b/packages/gateway/src/forward/call-plan.ts
@@ -1,7 +1,6 @@
 /**
 A request on its way: what was decided about it so far.
 */
-import type {Buffer} from 'node:buffer';
 import type {CallHead} from '../call/call-head.js';
 import type {Route} from '../routes/route.js';
 
@@ -11,7 +10,7 @@
 	readonly route: Route;
 	readonly service: string;
 	/** What the upstream is to receive. */
-	readonly body: Buffer;
+	readonly body: Uint8Array;
 	readonly arrivedAt: number;
 	/** When the caller or the operator stops waiting. */
 	readonly deadlineAt: number;
--- a/packages/gateway/src/forward/caller-answer.ts
+++ b/packages/gateway/src/forward/caller-answer.ts
@@ -1,7 +1,6 @@
 /**
 The answer to one caller, which begins and ends at most once.
 */
-import type {Buffer} from 'node:buffer';
 
 /** After the end nothing more is written; the caller may leave at any time. */
 export type CallerAnswer = {
@@ -14,9 +13,9 @@
 	readonly refuse: (status: number, retryAfterMs?: number) => void;
 	readonly start: (status: number, headers: string[]) => void;
 	/** `false` asks to wait for `onDrain`. */
-	readonly write: (bytes: Buffer) => boolean;
+	readonly write: (bytes: Uint8Array) => boolean;
 	readonly onDrain: (listener: () => void) => void;
-	readonly finish: (bytes?: Buffer) => void;
+	readonly finish: (bytes?: Uint8Array) => void;
 	/** Closes the connection, so that what was written does not look whole. */
 	readonly breakOff: () => void;
 };
--- a/packages/gateway/src/forward/create-event-splitter.ts
+++ b/packages/gateway/src/forward/create-event-splitter.ts
@@ -7,15 +7,16 @@
 
 type SplitEvents = {
 	/** The bytes up to the last whole event, unchanged. */
-	readonly bytes: Buffer;
+	readonly bytes: Uint8Array;
 	readonly events: readonly EventSourceMessage[];
 };
 
 const EVENT_END = '\n\n';
+const NOTHING = new Uint8Array();
 
 /** Takes chunks in and gives whole events out. */
 export const createEventSplitter = () => {
-	let rest: Buffer = Buffer.alloc(0);
+	let rest: Uint8Array = NOTHING;
 	let events: EventSourceMessage[] = [];
 	const parser = createParser({
 		onEvent(event) {
@@ -24,12 +25,12 @@
 	});
 
 	return {
-		push(chunk: Buffer): SplitEvents {
-			const bytes = rest.length > 0 ? Buffer.concat([rest, chunk]) : chunk;
+		push(chunk: Uint8Array): SplitEvents {
+			const bytes = Buffer.concat([rest, chunk]);
 			const end = bytes.lastIndexOf(EVENT_END);
 			if (end === -1) {
 				rest = bytes;
-				return {bytes: Buffer.alloc(0), events: []};
+				return {bytes: NOTHING, events: []};
 			}
 
 			const whole = bytes.subarray(0, end + EVENT_END.length);
@@ -39,6 +40,6 @@
 			return {bytes: whole, events};
 		},
 		/** Bytes of an event that has not ended. */
-		rest: (): Buffer => rest,
+		rest: (): Uint8Array => rest,
 	};
 };
--- a/packages/gateway/src/forward/decide-next-step.ts
+++ b/packages/gateway/src/forward/decide-next-step.ts
@@ -14,19 +14,26 @@
 type CallState = {
 	/** Upstreams that may have run the request, the last one too. */
 	readonly runs: number;
-	/** Sends that certainly did not run. */
+	/** Sends that certainly did not run; `Infinity` once no upstream is left. */
 	readonly refusals: number;
+	/** The time for the request is up. */
+	readonly isLate: boolean;
 };
 
 type NextStep =
 	| {readonly kind: 'retry'}
-	/** `hasRun`: it may have, so that no status may be used that promises otherwise. */
+	/** `isRefusal`: nothing has run and nothing will. */
 	| {readonly kind: 'answer'; readonly status: number; readonly isRefusal: boolean}
 	| {readonly kind: 'break-off'}
 	| {readonly kind: 'none'};
 
-const mayRunAgain = ({kind, isResumable, maxRuns}: Route, {runs}: CallState): boolean =>
-	(kind === 'idempotent' || (kind === 'stream' && isResumable)) && runs < maxRuns;
+const mayRunAgain = ({kind, isResumable, maxRuns}: Route, {runs, refusals, isLate}: CallState): boolean =>
+	(kind === 'idempotent' || (kind === 'stream' && isResumable)) && runs < maxRuns && refusals < MAX_REFUSALS && !isLate;
+
+/** The final answer where no other run is coming. */
+const giveUp = ({runs, isLate}: CallState): NextStep => runs === 0
+	? {kind: 'answer', status: 503, isRefusal: true}
+	: {kind: 'answer', status: isLate ? 504 : 502, isRefusal: false};
 
 /** The step after an attempt that ended with `end`. */
 export const decideNextStep = (route: Route, state: CallState, end: AttemptEnd): NextStep => {
@@ -37,16 +44,12 @@
 		}
 
 		case 'not-run': {
-			if (state.refusals < MAX_REFUSALS) {
-				return {kind: 'retry'};
-			}
-
-			return state.runs === 0 ? {kind: 'answer', status: 503, isRefusal: true} : {kind: 'answer', status: 502, isRefusal: false};
+			return state.refusals < MAX_REFUSALS && !state.isLate ? {kind: 'retry'} : giveUp(state);
 		}
 
 		case 'unknown':
 		case 'failed': {
-			return mayRunAgain(route, state) ? {kind: 'retry'} : {kind: 'answer', status: 502, isRefusal: false};
+			return mayRunAgain(route, state) ? {kind: 'retry'} : giveUp(state);
 		}
 
 		case 'broken': {
@@ -54,7 +57,7 @@
 		}
 
 		case 'timed-out': {
-			return state.runs === 0 && !end.wasSent ? {kind: 'answer', status: 503, isRefusal: true} : {kind: 'answer', status: 504, isRefusal: false};
+			return giveUp({...state, runs: end.wasSent ? state.runs : state.runs - 1, isLate: true});
 		}
 	}
 };
--- a/packages/gateway/src/forward/prepare-turn.ts
+++ b/packages/gateway/src/forward/prepare-turn.ts
@@ -11,11 +11,11 @@
 const HOLDERS_TIMEOUT_MS = 1200;
 
 type PreparedTurn =
-	| {readonly kind: 'ready'; readonly body: Buffer; readonly isReserved: boolean}
+	| {readonly kind: 'ready'; readonly body: Uint8Array; readonly isReserved: boolean}
 	| {readonly kind: 'over-budget' | 'unknown-turn' | 'unavailable'; readonly isReserved: boolean};
 
 /** `body` is what the caller sent; `leftMs` the time until its deadline. */
-export const prepareTurn = async (keeper: TurnKeeper, call: CallHead, route: Route, {body, leftMs}: {readonly body: Buffer; readonly leftMs: number}): Promise<PreparedTurn> => {
+export const prepareTurn = async (keeper: TurnKeeper, call: CallHead, route: Route, {body, leftMs}: {readonly body: Uint8Array; readonly leftMs: number}): Promise<PreparedTurn> => {
 	const {program, prompt} = call;
 	const timeoutMs = Math.min(HOLDERS_TIMEOUT_MS, leftMs);
 	const reserving = program?.tokenBudget === undefined || !prompt
--- a/packages/gateway/src/forward/run-attempt.ts
+++ b/packages/gateway/src/forward/run-attempt.ts
@@ -39,7 +39,7 @@
 	const {call, route, body, deadlineAt} = plan;
 	const isStream = route.kind === 'stream';
 	const splitter = createEventSplitter();
-	const gathered: Buffer[] = [];
+	const gathered: Uint8Array[] = [];
 	let gatheredBytes = 0;
 	let head: UpstreamHead | undefined;
 	let isSettled = false;
@@ -65,7 +65,7 @@
 		}
 	};
 
-	const passEvents = (chunk: Buffer): void => {
+	const passEvents = (chunk: Uint8Array): void => {
 		const {bytes, events} = splitter.push(chunk);
 		if (bytes.length === 0) {
 			return;
@@ -82,8 +82,7 @@
 		pass(bytes);
 	};
 
-	const pass = (bytes: Buffer): void => {
-		progress.bytes += bytes.length;
+	const pass = (bytes: Uint8Array): void => {
 		if (!answer.write(bytes)) {
 			sending.pause();
 			answer.onDrain(() => {
@@ -92,7 +91,7 @@
 		}
 	};
 
-	const gather = (chunk: Buffer): void => {
+	const gather = (chunk: Uint8Array): void => {
 		if (answer.isStarted()) {
 			pass(chunk);
 			return;
--- a/packages/gateway/src/forward/send-to-upstream.ts
+++ b/packages/gateway/src/forward/send-to-upstream.ts
@@ -1,20 +1,19 @@
 /**
 Sends one request to one upstream and reports what comes back.
 */
-import type {Buffer} from 'node:buffer';
 import type {Dispatcher} from 'undici';
 
 type OutboundRequest = {
 	readonly method: string;
 	readonly path: string;
 	readonly headers: string[];
-	readonly body: Buffer;
+	readonly body: Uint8Array;
 };
 
 /** `onFailed` and `onEnd` are the last; `wasSent` is false only where no byte of the request left this process. */
 type SendObserver = {
 	readonly onHead: (status: number, headers: Record<string, string | string[] | undefined>) => void;
-	readonly onData: (chunk: Buffer) => void;
+	readonly onData: (chunk: Uint8Array) => void;
 	readonly onEnd: () => void;
 	readonly onFailed: (failure: {readonly wasSent: boolean; readonly message: string}) => void;
 };
@@ -36,7 +35,7 @@
 	let isOver = false;
 
 	pool.dispatch({
-		method: method as Dispatcher.HttpMethod, path, headers, body: body.length > 0 ? body : null,
+		method, path, headers, body: body.length > 0 ? body : null,
 	}, {
 		onRequestStart(started) {
 			controller = started;
--- a/packages/gateway/src/forward/stream-progress.ts
+++ b/packages/gateway/src/forward/stream-progress.ts
@@ -8,8 +8,6 @@
 	events: number;
 	/** The data of each event followed by a line feed; only where the turn is kept. */
 	readonly output: string[] | undefined;
-	/** Bytes passed on. */
-	bytes: number;
 	/** Time of the first event, by the runtime's clock. */
 	firstEventAt: number | undefined;
 };
--- a/packages/gateway/src/host/apply-declared.ts
+++ b/packages/gateway/src/host/apply-declared.ts
@@ -28,7 +28,7 @@
 					log.info('declared routes in force', {version: next.value.version, revision: entry.revision, routes: next.value.routes.length});
 				}
 
-				return;
+				break;
 			}
 
 			case 'upstream': {
@@ -44,10 +44,12 @@
 					}
 				}
 
-				return;
+				break;
 			}
 
-			case 'other':
+			case 'other': {
+				break;
+			}
 		}
 	});
 };
--- a/packages/gateway/src/host/create-host-links.ts
+++ b/packages/gateway/src/host/create-host-links.ts
@@ -31,7 +31,9 @@
 /** Links answer neighbours that ask for the declared state. */
 export const createHostLinks = ({host, view, diskId = '', onMessage = () => false, onPause}: HostLinksOptions) => {
 	const settings: LinkSettings = {
-		hello: {host, instance: randomUUID(), role: Role.ENTRY, dataFolderId: diskId},
+		hello: {
+			host, instance: randomUUID(), role: Role.ENTRY, dataFolderId: diskId,
+		},
 		heartbeatIntervalMs: HEARTBEAT_INTERVAL_MS,
 		silenceMs: SILENCE_MS,
 		describeSelf: () => ({}),
@@ -47,11 +49,13 @@
 			}
 
 			const {entries, revision, isWhole} = view.changesSince(body.value.revision);
-			reply({case: 'changes', value: {
-				entries: entries.map(({key, revision: changed, value}) => ({
-					key, revision: changed, value: value ?? '', deleted: value === undefined,
-				})), revision, whole: isWhole,
-			}});
+			reply({
+				case: 'changes', value: {
+					entries: entries.map(({key, revision: changed, value}) => ({
+						key, revision: changed, value: value ?? '', deleted: value === undefined,
+					})), revision, whole: isWhole,
+				},
+			});
 		},
 	};
 	const pool = createPeerPool(settings);
@@ -72,7 +76,9 @@
 		},
 	});
 
-	return {settings, linkTo: (address: string): PeerLink => pool.get(address), toSource, close: () => {
-		pool.closeAll('the process is stopping');
-	}};
+	return {
+		settings, linkTo: (address: string): PeerLink => pool.get(address), toSource, close() {
+			pool.closeAll('the process is stopping');
+		},
+	};
 };
--- a/packages/gateway/src/host/start-gateway.ts
+++ b/packages/gateway/src/host/start-gateway.ts
@@ -48,9 +48,11 @@
 	const stopping = new AbortController();
 	const view = createDeclaredView();
 	const routes = createRouteTable();
-	const links = createHostLinks({host: cfg.host, view, onPause() {
-		log.warn('the process was paused', {});
-	}});
+	const links = createHostLinks({
+		host: cfg.host, view, onPause() {
+			log.warn('the process was paused', {});
+		},
+	});
 	const registry = createHolderRegistry(view, store, keys.holders);
 	let told: HolderList | undefined;
 	const readList = (): HolderList | undefined => {
--- a/packages/gateway/src/host/start-holder.ts
+++ b/packages/gateway/src/host/start-holder.ts
@@ -48,9 +48,11 @@
 		host: cfg.host,
 		view,
 		diskId: copies.diskId,
-		onMessage: createCopyService({store: copies, syncCopy, onError(reason) {
-			log.error('the disk refused a write', {reason});
-		}}),
+		onMessage: createCopyService({
+			store: copies, syncCopy, onError(reason) {
+				log.error('the disk refused a write', {reason});
+			},
+		}),
 		onPause() {
 			log.warn('the process was paused', {});
 		},
--- a/packages/gateway/src/http/create-gateway-server.ts
+++ b/packages/gateway/src/http/create-gateway-server.ts
@@ -1,7 +1,6 @@
 /**
 Takes callers' requests over HTTP, whole, and hands each to `onCall`.
 */
-import {Buffer} from 'node:buffer';
 import {once} from 'node:events';
 import {
 	createServer, type IncomingMessage, type Server, type ServerResponse,
@@ -18,7 +17,7 @@
 	readonly port: number;
 	readonly codec: CallCodec;
 	readonly limits: () => DeclaredRoutes['limits'] | undefined;
-	readonly onCall: (call: CallHead, body: Buffer, answer: CallerAnswer, arrivedAt: number) => Promise<void>;
+	readonly onCall: (call: CallHead, body: Uint8Array, answer: CallerAnswer, arrivedAt: number) => Promise<void>;
 	readonly onRejected: (reason: string, status: number) => void;
 };
 
--- a/packages/gateway/src/http/read-body.ts
+++ b/packages/gateway/src/http/read-body.ts
@@ -4,13 +4,13 @@
 import {Buffer} from 'node:buffer';
 import type {IncomingMessage} from 'node:http';
 
-type ReadBody = {readonly kind: 'whole'; readonly bytes: Buffer} | {readonly kind: 'too-large' | 'broken-off'};
+type ReadBody = {readonly kind: 'whole'; readonly bytes: Uint8Array} | {readonly kind: 'too-large' | 'broken-off'};
 
 /** Stops reading where the body passes `maxBytes`. */
 export const readBody = async (req: IncomingMessage, maxBytes: number): Promise<ReadBody> => new Promise(resolve => {
-	const chunks: Buffer[] = [];
+	const chunks: Uint8Array[] = [];
 	let bytes = 0;
-	req.on('data', (chunk: Buffer) => {
+	req.on('data', (chunk: Uint8Array) => {
 		bytes += chunk.length;
 		if (bytes > maxBytes) {
 			req.pause();
--- a/packages/gateway/src/routes/create-route-table.ts
+++ b/packages/gateway/src/routes/create-route-table.ts
@@ -21,6 +21,6 @@
 			return true;
 		},
 		current: () => current,
-		find: (host, path) => findRoute(index, host.toLowerCase(), path),
+		match: (host, path) => findRoute(index, host.toLowerCase(), path),
 	};
 };
--- a/packages/gateway/src/routes/route-table.ts
+++ b/packages/gateway/src/routes/route-table.ts
@@ -9,5 +9,5 @@
 	/** Whether the revision is newer than the one in force, which it then replaces. */
 	readonly replace: (next: DeclaredRoutes) => boolean;
 	readonly current: () => DeclaredRoutes | undefined;
-	readonly find: (host: string, path: string) => Route | undefined;
+	readonly match: (host: string, path: string) => Route | undefined;
 };
--- /dev/null
+++ b/packages/turns/src/disk/__tests__/open-copy-store.test.ts
@@ -0,0 +1,120 @@
+import {Buffer} from 'node:buffer';
+import {
+	appendFile, mkdtemp, readdir, rm, truncate, writeFile, readFile,
+} from 'node:fs/promises';
+import {tmpdir} from 'node:os';
+import path from 'node:path';
+import {
+	afterEach, beforeEach, describe, expect, it,
+} from 'vitest';
+import type {CopyStore} from '../copy-store.js';
+import {openCopyStore} from '../open-copy-store.js';
+
+const FAR = Date.now() + 3_600_000;
+
+const turn = (id: string, previous = '') => ({
+	case: 'turn' as const, value: {
+		id, previous, input: new TextEncoder().encode(`in ${id}`), output: new TextEncoder().encode(`out ${id}`), expiresAtMs: FAR,
+	},
+});
+const use = (attempt: string, tokens: number, settled: boolean) => ({case: 'use' as const, value: {program: 'p', use: {attempt, tokens, settled}, expiresAtMs: FAR}});
+
+describe('openCopyStore', () => {
+	let folder: string;
+	beforeEach(async () => {
+		folder = await mkdtemp(path.join(tmpdir(), 'copies-'));
+	});
+	afterEach(async () => {
+		await rm(folder, {recursive: true});
+	});
+
+	const open = async (): Promise<CopyStore> => {
+		const opened = await openCopyStore(folder);
+		return opened._unsafeUnwrap();
+	};
+
+	const listLogs = async () => {
+		const names = await readdir(folder);
+		return names.filter(name => name.endsWith('.log')).map(name => path.join(folder, name));
+	};
+
+	it('has the same id and the same facts after a restart', async () => {
+		const first = await open();
+		expect(first.isNew).toBe(true);
+		await Promise.all([first.add(turn('t1')), first.add(turn('t2', 't1')), first.add(use('t1', 90, false)), first.add(use('t1', 40, true))]);
+		await first.close();
+		const second = await open();
+		expect(second.isNew).toBe(false);
+		expect(second.diskId).toBe(first.diskId);
+		expect(second.index.findTurn('t2')?.previous).toBe('t1');
+		expect(second.index.listUses('p')).toMatchObject([{attempt: 't1', tokens: 40, settled: true}]);
+		await second.close();
+	});
+
+	it('keeps what was stored before a kill, without a close', async () => {
+		const first = await open();
+		await first.add(turn('t1'));
+		const second = await open();
+		expect(second.index.findTurn('t1')).toBeDefined();
+		await second.close();
+		await first.close();
+	});
+
+	it('passes over a torn line at the end', async () => {
+		const first = await open();
+		await first.add(turn('t1'));
+		await first.add(turn('t2'));
+		await first.close();
+		const [log] = await listLogs();
+		const {length} = await readFile(log!);
+		await truncate(log!, length - 10);
+		const second = await open();
+		expect(second.index.findTurn('t1')).toBeDefined();
+		expect(second.index.findTurn('t2')).toBeUndefined();
+		await second.close();
+	});
+
+	it('passes over a gap and takes the lines behind it', async () => {
+		const first = await open();
+		await first.add(turn('t1'));
+		await first.close();
+		const [log] = await listLogs();
+		const bytes = await readFile(log!);
+		await writeFile(log!, Buffer.concat([bytes.subarray(0, 40), Buffer.from('\n'), bytes]));
+		await appendFile(log!, 'half a li');
+		const second = await open();
+		expect(second.index.findTurn('t1')).toBeDefined();
+		await second.close();
+	});
+
+	it('takes a folder whose id file is empty as a new disk', async () => {
+		await writeFile(path.join(folder, 'disk-id'), '');
+		const store = await open();
+		expect(store.isNew).toBe(true);
+		expect(store.diskId).not.toBe('');
+		await store.close();
+	});
+
+	it('keeps a chain as long as its newest turn and forgets the rest at a restart', async () => {
+		const first = await open();
+		await first.add({case: 'turn', value: {...turn('old').value, expiresAtMs: Date.now() + 10}});
+		await first.add({case: 'turn', value: {...turn('alone').value, expiresAtMs: Date.now() + 10}});
+		await first.add(turn('new', 'old'));
+		await first.close();
+		await new Promise(resolve => {
+			setTimeout(resolve, 30);
+		});
+		const second = await open();
+		expect(second.index.findTurn('old')).toBeDefined();
+		expect(second.index.findTurn('alone')).toBeUndefined();
+		await second.close();
+	});
+
+	it('syncs once for all that is added meanwhile', async () => {
+		const store = await open();
+		const before = store.syncs();
+		await Promise.all(Array.from({length: 50}, async (_, index) => store.add(turn(`t${index}`))));
+		expect(store.syncs() - before).toBeLessThanOrEqual(2);
+		await store.close();
+	});
+});
--- a/packages/turns/src/disk/open-copy-store.ts
+++ b/packages/turns/src/disk/open-copy-store.ts
@@ -14,7 +14,7 @@
 } from 'node:fs/promises';
 import path from 'node:path';
 import {
-	create, fromBinary, toBinary, type MessageInitShape,
+	create, fromBinary, toBinary,
 } from '@bufbuild/protobuf';
 import {decodeEntry} from '@siskinhub/history/log/decode-entry.js';
 import {encodeEntry} from '@siskinhub/history/log/encode-entry.js';
@@ -125,7 +125,7 @@
 			isNew,
 			index,
 			async add(fact) {
-				const record = create(RecordSchema, {fact} as MessageInitShape<typeof RecordSchema>);
+				const record = create(RecordSchema, {fact});
 				if (index.add(record)) {
 					return write(record);
 				}
--- a/packages/turns/src/holder/copy-from-holders.ts
+++ b/packages/turns/src/holder/copy-from-holders.ts
@@ -3,6 +3,7 @@
 */
 import type {PeerLink} from '@siskinhub/peer/peer-link.js';
 import type {CopyStore} from '../disk/copy-store.js';
+import {askHolder} from '../holders/ask-holder.js';
 import {fromWireList} from '../holders/from-wire-list.js';
 import {hasQuorum} from '../holders/has-quorum.js';
 import type {Holder} from '../holders/holder.js';
@@ -16,9 +17,9 @@
 	readonly linkTo: (holder: Holder) => PeerLink;
 };
 
-const pullAll = async ({store, listVersion}: CopyOptions, link: PeerLink): Promise<boolean> => {
+const pullAll = async ({store, listVersion, linkTo}: CopyOptions, holder: Holder): Promise<boolean> => {
 	for (let offset = 0; ;) {
-		const answer = await link.request({case: 'pullRecords', value: {listVersion, offset}}, {timeoutMs: PULL_TIMEOUT_MS});
+		const answer = await askHolder(linkTo(holder), holder, {case: 'pullRecords', value: {listVersion, offset}}, PULL_TIMEOUT_MS);
 		if (answer.isErr() || answer.value.case !== 'records') {
 			return false;
 		}
@@ -40,7 +41,7 @@
 
 /** Whether a read quorum of the current holders was copied from, this disk counted if it is one of them. */
 export const copyFromHolders = async (options: CopyOptions): Promise<boolean> => {
-	const {store, listVersion, losses, linkTo} = options;
+	const {store, listVersion, losses} = options;
 	const list = fromWireList(store.index.list());
 	if (list?.version !== listVersion) {
 		return false;
@@ -48,7 +49,7 @@
 
 	const copied = new Set<string>();
 	await Promise.all(list.current.map(async holder => {
-		if (holder.diskId === store.diskId || await pullAll(options, linkTo(holder))) {
+		if (holder.diskId === store.diskId || await pullAll(options, holder)) {
 			copied.add(holder.diskId);
 		}
 	}));
--- a/packages/turns/src/holder/create-copy-service.ts
+++ b/packages/turns/src/holder/create-copy-service.ts
@@ -126,6 +126,7 @@
 		void (async () => {
 			reply(await answered);
 		})();
+
 		return true;
 	};
 };
--- a/packages/turns/src/holder/run-holder.ts
+++ b/packages/turns/src/holder/run-holder.ts
@@ -1,10 +1,11 @@
 /**
 Keeps one disk among the holders: joins it, replaces lost ones, empties hosts.
 */
-import {setTimeout as delay} from 'node:timers/promises';
+import {waitUnlessAborted} from '@siskinhub/core/time/wait-unless-aborted.js';
 import type {PeerLink} from '@siskinhub/peer/peer-link.js';
 import type {Logger} from '@siskinhub/observe/logger.js';
 import type {CopyStore} from '../disk/copy-store.js';
+import {askHolder} from '../holders/ask-holder.js';
 import {decideHolderChange} from '../holders/decide-holder-change.js';
 import {fromWireList} from '../holders/from-wire-list.js';
 import {hasQuorum} from '../holders/has-quorum.js';
@@ -50,7 +51,7 @@
 				reachable.add(diskId);
 			} else if (!lastSeenAt.has(diskId)) {
 				lastSeenAt.set(diskId, now);
-			} else if (now - lastSeenAt.get(diskId)! > lostAfterMs || (link?.remote() && link.remote()?.dataFolderId !== diskId)) {
+			} else if (now - lastSeenAt.get(diskId)! > lostAfterMs || (link?.remote()?.dataFolderId ?? diskId) !== diskId) {
 				lost.add(diskId);
 			}
 		}
@@ -69,14 +70,17 @@
 	return agreed;
 };
 
-const createCompletion = ({self, store, linkTo, losses}: HolderOptions, syncSelf: (listVersion: number) => Promise<boolean>) => async (list: HolderList, copying: readonly Holder[]): Promise<boolean> => {
+type Completion = (list: HolderList, copying: readonly Holder[]) => Promise<boolean>;
+
+const createCompletion = ({self, store, linkTo, losses}: HolderOptions, syncSelf: (listVersion: number) => Promise<boolean>): Completion => async (list, copying) => {
 	const wire = toWireList(list);
 	const adopted = await askAll(listAllHolders(list), async holder => {
 		if (holder.diskId === self.diskId) {
-			return (await store.add({case: 'list', value: wire})).isOk();
+			const stored = await store.add({case: 'list', value: wire});
+			return stored.isOk();
 		}
 
-		const answer = await linkTo(holder).request({case: 'adoptHolders', value: {list: wire}}, {timeoutMs: ADOPT_TIMEOUT_MS});
+		const answer = await askHolder(linkTo(holder), holder, {case: 'adoptHolders', value: {list: wire}}, ADOPT_TIMEOUT_MS);
 		return answer.isOk() && answer.value.case === 'acknowledged';
 	});
 	if (!hasQuorum({version: list.version, current: list.current}, 'read', adopted, losses)) {
@@ -88,7 +92,7 @@
 			return syncSelf(list.version);
 		}
 
-		const answer = await linkTo(holder).request({case: 'syncCopy', value: {listVersion: list.version}}, {timeoutMs: SYNC_TIMEOUT_MS});
+		const answer = await askHolder(linkTo(holder), holder, {case: 'syncCopy', value: {listVersion: list.version}}, SYNC_TIMEOUT_MS);
 		return answer.isOk() && answer.value.case === 'acknowledged';
 	});
 	return copied.size === copying.length;
@@ -137,6 +141,6 @@
 
 	while (!signal.aborted) {
 		await step();
-		await delay(STEP_INTERVAL_MS, undefined, {signal, ref: false}).catch(() => undefined);
+		await waitUnlessAborted(STEP_INTERVAL_MS, signal);
 	}
 };
--- a/packages/turns/src/holders/decide-holder-change.ts
+++ b/packages/turns/src/holders/decide-holder-change.ts
@@ -83,7 +83,8 @@
 	const {current, next} = list;
 	const isListed = includes(listAllHolders(list), self);
 	if (!isListed) {
-		return next || retiring.has(self.host) ? NONE : decideJoin(view, list);
+		const mayJoin = !next && !retiring.has(self.host);
+		return mayJoin ? decideJoin(view, list) : NONE;
 	}
 
 	const leader = listAllHolders(list).map(({diskId}) => diskId).filter(diskId => reachable.has(diskId)).toSorted()[0];
--- a/packages/turns/src/keeper/ask-holders.ts
+++ b/packages/turns/src/keeper/ask-holders.ts
@@ -4,9 +4,11 @@
 A holder that goes by another version of the list answers with its own: the
 newer list is taken over and the round begins again under it.
 */
+import {setTimeout as delay} from 'node:timers/promises';
 import type {PeerLink} from '@siskinhub/peer/peer-link.js';
 import type {Body} from '@siskinhub/peer/body.js';
 import type {BodyInit} from '@siskinhub/peer/body-init.js';
+import {askHolder} from '../holders/ask-holder.js';
 import {fromWireList} from '../holders/from-wire-list.js';
 import type {Holder} from '../holders/holder.js';
 import type {HolderList} from '../holders/holder-list.js';
@@ -20,6 +22,8 @@
 	/** Takes an answer in; returns whether the answers so far suffice. */
 	readonly onAnswer: (holder: Holder, answer: Body) => boolean;
 	readonly timeoutMs: number;
+	/** The newest list that is known; a round under an older one is of no more use. */
+	readonly readList: () => HolderList | undefined;
 };
 
 /** `enough`, `newer` with the list to go by, or `too-few` once the time is up. */
@@ -27,15 +31,18 @@
 
 /** Wait before a holder whose link broke is asked again, so that a dead one is not dialled in a loop. */
 const RETRY_MS = 100;
+/** How often a waiting round looks for a newer list. */
+const LIST_CHECK_MS = 150;
 
 /** Runs one round under one version of the list. */
-export const askHolders = async ({list, linkTo, ask, onAnswer, timeoutMs}: Round): Promise<RoundResult> => new Promise(resolve => {
+export const askHolders = async ({list, linkTo, ask, onAnswer, timeoutMs, readList}: Round): Promise<RoundResult> => new Promise(resolve => {
 	const deadline = Date.now() + timeoutMs;
 	let isDone = false;
 	const finish = (result: RoundResult): void => {
 		if (!isDone) {
 			isDone = true;
 			clearTimeout(timer);
+			clearInterval(listTimer);
 			resolve(result);
 		}
 	};
@@ -43,6 +50,12 @@
 	const timer = setTimeout(() => {
 		finish({kind: 'too-few'});
 	}, timeoutMs);
+	const listTimer = setInterval(() => {
+		const newest = readList();
+		if (newest && newest.version > list.version) {
+			finish({kind: 'newer', list: newest});
+		}
+	}, LIST_CHECK_MS);
 
 	const takeAnswer = async (holder: Holder, answer: Body): Promise<'again' | 'done'> => {
 		if (answer.case !== 'wrongHolders') {
@@ -59,26 +72,19 @@
 			return 'done';
 		}
 
-		await linkTo(holder).request({case: 'adoptHolders', value: {list: toWireList(list)}}, {timeoutMs: Math.max(1, deadline - Date.now())});
+		await askHolder(linkTo(holder), holder, {case: 'adoptHolders', value: {list: toWireList(list)}}, deadline - Date.now());
 		return 'again';
 	};
 
 	const askOne = async (holder: Holder): Promise<void> => {
-		while (!isDone && Date.now() < deadline) {
-			const answer = await linkTo(holder).request(ask(list.version), {timeoutMs: Math.max(1, deadline - Date.now())});
-			if (isDone) {
-				return;
-			}
+		const answer = await askHolder(linkTo(holder), holder, ask(list.version), deadline - Date.now());
+		if (isDone || (answer.isOk() && await takeAnswer(holder, answer.value) === 'done')) {
+			return;
+		}
 
-			if (answer.isOk()) {
-				if (await takeAnswer(holder, answer.value) === 'done') {
-					return;
-				}
-			} else {
-				await new Promise(wake => {
-					setTimeout(wake, RETRY_MS);
-				});
-			}
+		await delay(answer.isOk() ? 0 : RETRY_MS);
+		if (Date.now() < deadline) {
+			await askOne(holder);
 		}
 	};
 
--- a/packages/turns/src/keeper/create-turn-keeper.ts
+++ b/packages/turns/src/keeper/create-turn-keeper.ts
@@ -43,7 +43,7 @@
 			}
 
 			const result = await askHolders({
-				list, linkTo, ask, onAnswer: startRound(list), timeoutMs: leftMs,
+				list, linkTo, ask, onAnswer: startRound(list), timeoutMs: leftMs, readList,
 			});
 			if (result.kind !== 'newer') {
 				return result.kind === 'enough';
