--- a/scripts/profile-gateway.ts
+++ b/scripts/profile-gateway.ts
@@ -1,7 +1,8 @@
 /**
 Measures what a gateway and its holders cost: starts them from `target/` beside
 stand-ins on loopback, sends turns and plain calls at a fixed rate, and prints
-processor time a request and at rest. `--cpu-prof` leaves profiles in `target/prof`.
+processor time a request, at rest and for the first calls after a start.
+`--cpu-prof` leaves profiles in `target/prof`; what follows `--` goes to Node.
 */
 import {spawn, type ChildProcess} from 'node:child_process';
 import {
@@ -19,10 +20,12 @@
 const HOLDERS = 3;
 const REST_MS = 5000;
 const LOAD_MS = 10_000;
+const COLD_MS = 3000;
 const CALLS_PER_S = 150;
 const TICKS_PER_S = 100;
 const PROFILE_FOLDER = 'target/prof';
 const shouldProfile = process.argv.includes('--cpu-prof');
+const nodeFlags = process.argv.includes('--') ? process.argv.slice(process.argv.indexOf('--') + 1) : [];
 const folder = mkdtempSync(path.join(tmpdir(), 'siskinhub-profile-'));
 
 const store = await startFakeStore();
@@ -61,7 +64,7 @@
 		platform: {address: store.address},
 	}));
 	const flags = shouldProfile ? ['--cpu-prof', `--cpu-prof-dir=${PROFILE_FOLDER}`, `--cpu-prof-name=${name}.cpuprofile`] : [];
-	return spawn(process.execPath, [...flags, `target/siskinhub-${binary}.mjs`], {env: {...process.env, SISKINHUB_BOOT: file}, stdio: ['ignore', 'ignore', 'inherit']});
+	return spawn(process.execPath, [...nodeFlags, ...flags, `target/siskinhub-${binary}.mjs`], {env: {...process.env, SISKINHUB_BOOT: file}, stdio: ['ignore', 'ignore', 'inherit']});
 };
 
 const readCpuMs = ({pid}: ChildProcess): number => {
@@ -126,7 +129,6 @@
 	return used;
 };
 
-await measure('at rest', REST_MS, async () => delay(REST_MS));
 const load = async (ms: number): Promise<void> => {
 	const startedAt = performance.now();
 	const running: Array<Promise<void>> = [];
@@ -143,7 +145,9 @@
 	await Promise.all(running);
 };
 
+await measure('first calls', COLD_MS, async () => load(COLD_MS));
 await load(LOAD_MS / 2);
+await measure('at rest', REST_MS, async () => delay(REST_MS));
 latencies.length = 0;
 const sentBefore = sent;
 const used = await measure('under load', LOAD_MS, async () => load(LOAD_MS));
