--- a/packages/gateway/src/host/start-holder.ts
+++ b/packages/gateway/src/host/start-holder.ts
@@ -1,10 +1,12 @@
 /**
 The process that holds copies of turns and token uses on its host's disk.
 */
+import {waitUnlessAborted} from '@siskinhub/core/time/wait-unless-aborted.js';
 import {createDeclaredView} from '@siskinhub/declared/create-declared-view.js';
 import type {DeclarationStore} from '@siskinhub/declared/declaration-store.js';
 import type {Logger} from '@siskinhub/observe/logger.js';
 import {createPeerServer} from '@siskinhub/peer/create-peer-server.js';
+import type {CopyStore} from '@siskinhub/turns/disk/copy-store.js';
 import {openCopyStore} from '@siskinhub/turns/disk/open-copy-store.js';
 import {copyFromHolders} from '@siskinhub/turns/holder/copy-from-holders.js';
 import {createCopyService} from '@siskinhub/turns/holder/create-copy-service.js';
@@ -21,6 +23,28 @@
 
 /** A holder that is silent for longer than a restart or a short cut takes is given up where enough others are there. */
 const LOST_AFTER_MS = 3000;
+/** The log is compacted once it is this large and has doubled since. */
+const COMPACT_FROM_BYTES = 48 * 1024 * 1024;
+const COMPACT_CHECK_MS = 5000;
+
+const compactWhenLarge = async (copies: CopyStore, log: Logger, signal: AbortSignal): Promise<void> => {
+	let compactAt = COMPACT_FROM_BYTES;
+	while (!signal.aborted) {
+		await waitUnlessAborted(COMPACT_CHECK_MS, signal);
+		if (copies.bytes() < compactAt) {
+			continue;
+		}
+
+		const before = copies.bytes();
+		const compacted = await copies.compact();
+		compactAt = Math.max(COMPACT_FROM_BYTES, copies.bytes() * 2);
+		if (compacted.isErr()) {
+			log.error('the log of copies could not be compacted', {reason: compacted.error});
+		} else {
+			log.info('compacted the log of copies', {before, after: copies.bytes()});
+		}
+	}
+};
 
 type HolderOptions = {
 	readonly keys: DeclaredKeys;
@@ -116,6 +140,7 @@
 		log,
 		signal: stopping.signal,
 	}, syncCopy);
+	void compactWhenLarge(copies, log, stopping.signal);
 	const metricsServer = serveText(cfg.metrics, async () => ({status: 200, text: await metrics.render()}));
 	log.info('copy holder started', {diskId: copies.diskId, isNewDisk: copies.isNew, records: copies.index.size()});
 
--- a/packages/turns/src/__tests__/create-fake-cluster.ts
+++ b/packages/turns/src/__tests__/create-fake-cluster.ts
@@ -80,6 +80,10 @@
 
 				return ok();
 			},
+			async compact() {
+				return ok();
+			},
+			bytes: () => 0,
 			syncs: () => 0,
 			async close() {/* Nothing is open. */},
 		};
--- a/packages/turns/src/disk/__tests__/open-copy-store.test.ts
+++ b/packages/turns/src/disk/__tests__/open-copy-store.test.ts
@@ -110,6 +110,21 @@
 		await second.close();
 	});
 
+	it('frees the place of what is past its retention and loses nothing that is added meanwhile', async () => {
+		const first = await open();
+		await first.add({case: 'turn', value: {...turn('gone').value, expiresAtMs: Date.now() - 1}});
+		await first.add(turn('kept'));
+		const before = first.bytes();
+		const [compacted, added] = await Promise.all([first.compact(), first.add(turn('meanwhile'))]);
+		expect([compacted.isOk(), added.isOk()]).toEqual([true, true]);
+		await first.add(turn('after'));
+		expect(first.bytes()).toBeLessThan(before * 2);
+		await first.close();
+		const second = await open();
+		expect(['gone', 'kept', 'meanwhile', 'after'].map(id => second.index.findTurn(id) !== undefined)).toEqual([false, true, true, true]);
+		await second.close();
+	});
+
 	it('syncs once for all that is added meanwhile', async () => {
 		const store = await open();
 		const before = store.syncs();
--- a/packages/turns/src/disk/copy-store.ts
+++ b/packages/turns/src/disk/copy-store.ts
@@ -12,7 +12,11 @@
 	readonly isNew: boolean;
 	readonly index: ReturnType<typeof createCopyIndex>;
 	readonly add: (fact: CopyRecord) => Promise<Result<void, string>>;
-	/** Number of fsyncs so far. */
+	/** Forgets what is past its retention and frees its place on the disk; calls must not overlap. */
+	readonly compact: () => Promise<Result<void, string>>;
+	/** Bytes of the log. */
+	readonly bytes: () => number;
+	/** Number of fsyncs since the last compaction. */
 	readonly syncs: () => number;
 	readonly close: () => Promise<void>;
 };
--- a/packages/turns/src/disk/create-copy-index.ts
+++ b/packages/turns/src/disk/create-copy-index.ts
@@ -5,24 +5,13 @@
 import type {
 	HolderList, KeptTurn, ProgramUse, Record as WireRecord, TokenUse,
 } from '@siskinhub/proto/gen/siskinhub/peer/v1/peer_pb.js';
+import {isNewerUse} from './is-newer-use.js';
 
 type ProgramUses = {
 	readonly byAttempt: Map<string, TokenUse>;
 	expiresAtMs: number;
 };
 
-const isNews = (held: TokenUse | undefined, use: TokenUse): boolean => {
-	if (!held) {
-		return true;
-	}
-
-	if (held.settled !== use.settled) {
-		return use.settled;
-	}
-
-	return use.tokens > held.tokens;
-};
-
 /** Creates an empty index. */
 export const createCopyIndex = () => {
 	const turns = new Map<string, KeptTurn>();
@@ -30,6 +19,8 @@
 	// Every record in the order of arrival, for holders that copy from this one.
 	let arrivals: WireRecord[] = [];
 	let list: HolderList | undefined;
+	// Offsets into the arrivals hold until some are taken out.
+	let generation = 1;
 
 	const addTurn = (turn: KeptTurn): boolean => {
 		const isNew = !turns.has(turn.id);
@@ -53,7 +44,7 @@
 		const uses = programs.get(program) ?? {byAttempt: new Map<string, TokenUse>(), expiresAtMs};
 		programs.set(program, uses);
 		uses.expiresAtMs = Math.max(uses.expiresAtMs, expiresAtMs);
-		if (!use || !isNews(uses.byAttempt.get(use.attempt), use)) {
+		if (!use || !isNewerUse(uses.byAttempt.get(use.attempt), use)) {
 			return false;
 		}
 
@@ -127,8 +118,11 @@
 		/** What is within retention. */
 		records(): readonly WireRecord[] {
 			arrivals = arrivals.filter(record => isWanted(record));
+			generation++;
 			return arrivals;
 		},
+		/** Changes whenever offsets into `recordsFrom` are of no more use. */
+		generation: (): number => generation,
 		/** Records from `offset` on, in the order of arrival. */
 		recordsFrom: (offset: number): readonly WireRecord[] => arrivals.slice(offset),
 		forgetExpired(now: number): void {
--- a/packages/turns/src/holder/copy-from-holders.ts
+++ b/packages/turns/src/holder/copy-from-holders.ts
@@ -18,13 +18,16 @@
 };
 
 const pullAll = async ({store, listVersion, linkTo}: CopyOptions, holder: Holder): Promise<boolean> => {
-	for (let offset = 0; ;) {
-		const answer = await askHolder(linkTo(holder), holder, {case: 'pullRecords', value: {listVersion, offset}}, PULL_TIMEOUT_MS);
+	let offset = 0;
+	let generation = 0;
+	for (;;) {
+		const answer = await askHolder(linkTo(holder), holder, {case: 'pullRecords', value: {listVersion, offset, generation}}, PULL_TIMEOUT_MS);
 		if (answer.isErr() || answer.value.case !== 'records') {
 			return false;
 		}
 
 		const {records, nextOffset, done} = answer.value.value;
+		({generation} = answer.value.value);
 		const facts = records.map(({fact}) => fact).filter(fact => fact.case !== undefined && fact.case !== 'list');
 		const stored = await Promise.all(facts.map(async fact => store.add(fact)));
 		if (stored.some(result => result.isErr())) {
--- a/packages/turns/src/holder/create-copy-service.ts
+++ b/packages/turns/src/holder/create-copy-service.ts
@@ -54,7 +54,9 @@
 		return answer;
 	};
 
-	const pull = (offset: number): BodyInit => {
+	const pull = (asked: {readonly offset: number; readonly generation: number}): BodyInit => {
+		const generation = index.generation();
+		const offset = asked.generation === generation ? asked.offset : 0;
 		const all = index.recordsFrom(offset);
 		let bytes = 0;
 		let count = 0;
@@ -63,7 +65,11 @@
 			count++;
 		}
 
-		return {case: 'records', value: {records: all.slice(0, count), nextOffset: offset + count, done: count === all.length}};
+		return {
+			case: 'records', value: {
+				records: all.slice(0, count), nextOffset: offset + count, done: count === all.length, generation,
+			},
+		};
 	};
 
 	/** `undefined` if the message is none of the copies'. */
@@ -91,7 +97,7 @@
 			}
 
 			case 'pullRecords': {
-				return wrongList(body.value.listVersion) ?? pull(body.value.offset);
+				return wrongList(body.value.listVersion) ?? pull(body.value);
 			}
 
 			default: {
--- a/packages/turns/src/keeper/sum-uses.ts
+++ b/packages/turns/src/keeper/sum-uses.ts
@@ -2,14 +2,13 @@
 Adds up what a program's turns have used, from the answers of several holders.
 */
 import type {TokenUse} from '@siskinhub/proto/gen/siskinhub/peer/v1/peer_pb.js';
+import {isNewerUse} from '../disk/is-newer-use.js';
 
-/** A settled use replaces the reservation of its attempt; of two others the larger counts. */
+/** Merges uses by attempt and adds them up. */
 export const sumUses = {
 	merge(into: Map<string, TokenUse>, uses: readonly TokenUse[]): void {
 		for (const use of uses) {
-			const held = into.get(use.attempt);
-			const isNews = !held || (held.settled === use.settled ? use.tokens > held.tokens : use.settled);
-			if (isNews) {
+			if (isNewerUse(into.get(use.attempt), use)) {
 				into.set(use.attempt, use);
 			}
 		}
