fix(gateway): an answer without a length is passed on without one

Change: an answer that ends with its connection is passed on the same way, so that it looks no more whole than it is (test 'does not make an answer without a length look whole').

--- a/packages/gateway/src/call/upstream-head.ts
+++ b/packages/gateway/src/call/upstream-head.ts
@@ -17,5 +17,6 @@
 	readonly isOtherUpstream: boolean;
 	/** The upstream will close the connection; it may be leaving. */
 	readonly isClosing: boolean;
-	readonly contentLength?: number;
+	/** The end of the body shows by its length or its last chunk, and not only by the end of the connection. */
+	readonly isFramed: boolean;
 };
--- a/packages/gateway/src/forward/__tests__/send-to-upstream.test.ts
+++ b/packages/gateway/src/forward/__tests__/send-to-upstream.test.ts
@@ -81,6 +81,17 @@
 		expect(await send(pool)).toEqual({end: 'failed', wasSent: true, text: 'a part'});
 	});
 
+	it('takes an answer in chunks as broken where its connection is reset, though a close was announced', async () => {
+		const pool = await startUpstream(socket => {
+			socket.write(`${HEAD}Connection: close\r\nTransfer-Encoding: chunked\r\n\r\n6\r\na part\r\n`, () => {
+				setTimeout(() => {
+					socket.resetAndDestroy();
+				}, 20);
+			});
+		});
+		expect(await send(pool)).toEqual({end: 'failed', wasSent: true, text: 'a part'});
+	});
+
 	it('takes an answer shorter than its length as broken', async () => {
 		const pool = await startUpstream(socket => {
 			socket.end(`${HEAD}Content-Length: 20\r\n\r\na part`);
--- a/packages/gateway/src/forward/caller-answer.ts
+++ b/packages/gateway/src/forward/caller-answer.ts
@@ -11,7 +11,8 @@
 	readonly onGone: (listener: () => void) => void;
 	/** Ends with an answer of the system's own. */
 	readonly refuse: (status: number, retryAfterMs?: number) => void;
-	readonly start: (status: number, headers: string[]) => void;
+	/** An answer that is not framed ends with its connection, as the upstream's did: nobody can know that it is whole. */
+	readonly start: (status: number, headers: string[], isFramed: boolean) => void;
 	/** `false` asks to wait for `onDrain`. */
 	readonly write: (bytes: Uint8Array) => boolean;
 	readonly onDrain: (listener: () => void) => void;
--- a/packages/gateway/src/forward/create-upstream-connection.ts
+++ b/packages/gateway/src/forward/create-upstream-connection.ts
@@ -1,9 +1,10 @@
 /**
 One connection to an upstream, by undici.
 
-An answer without a length ends with its connection, and undici takes a reset
-for such an end. Only an orderly close proves that the answer is whole, so a
-reset is reported as the failure that it is.
+Where an upstream announces that it closes the connection, undici takes a reset
+for the end of the answer, also of one without a length or in chunks. Only the
+last chunk or an orderly close proves that the answer is whole, so a reset is
+reported as the failure that it is.
 */
 import {buildConnector, Client, type Dispatcher} from 'undici';
 
@@ -14,35 +15,29 @@
 	readonly connectTimeoutMs: number;
 };
 
-const isFramed = (headers: Record<string, string | string[] | undefined>): boolean => 'content-length' in headers || 'transfer-encoding' in headers;
-
 /** `wasReset` tells of the connection that the request went over. */
-const reportResets = (handler: Dispatcher.DispatchHandler, wasReset: () => boolean): Dispatcher.DispatchHandler => {
-	let isWholeAtClose = false;
-	return {
-		onRequestStart(controller, context) {
-			handler.onRequestStart?.(controller, context);
-		},
-		onResponseStart(controller, status, headers, message) {
-			isWholeAtClose = !isFramed(headers);
-			handler.onResponseStart?.(controller, status, headers, message);
-		},
-		onResponseData(controller, chunk) {
-			handler.onResponseData?.(controller, chunk);
-		},
-		onResponseEnd(controller, trailers) {
-			if (isWholeAtClose && wasReset()) {
-				handler.onResponseError?.(controller, new Error('The connection was reset before the answer was whole.'));
-				return;
-			}
+const reportResets = (handler: Dispatcher.DispatchHandler, wasReset: () => boolean): Dispatcher.DispatchHandler => ({
+	onRequestStart(controller, context) {
+		handler.onRequestStart?.(controller, context);
+	},
+	onResponseStart(controller, status, headers, message) {
+		handler.onResponseStart?.(controller, status, headers, message);
+	},
+	onResponseData(controller, chunk) {
+		handler.onResponseData?.(controller, chunk);
+	},
+	onResponseEnd(controller, trailers) {
+		if (wasReset()) {
+			handler.onResponseError?.(controller, new Error('The connection was reset before the answer was whole.'));
+			return;
+		}
 
-			handler.onResponseEnd?.(controller, trailers);
-		},
-		onResponseError(controller, error) {
-			handler.onResponseError?.(controller, error);
-		},
-	};
-};
+		handler.onResponseEnd?.(controller, trailers);
+	},
+	onResponseError(controller, error) {
+		handler.onResponseError?.(controller, error);
+	},
+});
 
 /** Connects at the first request and again after a break. */
 export const createUpstreamConnection = ({origin, client: options, connectTimeoutMs}: ConnectionOptions) => {
--- a/packages/gateway/src/forward/run-attempt.ts
+++ b/packages/gateway/src/forward/run-attempt.ts
@@ -61,7 +61,7 @@
 
 	const startAnswer = (): void => {
 		if (!answer.isStarted()) {
-			answer.start(head!.status, head!.headers);
+			answer.start(head!.status, head!.headers, head!.isFramed);
 		}
 	};
 
--- a/packages/gateway/src/http/create-caller-answer.ts
+++ b/packages/gateway/src/http/create-caller-answer.ts
@@ -47,8 +47,10 @@
 			res.writeHead(status, {...encodeRefusal(retryAfterMs), 'content-length': 0});
 			res.end();
 		},
-		start(status, headers) {
+		start(status, headers, isFramed) {
 			if (!isOver) {
+				res.useChunkedEncodingByDefault = isFramed;
+				res.shouldKeepAlive &&= isFramed;
 				res.writeHead(status, headers);
 			}
 		},
