fix(entry): an attach without a hash begins the answer again

After a frozen sidecar a call ran anew on another engine; its caller attached with an offset and no hash, and the entry sent the new run from that byte on. Seen in the trace as 'a chunk at byte 20 came after 22 bytes': byte 22 falls into a character of the new run.

Ruled out: the links (red with Connect too, by the issue), the sidecar's resume (the chunk came from the entry's own copy).

Change: without a hash nothing shows that the caller's bytes are the run's, so the answer begins again at byte 0, as it does where the hash differs. Test 'a caller that gives no hash never puts two runs together' failed before.

--- a/packages/entry/src/http/__tests__/resume-answer.test.ts
+++ b/packages/entry/src/http/__tests__/resume-answer.test.ts
@@ -49,3 +49,14 @@
 	events.onFinal(final);
 	expect(caller.answer()).toBe(whole);
 });
+
+test.prop([
+	fc.string({unit: 'grapheme', minLength: 1}),
+	fc.string({unit: 'grapheme', minLength: 1}),
+])('a caller that gives no hash never puts two runs together', (whole, have) => {
+	const caller = createCaller(have);
+	const events = resumeAnswer(caller.events, {from: Buffer.byteLength(have)});
+	events.onChunk({offset: 0, text: whole});
+	events.onFinal(final);
+	expect(caller.answer()).toBe(whole);
+});
--- a/packages/entry/src/http/resume-answer.ts
+++ b/packages/entry/src/http/resume-answer.ts
@@ -3,8 +3,8 @@
 
 An idempotent call may have run anew on another upstream since the caller lost
 its connection, and a model need not answer twice alike. The caller's bytes are
-therefore compared by hash: where they belong to another run, the answer begins
-again at byte 0.
+therefore compared by hash: where they belong to another run, or where the
+caller gives no hash to tell, the answer begins again at byte 0.
 */
 import {createHash} from 'node:crypto';
 import type {CallEvents} from '../calls/call-events.js';
@@ -13,7 +13,7 @@
 type ResumePoint = {
 	/** First byte that the caller lacks. */
 	readonly from: number;
-	/** Hex SHA-256 of the bytes before it; undefined if the caller did not say. */
+	/** Hex SHA-256 of the bytes before it; without it the answer begins again. */
 	readonly prefixSha256?: string;
 };
 
@@ -23,7 +23,7 @@
 	const hash = createHash('sha256');
 	let prefix = '';
 	let hashedBytes = 0;
-	let isChecked = prefixSha256 === undefined || from === 0;
+	let isChecked = from === 0;
 
 	const beginAgain = () => {
 		isChecked = true;
