--- a/packages/cli/src/commands.ts
+++ b/packages/cli/src/commands.ts
@@ -1,6 +1,7 @@
 /**
 The commands of `siskinhub`, by their oclif ids.
 */
+import {Explain} from './commands/explain.js';
 import {ProgramEnd} from './commands/program-end.js';
 import {ProgramShow} from './commands/program-show.js';
 import {SettingsCheck} from './commands/settings-check.js';
@@ -15,6 +16,7 @@
 
 /** Ids and classes; an id's parts are separated by colons, which operators type as spaces. */
 export const COMMANDS = {
+	explain: Explain,
 	'program:end': ProgramEnd,
 	'program:show': ProgramShow,
 	'settings:check': SettingsCheck,
--- /dev/null
+++ b/packages/cli/src/logs/parse-log-line.ts
@@ -0,0 +1,25 @@
+/**
+Reads one line of a daemon's log.
+*/
+import {fromThrowable} from 'neverthrow';
+import * as z from 'zod';
+import type {LogEntry} from './log-entry.js';
+
+const LineSchema = z.looseObject({time: z.string(), host: z.string(), msg: z.string()});
+
+const parseJson = fromThrowable((text: string): unknown => JSON.parse(text));
+
+/** What stands before the JSON object, as a log collector puts it there, is passed over; `undefined` for any other line. */
+export const parseLogLine = (file: string, line: string): LogEntry | undefined => {
+	const start = line.indexOf('{');
+	const value = start === -1 ? undefined : parseJson(line.slice(start)).unwrapOr(undefined);
+	const parsed = LineSchema.safeParse(value);
+	if (!parsed.success) {
+		return undefined;
+	}
+
+	const {time, host, msg, ...fields} = parsed.data;
+	return {
+		file, time, host, msg, fields,
+	};
+};
