refactor: one export a file in the last five modules that had a type beside its factory

load-client, log-writer, entry-client, recorder and append-log stand in files of their own; two small types of the proofs' client, which stood inside it, as well. No behaviour changed.

--- a/packages/bench/src/capacity/experiments/measure-programs.ts
+++ b/packages/bench/src/capacity/experiments/measure-programs.ts
@@ -4,7 +4,8 @@
 */
 import {setTimeout as sleep} from 'node:timers/promises';
 import {startRoleCluster} from '../cluster/start-role-cluster.js';
-import {createLoadClient, type LoadClient} from '../load/create-load-client.js';
+import {createLoadClient} from '../load/create-load-client.js';
+import type {LoadClient} from '../load/load-client.js';
 import {runTogether} from '../load/run-together.js';
 import type {Series} from '../report/series.js';
 import {measureUsage} from '../usage/measure-usage.js';
--- a/packages/bench/src/capacity/load/create-load-client.ts
+++ b/packages/bench/src/capacity/load/create-load-client.ts
@@ -2,29 +2,11 @@
 Callers that spend as little time as possible on what they receive.
 */
 import {Agent, request} from 'undici';
+import type {LoadClient} from './load-client.js';
 
 const CONNECTIONS = 512;
 const HEADERS = {'siskinhub-workspace': 'load', 'content-type': 'application/json'};
 
-type Call = {
-	readonly program: string;
-	readonly turn: number;
-	readonly target: {readonly model: string} | {readonly service: string; readonly operation: string};
-	readonly idempotent: boolean;
-	readonly input: unknown;
-	readonly outputTokens: number;
-};
-
-/** Requests to one entry; each throws unless it was answered in full. */
-export type LoadClient = {
-	/** Resolves with the program's id. */
-	readonly startProgram: () => Promise<string>;
-	readonly call: (call: Call) => Promise<void>;
-	/** Posts a prompt straight to an engine, past the system. */
-	readonly callEngine: (engineAddress: string, group: string, prompt: string, outputTokens: number) => Promise<void>;
-	readonly close: () => Promise<void>;
-};
-
 const expectText = (text: string, expected: string): void => {
 	if (!text.includes(expected)) {
 		throw new Error(`expected ${expected}, got: ${text.slice(-300)}`);
--- a/packages/bench/src/capacity/load/create-program-pool.ts
+++ b/packages/bench/src/capacity/load/create-program-pool.ts
@@ -1,7 +1,7 @@
 /**
 Programs that take turns; a call goes to one that is idle.
 */
-import type {LoadClient} from './create-load-client.js';
+import type {LoadClient} from './load-client.js';
 import {drawText} from './draw-text.js';
 
 type IdleProgram = {readonly program: string; readonly turn: number};
--- a/packages/history/src/create-compactor.ts
+++ b/packages/history/src/create-compactor.ts
@@ -10,7 +10,7 @@
 import type {HistoryError} from './history-error.js';
 import type {HistoryStore} from './history-store.js';
 import {encodeEntry} from './log/encode-entry.js';
-import type {LogWriter} from './log/open-log-writer.js';
+import type {LogWriter} from './log/log-writer.js';
 import {segmentFiles} from './log/segment-files.js';
 import {syncFolder} from './log/sync-folder.js';
 
--- a/packages/history/src/create-reader.ts
+++ b/packages/history/src/create-reader.ts
@@ -6,7 +6,7 @@
 import {err, type Result} from 'neverthrow';
 import type {ProgramIndex} from './program-index.js';
 import type {HistoryError} from './history-error.js';
-import type {LogWriter} from './log/open-log-writer.js';
+import type {LogWriter} from './log/log-writer.js';
 import {readProgram} from './read-program.js';
 
 const MOST_ATTEMPTS = 3;
--- a/packages/history/src/create-writes.ts
+++ b/packages/history/src/create-writes.ts
@@ -16,7 +16,7 @@
 import type {IndexedProgram} from './indexed-program.js';
 import {encodeEntry} from './log/encode-entry.js';
 import type {EntryMeta} from './log/entry-meta.js';
-import type {LogWriter} from './log/open-log-writer.js';
+import type {LogWriter} from './log/log-writer.js';
 
 const MOST_SHARDS = 100_000;
 
--- a/packages/history/src/log/open-log-writer.ts
+++ b/packages/history/src/log/open-log-writer.ts
@@ -7,28 +7,12 @@
 import {err, ok, type Result} from 'neverthrow';
 import type {HistoryError} from '../history-error.js';
 import type {Location} from './location.js';
+import type {LogWriter} from './log-writer.js';
 import {segmentFiles} from './segment-files.js';
 import {syncFolder} from './sync-folder.js';
 
 type Chunk = {readonly segment: number; readonly bytes: Uint8Array};
 
-/** Where a line will stand, known at once, and when it has reached the disk. */
-type PendingAppend = {
-	readonly location: Location;
-	readonly done: Promise<Result<void, HistoryError>>;
-};
-
-/** The only writer of a data folder. */
-export type LogWriter = {
-	readonly append: (line: Uint8Array) => PendingAppend;
-	/** Resolves when every line given so far has reached the disk. */
-	readonly flush: () => Promise<Result<void, HistoryError>>;
-	readonly segment: () => number;
-	/** Number of fsyncs so far, which group commit keeps below the number of appends. */
-	readonly syncs: () => number;
-	readonly close: () => Promise<void>;
-};
-
 /** `beginSegment` gives the lines that every new segment begins with. After a failed write nothing more is written. */
 export const openLogWriter = (options: {
 	readonly folder: string;
--- a/packages/prove/src/client/create-entry-client.ts
+++ b/packages/prove/src/client/create-entry-client.ts
@@ -3,32 +3,20 @@
 */
 import type {RefusalCode} from '@siskinhub/core/refusal/refusal-code.js';
 import {Agent, request, type Dispatcher} from 'undici';
-import type {Recorder} from '../history/create-recorder.js';
 import type {Operation} from '../history/operation.js';
+import type {Recorder} from '../history/recorder.js';
 import type {CallRequest} from './call-request.js';
+import type {CallResult} from './call-result.js';
+import type {EntryClient} from './entry-client.js';
+import type {EntryTarget} from './entry-target.js';
 import {readAnswer} from './read-answer.js';
 
 const SILENCE_TIMEOUT_MS = 6000;
 const HTTP_OK_LIMIT = 300;
 
 type Outcome = NonNullable<Operation['outcome']>;
-type Entry = {readonly name: string; readonly address: string};
 type RequestOptions = {readonly method: 'GET' | 'POST' | 'DELETE'; readonly path: string; readonly body?: unknown};
 
-/** An operation and the text that it received, which is a prefix of the answer if it was cut. */
-type CallResult = {readonly operation: Operation; readonly text: string};
-
-/** Clients of one workspace. */
-export type EntryClient = {
-	readonly startProgram: (entry: Entry, body: Record<string, unknown>, alias: string) => Promise<Operation>;
-	readonly call: (entry: Entry, call: CallRequest) => Promise<CallResult>;
-	/** Attaches to a call of which `received` has come already. */
-	readonly attach: (entry: Entry, call: CallRequest, received: string) => Promise<CallResult>;
-	readonly readHistory: (entry: Entry, program: string, alias: string) => Promise<Operation>;
-	readonly endProgram: (entry: Entry, program: string) => Promise<Operation>;
-	readonly close: () => Promise<void>;
-};
-
 const readRefusal = async (response: Dispatcher.ResponseData): Promise<Outcome> => {
 	const {code, message} = await response.body.json() as {code: RefusalCode; message: string};
 	return {kind: 'refused', code, message};
@@ -40,14 +28,14 @@
 		headersTimeout: SILENCE_TIMEOUT_MS, bodyTimeout: SILENCE_TIMEOUT_MS, connect: {timeout: SILENCE_TIMEOUT_MS}, connections: 256,
 	});
 
-	const send = async (entry: Entry, {method, path, body}: RequestOptions): Promise<Dispatcher.ResponseData> => request(`${entry.address}${path}`, {
+	const send = async (entry: EntryTarget, {method, path, body}: RequestOptions): Promise<Dispatcher.ResponseData> => request(`${entry.address}${path}`, {
 		method,
 		dispatcher,
 		headers: {'siskinhub-workspace': workspace, ...body !== undefined && {'content-type': 'application/json'}},
 		body: body === undefined ? undefined : JSON.stringify(body),
 	});
 
-	const perform = async (entry: Entry, given: Partial<Operation> & Pick<Operation, 'kind'>, options: RequestOptions): Promise<Operation> => {
+	const perform = async (entry: EntryTarget, given: Partial<Operation> & Pick<Operation, 'kind'>, options: RequestOptions): Promise<Operation> => {
 		const open = recorder.invoke({...given, via: entry.name});
 		try {
 			const response = await send(entry, options);
@@ -59,7 +47,7 @@
 		return open.operation;
 	};
 
-	const stream = async (entry: Entry, given: Partial<Operation> & Pick<Operation, 'kind'>, options: RequestOptions, received: string): Promise<CallResult> => {
+	const stream = async (entry: EntryTarget, given: Partial<Operation> & Pick<Operation, 'kind'>, options: RequestOptions, received: string): Promise<CallResult> => {
 		const open = recorder.invoke({...given, via: entry.name});
 		try {
 			const response = await send(entry, options);
--- a/packages/prove/src/client/program-options.ts
+++ b/packages/prove/src/client/program-options.ts
@@ -2,7 +2,7 @@
 How one program of a proof behaves.
 */
 import type {Random} from '@siskinhub/core/decide/random.js';
-import type {EntryClient} from './create-entry-client.js';
+import type {EntryClient} from './entry-client.js';
 
 /** The random source belongs to this program alone, so that programs do not disturb one another's choices. */
 export type ProgramOptions = {
--- a/packages/prove/src/cluster/inject-fault.ts
+++ b/packages/prove/src/cluster/inject-fault.ts
@@ -3,7 +3,7 @@
 */
 import {setTimeout as sleep} from 'node:timers/promises';
 import type {ManagedProcess} from '@siskinhub/standins/cluster/managed-process.js';
-import type {Recorder} from '../history/create-recorder.js';
+import type {Recorder} from '../history/recorder.js';
 import type {Fault} from '../schedule/fault.js';
 import type {Cluster} from './cluster.js';
 import {sendJsonRequest} from './send-json-request.js';
--- a/packages/prove/src/history/create-recorder.ts
+++ b/packages/prove/src/history/create-recorder.ts
@@ -3,21 +3,7 @@
 */
 import type {FaultEvent} from './fault-event.js';
 import type {Operation} from './operation.js';
-
-/** An operation that was invoked and can be completed once. */
-type OpenOperation = {
-	readonly operation: Operation;
-	readonly accept: () => void;
-	readonly complete: (outcome: NonNullable<Operation['outcome']>) => void;
-};
-
-/** Operations and faults in the order they began. */
-export type Recorder = {
-	readonly operations: readonly Operation[];
-	readonly faults: readonly FaultEvent[];
-	readonly invoke: (operation: Pick<Operation, 'kind' | 'via'> & Partial<Operation>) => OpenOperation;
-	readonly noteFault: (kind: string, target: string, detail?: string) => void;
-};
+import type {Recorder} from './recorder.js';
 
 /** Creates an empty record. */
 export const createRecorder = (): Recorder => {
--- a/packages/prove/src/points/edit-cell.ts
+++ b/packages/prove/src/points/edit-cell.ts
@@ -3,7 +3,7 @@
 */
 import {setTimeout as sleep} from 'node:timers/promises';
 import {sendJsonRequest} from '../cluster/send-json-request.js';
-import type {Recorder} from '../history/create-recorder.js';
+import type {Recorder} from '../history/recorder.js';
 
 const RESOLVE_ATTEMPTS = 60;
 const RETRY_DELAY_MS = 250;
--- a/packages/prove/src/points/proof-context.ts
+++ b/packages/prove/src/points/proof-context.ts
@@ -2,9 +2,9 @@
 What a proof works with.
 */
 import type {Random} from '@siskinhub/core/decide/random.js';
-import type {EntryClient} from '../client/create-entry-client.js';
+import type {EntryClient} from '../client/entry-client.js';
 import type {Cluster} from '../cluster/cluster.js';
-import type {Recorder} from '../history/create-recorder.js';
+import type {Recorder} from '../history/recorder.js';
 
 /** Made anew for each run. */
 export type ProofContext = {
--- a/packages/standins/src/create-service-server.ts
+++ b/packages/standins/src/create-service-server.ts
@@ -7,7 +7,7 @@
 import {createHash} from 'node:crypto';
 import type {IncomingMessage, Server, ServerResponse} from 'node:http';
 import {setTimeout as sleep} from 'node:timers/promises';
-import {openAppendLog} from './append-log.js';
+import {openAppendLog} from './open-append-log.js';
 import {createRoutedServer} from './http/create-routed-server.js';
 import {readJsonBody} from './http/read-json-body.js';
 import {sendJson} from './http/send-json.js';
--- a/packages/standins/src/engine/create-engine.ts
+++ b/packages/standins/src/engine/create-engine.ts
@@ -2,7 +2,7 @@
 The stand-in engine without its HTTP: runs, cache, faults and records.
 */
 import {Buffer} from 'node:buffer';
-import {openAppendLog} from '../append-log.js';
+import {openAppendLog} from '../open-append-log.js';
 import {createBatch} from './create-batch.js';
 import {createCacheEventFeed} from './create-cache-event-feed.js';
 import {createFence} from './create-fence.js';
