--- a/packages/gateway/src/forward/caller-answer.ts
+++ b/packages/gateway/src/forward/caller-answer.ts
@@ -5,7 +5,6 @@
 /** After the end nothing more is written; the caller may leave at any time. */
 export type CallerAnswer = {
 	readonly isStarted: () => boolean;
-	readonly isOver: () => boolean;
 	/** The connection was closed by the caller before the end. */
 	readonly isGone: () => boolean;
 	readonly onGone: (listener: () => void) => void;
--- a/packages/gateway/src/forward/create-attempts.ts
+++ b/packages/gateway/src/forward/create-attempts.ts
@@ -23,8 +23,8 @@
 
 /** Counts what ran; no upstream is tried twice. */
 export const createAttempts = (parts: GatewayParts, {plan, answer, progress, beforeEnd}: AttemptsOptions) => {
-	const {loads, pools, codec, metrics} = parts;
-	const {call, route} = plan;
+	const {directory, loads, pools, codec, metrics} = parts;
+	const {call, route, service} = plan;
 	const excluded = new Set<string>();
 	const trail: string[] = [];
 	let runs = 0;
@@ -34,7 +34,7 @@
 		trail,
 		runs: () => runs,
 		/** `Infinity` once no upstream is left. */
-		refusals: () => chooseUpstreamFor(parts, plan, excluded) ? refusals : Infinity,
+		refusals: () => directory.list(service).some(({id}) => !excluded.has(id)) ? refusals : Infinity,
 		async next(): Promise<AttemptEnd> {
 			const upstream = chooseUpstreamFor(parts, plan, excluded);
 			if (!upstream) {
--- a/packages/gateway/src/forward/run-attempt.ts
+++ b/packages/gateway/src/forward/run-attempt.ts
@@ -42,6 +42,7 @@
 	const gathered: Uint8Array[] = [];
 	let gatheredBytes = 0;
 	let head: UpstreamHead | undefined;
+	let verdict: ReturnType<typeof judgeHead> | undefined;
 	let isSettled = false;
 
 	const settle = (end: AttemptEnd): void => {
@@ -124,7 +125,7 @@
 			answer.finish(gathered.length > 0 ? Buffer.concat(gathered) : undefined);
 		};
 
-		if (judgeHead(head!, call.id) === 'server-failure' && !answer.isStarted()) {
+		if (verdict === 'server-failure' && !answer.isStarted()) {
 			settle({kind: 'failed', status: head!.status, pass});
 			return;
 		}
@@ -135,7 +136,7 @@
 
 	const takeHead = (status: number, headers: Record<string, string | string[] | undefined>): void => {
 		head = codec.decodeAnswer(status, headers);
-		const verdict = judgeHead(head, call.id);
+		verdict = judgeHead(head, call.id);
 		onAnswered();
 		switch (verdict) {
 			case 'foreign':
@@ -183,7 +184,7 @@
 				return;
 			}
 
-			if (isStream && judgeHead(head!, call.id) === 'success') {
+			if (isStream && verdict === 'success') {
 				passEvents(chunk);
 			} else {
 				gather(chunk);
@@ -194,7 +195,7 @@
 				return;
 			}
 
-			if (isStream && judgeHead(head!, call.id) === 'success') {
+			if (isStream && verdict === 'success') {
 				void endStream();
 			} else {
 				endPlain();
--- a/packages/gateway/src/host/create-host-links.ts
+++ b/packages/gateway/src/host/create-host-links.ts
@@ -79,7 +79,11 @@
 	});
 
 	return {
-		settings, linkTo: (address: string): PeerLink => pool.get(address), toSource, close() {
+		settings,
+		linkTo: (address: string): PeerLink => pool.get(address),
+		/** Those of the addresses whose processes answer now. */
+		listSources: (addresses: readonly string[]): readonly DeclarationSource[] => addresses.map(address => pool.get(address)).filter(link => link.remote()).map(link => toSource(link)),
+		close() {
 			pool.closeAll('the process is stopping');
 		},
 	};
--- a/packages/gateway/src/host/start-gateway.ts
+++ b/packages/gateway/src/host/start-gateway.ts
@@ -63,7 +63,7 @@
 	const listNeighbours = () => {
 		const list = readList();
 		const addresses = [...list ? listAllHolders(list).map(({address}) => address) : [], ...cfg.seeds].filter(address => address !== `http://${cfg.peers.ip}:${cfg.peers.port}`);
-		return addresses.map(address => links.linkTo(address)).filter(link => link.remote()).map(link => links.toSource(link));
+		return links.listSources(addresses);
 	};
 
 	const follower = followStore({
--- a/packages/gateway/src/host/start-holder.ts
+++ b/packages/gateway/src/host/start-holder.ts
@@ -88,7 +88,7 @@
 		view, store, relistMs: cfg.relistMs, log, signal: stopping.signal, listNeighbours() {
 			const list = registry.read();
 			const others = list ? listAllHolders(list).filter(({diskId}) => diskId !== self.diskId) : [];
-			return [...others.map(({address}) => address), ...cfg.seeds].map(address => links.linkTo(address)).filter(link => link.remote()).map(link => links.toSource(link));
+			return links.listSources([...others.map(({address}) => address), ...cfg.seeds]);
 		},
 	});
 
--- a/packages/gateway/src/http/create-caller-answer.ts
+++ b/packages/gateway/src/http/create-caller-answer.ts
@@ -23,7 +23,6 @@
 
 	return {
 		isStarted: () => res.headersSent,
-		isOver: () => isOver,
 		isGone: () => isGone,
 		onGone(listener) {
 			if (isGone) {
