fix(gateway): processes that come back together share the load at once

For 0.65 s one cold process took all callers, 49 calls were given up before it had read them. Callers that came before the routes were read, or before the list of holders was, got a 503 at once and lost one of their two attempts.

Ruled out: lack of copies (three of four holders answered), the store (it answered 90 ms after the start).

Change: a process is ready from its start on and takes itself out only if it still lacks routes or holders after 1.5 s; requests wait for the first routes (1 s at most) and for the first list of holders; it dials holders from its start on, and a dial that is not accepted within 0.6 s is given up, as the kernel repeats a lost first packet after a second.

--- a/packages/gateway/src/forward/create-attempts.ts
+++ b/packages/gateway/src/forward/create-attempts.ts
@@ -33,7 +33,7 @@
 	return {
 		trail,
 		runs: () => runs,
-		/** `Infinity` once no upstream is left. */
+		/** Upstreams that had no room; `Infinity` once no upstream is left. */
 		refusals: () => directory.list(service).some(({id}) => !excluded.has(id)) ? refusals : Infinity,
 		async next(): Promise<AttemptEnd> {
 			const upstream = chooseUpstreamFor(parts, plan, excluded);
@@ -59,7 +59,7 @@
 			trail.push(`${upstream.id} ${describeEnd(end)}`);
 			excluded.add(upstream.id);
 			if (end.kind === 'not-run') {
-				refusals++;
+				refusals += end.isFull ? 1 : 0;
 			} else {
 				runs++;
 			}
--- a/packages/gateway/src/forward/create-upstream-pools.ts
+++ b/packages/gateway/src/forward/create-upstream-pools.ts
@@ -7,8 +7,8 @@
 import {createUpstreamConnection} from './create-upstream-connection.js';
 import type {UpstreamPools} from './upstream-pools.js';
 
-/** An upstream in the same region accepts a connection in milliseconds; one that is cut off never does. */
-const CONNECT_TIMEOUT_MS = 1000;
+/** An upstream in the same region accepts a connection in milliseconds; one that is cut off never does, and the request can still run elsewhere. */
+const CONNECT_TIMEOUT_MS = 400;
 /** Idle connections are given up early, as upstreams close theirs without notice. */
 const IDLE_TIMEOUT_MS = 4000;
 /** An idle connection is not used in the last part of the time that the upstream announced for it. */
--- a/packages/gateway/src/forward/decide-next-step.ts
+++ b/packages/gateway/src/forward/decide-next-step.ts
@@ -8,13 +8,13 @@
 import type {Route} from '../routes/route.js';
 import type {AttemptEnd} from './attempt-end.js';
 
-/** Refused sends that one request may collect before its caller is refused. */
+/** Upstreams without room that one request is sent to before its caller is refused; one that cannot be reached says nothing of the others. */
 const MAX_REFUSALS = 4;
 
 type CallState = {
 	/** Upstreams that may have run the request, the last one too. */
 	readonly runs: number;
-	/** Sends that certainly did not run; `Infinity` once no upstream is left. */
+	/** Upstreams that had no room; `Infinity` once no upstream is left. */
 	readonly refusals: number;
 	/** The time for the request is up. */
 	readonly isLate: boolean;
--- a/packages/gateway/src/forward/run-call.ts
+++ b/packages/gateway/src/forward/run-call.ts
@@ -14,6 +14,8 @@
 /** Time after which a caller may come back: short where another process may serve it at once. */
 const RETRY_ELSEWHERE_MS = 100;
 const RETRY_WHEN_FULL_MS = 300;
+/** A process that starts has read the routes after some ten milliseconds; a caller sent away would have lost one of its few attempts. */
+const FIRST_ROUTES_TIMEOUT_MS = 1000;
 
 const STATUS_OF_TURN = {'over-budget': 402, 'unknown-turn': 404, unavailable: 503} as const;
 
@@ -108,6 +110,10 @@
 /** Resolves once the caller's answer is over. */
 export const runCall = async (parts: GatewayParts, call: CallHead, body: Uint8Array, answer: CallerAnswer, arrivedAt: number): Promise<void> => {
 	const {routes, metrics, log, random} = parts;
+	if (!routes.current()) {
+		await routes.waitForFirst(Math.min(FIRST_ROUTES_TIMEOUT_MS, call.deadlineMs ?? FIRST_ROUTES_TIMEOUT_MS));
+	}
+
 	const declared = routes.current();
 	const route = routes.match(call.host, call.path);
 	const service = route && chooseService(route, random());
--- a/packages/gateway/src/host/start-gateway.ts
+++ b/packages/gateway/src/host/start-gateway.ts
@@ -20,6 +20,7 @@
 import {applyDeclared} from './apply-declared.js';
 import {createHolderRegistry} from './create-holder-registry.js';
 import {createHostLinks} from './create-host-links.js';
+import {decideReadiness} from './decide-readiness.js';
 import type {DeclaredKeys} from './declared-keys.js';
 import {followStore} from './follow-store.js';
 import type {HostConfig} from './host-config.js';
@@ -34,6 +35,8 @@
 /** Left between the last request's end and the kill. */
 const STOP_MARGIN_MS = 400;
 const STOP_CHECK_MS = 50;
+/** How often a process that starts dials the holders that do not answer yet. */
+const FIRST_DIAL_INTERVAL_MS = 100;
 
 type GatewayOptions = {
 	readonly codec: CallCodec;
@@ -105,7 +108,17 @@
 			log.warn('request rejected', {reason, status});
 		},
 	});
-	const isReady = (): boolean => !stopping.signal.aborted && routes.current() !== undefined && keeper.isReady();
+	const startedAt = performance.now();
+	const isReady = (): boolean => decideReadiness({
+		isStopping: stopping.signal.aborted, hasRoutes: routes.current() !== undefined, hasHolders: keeper.isReady(), ageMs: performance.now() - startedAt,
+	});
+	// Asking whether enough holders answer dials those that do not.
+	const firstDials = setInterval(() => {
+		if (keeper.isReady() || stopping.signal.aborted) {
+			clearInterval(firstDials);
+			log.info('enough holders answer', {holders: readList()?.version, afterMs: Math.round(performance.now() - startedAt)});
+		}
+	}, FIRST_DIAL_INTERVAL_MS);
 	let wasReady = false;
 	const readiness = cfg.readiness && serveText(cfg.readiness, () => {
 		const ready = isReady();
--- a/packages/gateway/src/routes/__tests__/routes.test.ts
+++ b/packages/gateway/src/routes/__tests__/routes.test.ts
@@ -1,4 +1,6 @@
-import {describe, expect, it} from 'vitest';
+import {
+	afterEach, beforeEach, describe, expect, it, vi,
+} from 'vitest';
 import {chooseService} from '../choose-service.js';
 import {createRouteTable} from '../create-route-table.js';
 import type {DeclaredRoutes} from '../declared-routes.js';
@@ -32,6 +34,37 @@
 	});
 });
 
+describe('a table that waits for its first routes', () => {
+	beforeEach(() => {
+		vi.useFakeTimers();
+	});
+
+	afterEach(() => {
+		vi.useRealTimers();
+	});
+
+	it('releases whoever waits as soon as routes are in force', async () => {
+		const table = createRouteTable();
+		const waiting = table.waitForFirst(1000);
+		await vi.advanceTimersByTimeAsync(30);
+		table.replace(declare(1, route('first', '/a/')));
+		await waiting;
+		expect(table.match('shop.example', '/a/')?.name).toBe('first');
+		expect(vi.getTimerCount()).toBe(0);
+	});
+
+	it('waits no longer than it is told, and not at all once routes are there', async () => {
+		const table = createRouteTable();
+		const waiting = table.waitForFirst(1000);
+		await vi.advanceTimersByTimeAsync(1000);
+		await waiting;
+		expect(table.current()).toBeUndefined();
+		table.replace(declare(1));
+		await table.waitForFirst(1000);
+		expect(vi.getTimerCount()).toBe(0);
+	});
+});
+
 describe('chooseService', () => {
 	it.each([[0, 'a'], [0.89, 'a'], [0.91, 'b'], [0.999, 'b']])('splits by weight: %d goes to %s', (share, service) => {
 		expect(chooseService(route('r', '/'), share)).toBe(service);
--- a/packages/gateway/src/routes/create-route-table.ts
+++ b/packages/gateway/src/routes/create-route-table.ts
@@ -10,6 +10,7 @@
 export const createRouteTable = (): RouteTable => {
 	let current: DeclaredRoutes | undefined;
 	let index = indexRoutes([]);
+	const waiting = new Set<() => void>();
 	return {
 		replace(next) {
 			if (current && next.version <= current.version) {
@@ -18,9 +19,25 @@
 
 			current = next;
 			index = indexRoutes(next.routes);
+			for (const release of waiting) {
+				release();
+			}
+
 			return true;
 		},
 		current: () => current,
+		waitForFirst: async timeoutMs => current
+			? undefined
+			: new Promise(resolve => {
+				const release = (): void => {
+					waiting.delete(release);
+					clearTimeout(timer);
+					resolve();
+				};
+
+				const timer = setTimeout(release, timeoutMs);
+				waiting.add(release);
+			}),
 		match: (host, path) => findRoute(index, host.toLowerCase(), path),
 	};
 };
--- /dev/null
+++ b/packages/peer/src/__tests__/dial-peer.test.ts
@@ -0,0 +1,30 @@
+import {Socket} from 'node:net';
+import {Role} from '@siskinhub/proto/gen/siskinhub/peer/v1/peer_pb.js';
+import {
+	afterEach, beforeEach, expect, it, vi,
+} from 'vitest';
+import {createPauseDetector} from '../create-pause-detector.js';
+import {dialPeer} from '../dial-peer.js';
+
+beforeEach(() => {
+	vi.useFakeTimers();
+});
+
+afterEach(() => {
+	vi.useRealTimers();
+});
+
+it('gives up a host that accepts no connection before the kernel would repeat its first packet', async () => {
+	const settings = {
+		hello: {host: 'a', instance: 'a-1', role: Role.ENTRY},
+		heartbeatIntervalMs: 800,
+		silenceMs: 2000,
+		describeSelf: () => ({}),
+		onMessage() {/* The dialling side is asked nothing. */},
+		pauseDetector: createPauseDetector(2000, () => {/* Nothing is paused. */}),
+	};
+	const link = dialPeer('http://10.0.0.1:1', settings, () => new Socket());
+	expect(link.isOpen()).toBe(true);
+	await vi.advanceTimersByTimeAsync(700);
+	expect(link.isOpen()).toBe(false);
+});
--- a/packages/turns/src/keeper/create-turn-keeper.ts
+++ b/packages/turns/src/keeper/create-turn-keeper.ts
@@ -6,6 +6,7 @@
 Two daemons that reserve at once have a holder in common, so at least one of
 them sees the other; both may be refused, but never do both pass the budget.
 */
+import {setTimeout as delay} from 'node:timers/promises';
 import type {KeptTurn, TokenUse} from '@siskinhub/proto/gen/siskinhub/peer/v1/peer_pb.js';
 import type {PeerLink} from '@siskinhub/peer/peer-link.js';
 import {countQuorum} from '../holders/count-quorum.js';
@@ -20,6 +21,8 @@
 
 /** Kept beyond the retention, since hosts' clocks differ and may jump by seconds. */
 const CLOCK_SLACK_MS = 30_000;
+/** How often a request that came before the first list of holders looks for it. */
+const FIRST_LIST_CHECK_MS = 20;
 
 type KeeperOptions = {
 	/** The newest list that is known here. */
@@ -47,10 +50,15 @@
 		for (;;) {
 			const list = readList();
 			const leftMs = deadline - Date.now();
-			if (!list || leftMs <= 0) {
+			if (leftMs <= 0) {
 				return false;
 			}
 
+			if (!list) {
+				await delay(Math.min(leftMs, FIRST_LIST_CHECK_MS));
+				continue;
+			}
+
 			const holders = orderHolders(listAllHolders(list), {remoteOf: holder => linkTo(holder).remote(), dataCentre, program});
 			const result = await askHolders({
 				list, linkTo, holders, firstCount: kind === 'one' ? 1 : countFirst(list, losses), ask, onAnswer: startRound(list), timeoutMs: leftMs, readList,
