fix(gateway): a request that crashes upstreams is recognised when it comes again

Each attempt of a caller was a new request here, and each could take two upstreams down.

Ruled out: asking a holder on each request (a message and some milliseconds for all, for a case that is rare); counting by process alone (five processes would send it to up to ten upstreams before each had seen two).

Change: a book of crashes by a hash of method, host, path, program and body; an attempt whose connection ends before its answer is noted. A request that broke off at three different upstreams within a minute is refused with 503, which is true: this attempt has not run. Three different ones, since upstreams also die and connections are reset by themselves.

--- a/packages/gateway/src/forward/__tests__/decide-next-step.test.ts
+++ b/packages/gateway/src/forward/__tests__/decide-next-step.test.ts
@@ -25,11 +25,11 @@
 	});
 
 	it('lets a request that must run once never run again', () => {
-		expect(decideNextStep(route(), {runs: 1, refusals: 0, isLate: false}, {kind: 'unknown', message: ''})).toMatchObject({kind: 'answer', status: 502});
+		expect(decideNextStep(route(), {runs: 1, refusals: 0, isLate: false}, {kind: 'unknown', message: '', isCut: true})).toMatchObject({kind: 'answer', status: 502});
 	});
 
 	it('goes on with a resumable stream that broke, and breaks off another', () => {
-		const end: AttemptEnd = {kind: 'broken', message: ''};
+		const end: AttemptEnd = {kind: 'broken', message: '', isCut: true};
 		expect(decideNextStep(route({kind: 'stream', isResumable: true, maxRuns: 2}), {runs: 1, refusals: 0, isLate: false}, end).kind).toBe('retry');
 		expect(decideNextStep(route({kind: 'stream', maxRuns: 2}), {runs: 1, refusals: 0, isLate: false}, end).kind).toBe('break-off');
 	});
@@ -37,8 +37,8 @@
 	const kinds = fc.constantFrom('idempotent' as const, 'once' as const, 'stream' as const);
 	const ends = fc.constantFrom<AttemptEnd>(
 		{kind: 'not-run', isFull: false, message: ''},
-		{kind: 'unknown', message: ''},
-		{kind: 'broken', message: ''},
+		{kind: 'unknown', message: '', isCut: true},
+		{kind: 'broken', message: '', isCut: true},
 		{kind: 'timed-out', wasSent: true},
 		{kind: 'timed-out', wasSent: false},
 	);
--- a/packages/gateway/src/forward/gateway-parts.ts
+++ b/packages/gateway/src/forward/gateway-parts.ts
@@ -8,6 +8,7 @@
 import type {LoadBook} from '../placement/load-book.js';
 import type {RouteTable} from '../routes/route-table.js';
 import type {UpstreamDirectory} from '../upstreams/upstream-directory.js';
+import type {CrashBook} from './crash-book.js';
 import type {UpstreamPools} from './upstream-pools.js';
 
 /** Shared by all requests of the process. */
@@ -18,6 +19,7 @@
 	readonly loads: LoadBook;
 	readonly pools: UpstreamPools;
 	readonly keeper: TurnKeeper;
+	readonly crashes: CrashBook;
 	readonly metrics: GatewayMetrics;
 	readonly log: Logger;
 	/** Draws evenly from 0 to 1. */
--- a/packages/gateway/src/forward/run-attempt.ts
+++ b/packages/gateway/src/forward/run-attempt.ts
@@ -58,7 +58,7 @@
 		settle(end);
 	};
 
-	const breakEnd = (message: string): AttemptEnd => ({kind: answer.isStarted() ? 'broken' : 'unknown', message});
+	const breakEnd = (message: string, isCut: boolean): AttemptEnd => ({kind: answer.isStarted() ? 'broken' : 'unknown', message, isCut});
 
 	const startAnswer = (): void => {
 		if (!answer.isStarted()) {
@@ -110,7 +110,7 @@
 		const rest = splitter.rest();
 		if (!await beforeEnd()) {
 			answer.breakOff();
-			settle({kind: 'broken', message: 'too few copies of the turn could be stored'});
+			settle({kind: 'broken', message: 'too few copies of the turn could be stored', isCut: false});
 			return;
 		}
 
@@ -141,7 +141,7 @@
 		switch (verdict) {
 			case 'foreign':
 			case 'unproven': {
-				giveUp(breakEnd(verdict === 'foreign' ? 'an answer to another request arrived' : `an answer with status ${status} proves nothing`));
+				giveUp(breakEnd(verdict === 'foreign' ? 'an answer to another request arrived' : `an answer with status ${status} proves nothing`, false));
 				break;
 			}
 
@@ -155,7 +155,7 @@
 			case 'failure':
 			case 'server-failure': {
 				if (answer.isStarted()) {
-					giveUp({kind: 'broken', message: `the stream could not go on: status ${status}`});
+					giveUp({kind: 'broken', message: `the stream could not go on: status ${status}`, isCut: false});
 				}
 
 				break;
@@ -202,7 +202,7 @@
 			}
 		},
 		onFailed({wasSent, message}) {
-			settle(wasSent ? breakEnd(message) : {kind: 'not-run', isFull: false, message});
+			settle(wasSent ? breakEnd(message, true) : {kind: 'not-run', isFull: false, message});
 		},
 	});
 
--- a/packages/gateway/src/host/create-host-links.ts
+++ b/packages/gateway/src/host/create-host-links.ts
@@ -13,6 +13,7 @@
 import type {PeerLink} from '@siskinhub/peer/peer-link.js';
 import {Role} from '@siskinhub/proto/gen/siskinhub/peer/v1/peer_pb.js';
 import {err, ok} from 'neverthrow';
+import type {CrashBook} from '../forward/crash-book.js';
 
 /** A heartbeat costs a wake-up on both sides; silence for two and a half of them means that the link is dead. */
 const HEARTBEAT_INTERVAL_MS = 800;
@@ -23,6 +24,7 @@
 	readonly host: HostId;
 	readonly dataCentre: DataCentreId;
 	readonly view: DeclaredView;
+	readonly crashes: CrashBook;
 	/** Id of this host's disk, if it holds copies. */
 	readonly diskId?: string;
 	/** Returns whether the message is being answered. */
@@ -30,15 +32,18 @@
 	readonly onPause: () => void;
 };
 
-/** Links answer neighbours that ask for the declared state. */
-export const createHostLinks = ({host, dataCentre, view, diskId = '', onMessage = () => false, onPause}: HostLinksOptions) => {
+/** Links answer neighbours that ask for the declared state, and pass on what is known of crashes. */
+export const createHostLinks = ({host, dataCentre, view, crashes, diskId = '', onMessage = () => false, onPause}: HostLinksOptions) => {
 	const settings: LinkSettings = {
 		hello: {
 			host, instance: randomUUID(), role: Role.ENTRY, dataCentre, dataFolderId: diskId,
 		},
 		heartbeatIntervalMs: HEARTBEAT_INTERVAL_MS,
 		silenceMs: SILENCE_MS,
-		describeSelf: () => ({}),
+		describeSelf: () => ({crashes: crashes.list().map(({fingerprint, upstream, ageMs}) => ({fingerprint, upstream, ageMs: Math.round(ageMs)}))}),
+		onHeartbeat(_link, heartbeat) {
+			crashes.merge(heartbeat.crashes);
+		},
 		pauseDetector: createPauseDetector(SILENCE_MS, onPause),
 		onMessage(message) {
 			const {body, reply} = message;
--- a/packages/gateway/src/host/start-gateway.ts
+++ b/packages/gateway/src/host/start-gateway.ts
@@ -10,6 +10,7 @@
 import type {HolderList} from '@siskinhub/turns/holders/holder-list.js';
 import {listAllHolders} from '@siskinhub/turns/holders/list-all-holders.js';
 import type {CallCodec} from '../call/call-codec.js';
+import {createCrashBook} from '../forward/create-crash-book.js';
 import {createUpstreamPools} from '../forward/create-upstream-pools.js';
 import {runCall} from '../forward/run-call.js';
 import {createGatewayServer} from '../http/create-gateway-server.js';
@@ -51,8 +52,9 @@
 	const stopping = new AbortController();
 	const view = createDeclaredView();
 	const routes = createRouteTable();
+	const crashes = createCrashBook(() => performance.now());
 	const links = createHostLinks({
-		host: cfg.host, dataCentre: cfg.dataCentre, view, onPause() {
+		host: cfg.host, dataCentre: cfg.dataCentre, view, crashes, onPause() {
 			log.warn('the process was paused', {});
 		},
 	});
@@ -93,7 +95,7 @@
 		},
 	});
 	const parts = {
-		codec, routes, directory, loads, pools, keeper, metrics, log, random: Math.random,
+		codec, routes, directory, loads, pools, keeper, crashes, metrics, log, random: Math.random,
 	};
 	await createPeerServer({ip: cfg.peers.ip, port: cfg.peers.port, settings: links.settings});
 	const server = await createGatewayServer({
--- a/packages/gateway/src/host/start-holder.ts
+++ b/packages/gateway/src/host/start-holder.ts
@@ -14,6 +14,7 @@
 import type {Holder} from '@siskinhub/turns/holders/holder.js';
 import {listAllHolders} from '@siskinhub/turns/holders/list-all-holders.js';
 import type {GatewayMetrics} from '../metrics/gateway-metrics.js';
+import {createCrashBook} from '../forward/create-crash-book.js';
 import {createHolderRegistry} from './create-holder-registry.js';
 import {createHostLinks} from './create-host-links.js';
 import type {DeclaredKeys} from './declared-keys.js';
@@ -68,10 +69,12 @@
 	const syncCopy = async (listVersion: number): Promise<boolean> => copyFromHolders({
 		store: copies, listVersion, losses: cfg.losses, linkTo,
 	});
+	const crashes = createCrashBook(() => performance.now());
 	const links = createHostLinks({
 		host: cfg.host,
 		dataCentre: cfg.dataCentre,
 		view,
+		crashes,
 		diskId: copies.diskId,
 		onMessage: createCopyService({
 			store: copies, syncCopy, onError(reason) {
