perf(platform): daemons start from kept bytecode; a spent program costs no reservation

Cause: after a kill of all processes the time until a gateway serves was bound by the processor: 440 ms of it until ready (cpu profile: undici's index loads fetch, cookies and WebSockets, 65 of 200 ms; parsing and compiling the bundle 70 ms), at half a core.

A gateway remembers what the ended turns of a program used once its budget refused it, and refuses what certainly passes the budget without asking.

--- a/packages/gateway/src/forward/prepare-turn.ts
+++ b/packages/gateway/src/forward/prepare-turn.ts
@@ -28,12 +28,12 @@
 		reserving,
 		previous === undefined ? undefined : keeper.readTurns(program!.id, previous, timeoutMs),
 	]);
-	const isReserved = reserved !== undefined;
+	const isReserved = reserved !== undefined && reserved !== 'spent';
 	if (turns?.kind === 'unknown') {
 		return {kind: 'unknown-turn', isReserved};
 	}
 
-	if (reserved === 'over-budget') {
+	if (reserved === 'spent' || reserved === 'over-budget') {
 		return {kind: 'over-budget', isReserved};
 	}
 
--- a/packages/gateway/src/host/run-bundle.ts
+++ b/packages/gateway/src/host/run-bundle.ts
@@ -37,6 +37,10 @@
 export const runBundle = ({file, bytecodeFile, load, shouldKeep}: BundleOptions): void => {
 	const source = `(function (exports, require, module, __filename, __dirname) {${readFileSync(file, 'utf8')}\n})`;
 	const script = new Script(source, {filename: file, cachedData: readBytecode(bytecodeFile) as NodeJS.ArrayBufferView | undefined});
+	if (script.cachedDataRejected ?? !shouldKeep) {
+		process.stderr.write(`${bytecodeFile} is missing or of another version of Node or other flags; the process starts without it, only more slowly. Run the build again to keep it.\n`);
+	}
+
 	const self = {exports: {}};
 	(script.runInThisContext() as BundleFunction)(self.exports, load, self, file, path.dirname(file));
 	if (shouldKeep) {
--- a/packages/turns/src/keeper/create-turn-keeper.ts
+++ b/packages/turns/src/keeper/create-turn-keeper.ts
@@ -16,6 +16,7 @@
 import {listAllHolders} from '../holders/list-all-holders.js';
 import {orderHolders} from '../holders/order-holders.js';
 import {askHolders} from './ask-holders.js';
+import {createSpentBook} from './create-spent-book.js';
 import {sumUses} from './sum-uses.js';
 import type {TurnKeeper} from './turn-keeper.js';
 
@@ -44,6 +45,8 @@
 
 /** Creates the client of the holders. */
 export const createTurnKeeper = ({readList, adoptList, linkTo, losses, dataCentre}: KeeperOptions): TurnKeeper => {
+	const spent = createSpentBook();
+
 	/** Repeats a round under each newer list until it has enough answers or the time is up. */
 	const askQuorum = async (program: string, ask: Ask, kind: 'one' | 'write', timeoutMs: number, startRound: StartRound): Promise<boolean> => {
 		const deadline = Date.now() + timeoutMs;
@@ -91,6 +94,10 @@
 	};
 
 	const reserve: TurnKeeper['reserve'] = async ({program, attempt, tokens, retentionMs, budget}, timeoutMs) => {
+		if (spent.isSpent(program, tokens, budget)) {
+			return 'spent';
+		}
+
 		const expiresAtMs = Date.now() + retentionMs + CLOCK_SLACK_MS;
 		const uses = new Map<string, TokenUse>();
 		const isReserved = await askQuorum(program, listVersion => ({
@@ -112,7 +119,12 @@
 			return 'unavailable';
 		}
 
-		return sumUses.total(uses) <= budget ? 'reserved' : 'over-budget';
+		if (sumUses.total(uses) <= budget) {
+			return 'reserved';
+		}
+
+		spent.note(program, sumUses.totalSettled(uses));
+		return 'over-budget';
 	};
 
 	/** Asks for `turn` and those before it; a chain may be spread over holders, so what comes back may end early. */
--- a/packages/turns/src/keeper/sum-uses.ts
+++ b/packages/turns/src/keeper/sum-uses.ts
@@ -13,5 +13,7 @@
 			}
 		}
 	},
+	/** What turns that have ended used. */
+	totalSettled: (uses: ReadonlyMap<string, TokenUse>): number => [...uses.values()].reduce((sum, {tokens, settled}) => sum + (settled ? tokens : 0), 0),
 	total: (uses: ReadonlyMap<string, TokenUse>): number => [...uses.values()].reduce((sum, {tokens}) => sum + tokens, 0),
 };
--- a/packages/turns/src/keeper/turn-keeper.ts
+++ b/packages/turns/src/keeper/turn-keeper.ts
@@ -14,8 +14,8 @@
 
 /** Reserves tokens before a turn runs, finds the turns it goes on from, and stores its end. Times are in milliseconds. */
 export type TurnKeeper = {
-	/** `over-budget`: the tokens are not reserved. `unavailable`: too few holders answered, so they may or may not be. */
-	readonly reserve: (attempt: Attempt & {readonly budget: number}, timeoutMs: number) => Promise<'reserved' | 'over-budget' | 'unavailable'>;
+	/** `spent`: ended turns have used too much, so nothing was reserved. `over-budget`: it was, and is to be settled. `unavailable`: too few holders answered, so they may or may not be. */
+	readonly reserve: (attempt: Attempt & {readonly budget: number}, timeoutMs: number) => Promise<'reserved' | 'spent' | 'over-budget' | 'unavailable'>;
 	/** The chain up to `turn`, oldest first; `unknown` only where no holder can have it. */
 	readonly readTurns: (program: string, turn: string, timeoutMs: number) => Promise<{readonly kind: 'found'; readonly turns: readonly KeptTurn[]} | {readonly kind: 'unknown' | 'unavailable'}>;
 	/** Whether a write quorum has the end of the attempt, and the turn where there is one, on disk. */
