fix(peer): a dial is given up only if it still pends after the events that waited

A process that was busy for longer than the bound hears of the connection only after its timers; the timer then cut a connection that stood.

--- a/packages/peer/src/dial-peer.ts
+++ b/packages/peer/src/dial-peer.ts
@@ -14,7 +14,12 @@
 	const {hostname, port} = new URL(address);
 	const socket = open({host: hostname, port: Number(port)});
 	const timer = setTimeout(() => {
-		socket.destroy(new Error(`no connection within ${CONNECT_TIMEOUT_MS} ms`));
+		// A process that was busy for as long hears of the connection only after its timers.
+		setImmediate(() => {
+			if (socket.pending) {
+				socket.destroy(new Error(`no connection within ${CONNECT_TIMEOUT_MS} ms`));
+			}
+		});
 	}, CONNECT_TIMEOUT_MS);
 	for (const event of ['connect', 'close']) {
 		socket.once(event, () => {
