feat(gateway): bounded call log, metrics of what a gateway believes

Cause: a line for each request grows with the load without bound, and of what a process believes (version in force, age of the declared state, list of holders, prefix hits, waits for copies) nothing could be read.

Change: a request that was refused, failed, given up, late against its route's objective or sent twice always has its line; of the others 40 a second are written, and a summary says how many were left out. New metrics: preparations by outcome and time, choices by data centre and punishment, prompt tokens held and missing, gauges of version, revision, age, holders, active calls.

Ruled out: sampling by a share of requests (a quiet process would lose lines that cost nothing); leaving out refusals (they are the ones that are asked about).

--- /dev/null
+++ b/packages/gateway/src/forward/call-log.ts
@@ -0,0 +1,10 @@
+/**
+Log lines about requests.
+*/
+
+export type CallLog = {
+	/** `isPlain`: answered by its first upstream within its route's objective. */
+	readonly write: (fields: Record<string, unknown>, isPlain: boolean) => void;
+	/** Writes the summary that is due. */
+	readonly close: () => void;
+};
--- a/packages/gateway/src/forward/create-attempts.ts
+++ b/packages/gateway/src/forward/create-attempts.ts
@@ -49,11 +49,13 @@
 				return {kind: 'not-run', isFull: true, message: 'it broke off at each upstream that ran it'};
 			}
 
-			const upstream = chooseUpstreamFor(parts, plan, excluded);
-			if (!upstream) {
+			const chosen = chooseUpstreamFor(parts, plan, excluded);
+			if (!chosen) {
 				return {kind: 'not-run', isFull: true, message: 'no upstream is left'};
 			}
 
+			const {upstream, heldTokens} = chosen;
+			metrics.countChoice(chosen, call.prompt && {held: heldTokens, missing: Math.max(0, call.prompt.promptTokens - heldTokens)});
 			const visit = loads.begin(upstream, call);
 			const end = await runAttempt({
 				plan,
--- /dev/null
+++ b/packages/gateway/src/forward/create-call-log.ts
@@ -0,0 +1,52 @@
+/**
+Writes one line for each request whose outcome somebody may ask about, and a
+bounded number for those that went well.
+
+Pattern of load: bursts of hundreds of requests a second in each process, nearly
+all of them answered in time at the first upstream. A request that was refused,
+failed, given up, late or sent twice is never left out; of the others the first
+ones of each second are written, and a summary says how many were not.
+*/
+import type {Logger} from '@siskinhub/observe/logger.js';
+import type {CallLog} from './call-log.js';
+
+/** Lines of unremarkable requests that a process writes in a second. */
+const PLAIN_LINES_PER_S = 40;
+const WINDOW_MS = 1000;
+
+/** The summary follows within a second of the first line that was left out. */
+export const createCallLog = (log: Logger): CallLog => {
+	let written = 0;
+	let leftOut = 0;
+	let timer: NodeJS.Timeout | undefined;
+
+	const endWindow = (): void => {
+		timer = undefined;
+		written = 0;
+		if (leftOut > 0) {
+			log.info('calls left out', {count: leftOut, withinMs: WINDOW_MS, outcome: 'done'});
+			leftOut = 0;
+		}
+	};
+
+	return {
+		write(fields, isPlain) {
+			if (!isPlain) {
+				log.info('call', fields);
+				return;
+			}
+
+			timer ??= setTimeout(endWindow, WINDOW_MS).unref();
+			if (written < PLAIN_LINES_PER_S) {
+				written++;
+				log.info('call', fields);
+			} else {
+				leftOut++;
+			}
+		},
+		close() {
+			clearTimeout(timer);
+			endWindow();
+		},
+	};
+};
--- a/packages/gateway/src/forward/gateway-parts.ts
+++ b/packages/gateway/src/forward/gateway-parts.ts
@@ -1,13 +1,13 @@
 /**
 What forwarding works with.
 */
-import type {Logger} from '@siskinhub/observe/logger.js';
 import type {TurnKeeper} from '@siskinhub/turns/keeper/turn-keeper.js';
 import type {CallCodec} from '../call/call-codec.js';
 import type {GatewayMetrics} from '../metrics/gateway-metrics.js';
 import type {LoadBook} from '../placement/load-book.js';
 import type {RouteTable} from '../routes/route-table.js';
 import type {UpstreamDirectory} from '../upstreams/upstream-directory.js';
+import type {CallLog} from './call-log.js';
 import type {CrashBook} from './crash-book.js';
 import type {UpstreamPools} from './upstream-pools.js';
 
@@ -21,7 +21,7 @@
 	readonly keeper: TurnKeeper;
 	readonly crashes: CrashBook;
 	readonly metrics: GatewayMetrics;
-	readonly log: Logger;
+	readonly calls: CallLog;
 	/** Draws evenly from 0 to 1. */
 	readonly random: () => number;
 };
--- a/packages/gateway/src/forward/run-call.ts
+++ b/packages/gateway/src/forward/run-call.ts
@@ -19,7 +19,8 @@
 
 const STATUS_OF_TURN = {'over-budget': 402, 'unknown-turn': 404, unavailable: 503} as const;
 
-type Report = {readonly outcome: string; readonly status: number};
+/** `attempts`: upstreams that it was sent to. */
+type Report = {readonly outcome: string; readonly status: number; readonly attempts?: number; readonly firstEventMs?: number};
 
 type ServedCall = {
 	readonly call: CallHead;
@@ -71,6 +72,7 @@
 		keeper: parts.keeper, call, route, body, tokensPerEvent,
 	});
 	const prepared = await turn.prepare(deadlineAt - Date.now());
+	parts.metrics.observePreparation(prepared.kind, Date.now() - arrivedAt);
 	if (prepared.kind !== 'ready') {
 		turn.settleInBackground();
 		const status = STATUS_OF_TURN[prepared.kind];
@@ -100,16 +102,15 @@
 		}
 
 		turn.settleInBackground();
-		Object.assign(fields, {
-			trail: attempts.trail, events: progress.events, firstEventMs: progress.firstEventAt && progress.firstEventAt - arrivedAt,
-		});
-		return endCall(answer, end, step);
+		const firstEventMs = progress.firstEventAt && progress.firstEventAt - arrivedAt;
+		Object.assign(fields, {trail: attempts.trail, events: progress.events, firstEventMs});
+		return {...endCall(answer, end, step), attempts: attempts.trail.length, firstEventMs};
 	}
 };
 
 /** Resolves once the caller's answer is over. */
 export const runCall = async (parts: GatewayParts, call: CallHead, body: Uint8Array, answer: CallerAnswer, arrivedAt: number): Promise<void> => {
-	const {routes, metrics, log, random} = parts;
+	const {routes, metrics, calls, random} = parts;
 	if (!routes.current()) {
 		await routes.waitForFirst(Math.min(FIRST_ROUTES_TIMEOUT_MS, call.deadlineMs ?? FIRST_ROUTES_TIMEOUT_MS));
 	}
@@ -138,10 +139,11 @@
 		}, fields);
 	};
 
-	const {outcome, status} = await serve();
+	const {outcome, status, attempts, firstEventMs} = await serve();
 	const durationMs = Date.now() - arrivedAt;
 	metrics.countCall(outcome, status, durationMs);
-	log.info('call', {
+	const isInTime = (firstEventMs ?? durationMs) <= (route?.objectiveMs ?? 0);
+	calls.write({
 		requestId: call.id, programId: call.program?.id, outcome, status, durationMs, version: declared?.version, ...fields,
-	});
+	}, outcome === 'done' && attempts === 1 && isInTime);
 };
--- a/packages/gateway/src/host/follow-store.ts
+++ b/packages/gateway/src/host/follow-store.ts
@@ -20,13 +20,20 @@
 	readonly signal: AbortSignal;
 };
 
-/** `graceUntil` is the time until which a removal may be a lapse that an outage caused. */
-export const followStore = ({view, store, listNeighbours, relistMs, log, signal}: FollowStoreOptions): {readonly graceUntil: () => number} => {
+/** `graceUntil` is the time until which a removal may be a lapse that an outage caused, `lastReadAt` that of the last answer by the steady clock. */
+export const followStore = ({view, store, listNeighbours, relistMs, log, signal}: FollowStoreOptions): {readonly graceUntil: () => number; readonly lastReadAt: () => number} => {
 	let isReachable = true;
 	let regainedAt = -Infinity;
+	let lastReadAt = performance.now();
 	void followDeclarations({
 		view,
-		service: store,
+		service: {
+			async readChanges(after) {
+				const answer = await store.readChanges(after);
+				lastReadAt = answer.isOk() ? performance.now() : lastReadAt;
+				return answer;
+			},
+		},
 		listNeighbours,
 		intervalMs: READ_INTERVAL_MS,
 		onReachable(next, reason) {
@@ -39,5 +46,5 @@
 		},
 		signal,
 	});
-	return {graceUntil: () => isReachable ? regainedAt + relistMs : Date.now() + relistMs};
+	return {graceUntil: () => isReachable ? regainedAt + relistMs : Date.now() + relistMs, lastReadAt: () => lastReadAt};
 };
--- a/packages/gateway/src/host/start-gateway.ts
+++ b/packages/gateway/src/host/start-gateway.ts
@@ -10,6 +10,7 @@
 import type {HolderList} from '@siskinhub/turns/holders/holder-list.js';
 import {listAllHolders} from '@siskinhub/turns/holders/list-all-holders.js';
 import type {CallCodec} from '../call/call-codec.js';
+import {createCallLog} from '../forward/create-call-log.js';
 import {createCrashBook} from '../forward/create-crash-book.js';
 import {createUpstreamPools} from '../forward/create-upstream-pools.js';
 import {runCall} from '../forward/run-call.js';
@@ -26,6 +27,7 @@
 import {followStore} from './follow-store.js';
 import type {HostConfig} from './host-config.js';
 import {serveText} from './serve-text.js';
+import {watchGateway} from './watch-gateway.js';
 
 /** Share of an upstream's connections that one of several gateways may open. */
 const CONNECTION_SHARE = 0.25;
@@ -94,8 +96,9 @@
 			told = list;
 		},
 	});
+	const calls = createCallLog(log);
 	const parts = {
-		codec, routes, directory, loads, pools, keeper, crashes, metrics, log, random: Math.random,
+		codec, routes, directory, loads, pools, keeper, crashes, metrics, calls, random: Math.random,
 	};
 	await createPeerServer({ip: cfg.peers.ip, port: cfg.peers.port, settings: links.settings});
 	const server = await createGatewayServer({
@@ -131,6 +134,9 @@
 
 		return {status: ready ? 200 : 503, text: ''};
 	});
+	watchGateway(metrics, {
+		routes, view, keeper, readList, countActive: server.countActive, lastReadAt: follower.lastReadAt,
+	});
 	const metricsServer = serveText(cfg.metrics, async () => ({status: 200, text: await metrics.render()}));
 	log.info('gateway started', {dataCentre: cfg.dataCentre, callers: cfg.callers});
 
@@ -158,6 +164,7 @@
 			metricsServer.close();
 			links.close();
 			pools.close();
+			calls.close();
 			log.info('gateway stopped', {active: server.countActive()});
 		},
 	};
--- /dev/null
+++ b/packages/gateway/src/inspect/read-system-state.ts
@@ -0,0 +1,72 @@
+/**
+Reads the state of a running system: what is declared, and how far each process
+that can be found has taken it over.
+*/
+import {createDeclaredView} from '@siskinhub/declared/create-declared-view.js';
+import type {DeclarationStore} from '@siskinhub/declared/declaration-store.js';
+import type {PeerLink} from '@siskinhub/peer/peer-link.js';
+import {listAllHolders} from '@siskinhub/turns/holders/list-all-holders.js';
+import {err, ok, type Result} from 'neverthrow';
+import type {DeclaredKeys} from '../host/declared-keys.js';
+import {createHolderRegistry} from '../host/create-holder-registry.js';
+import type {Upstream} from '../upstreams/upstream.js';
+import type {SystemState} from './system-state.js';
+
+type ReadOptions = {
+	readonly store: DeclarationStore;
+	readonly keys: DeclaredKeys;
+	readonly linkTo: (address: string) => PeerLink;
+	/** `http://IP:PORT` of processes to ask beside the holders. */
+	readonly addresses: readonly string[];
+};
+
+/** An operator waits this long for a process that does not answer. */
+const MEMBER_TIMEOUT_MS = 1500;
+
+const askMember = async (link: PeerLink, address: string, revision: number): Promise<SystemState['members'][number]> => {
+	const answer = await link.request({case: 'changesSince', value: {revision}}, {timeoutMs: MEMBER_TIMEOUT_MS});
+	const hello = link.remote();
+	if (answer.isErr() || answer.value.case !== 'changes' || !hello) {
+		return {address};
+	}
+
+	const {host, dataCentre, dataFolderId} = hello;
+	return {
+		address, host, dataCentre, ...(dataFolderId !== '' && {diskId: dataFolderId}), changesBehind: Math.max(0, revision - answer.value.value.revision),
+	};
+};
+
+/** An error says why the platform's service did not answer. */
+export const readSystemState = async ({store, keys, linkTo, addresses}: ReadOptions): Promise<Result<SystemState, string>> => {
+	const changes = await store.readChanges(0);
+	if (changes.isErr()) {
+		return err(changes.error.message);
+	}
+
+	const declared = changes.value;
+	const view = createDeclaredView();
+	const upstreams: Upstream[] = [];
+	const unreadable: Array<{id: string; reason: string}> = [];
+	const retiring: string[] = [];
+	let routes: SystemState['routes'];
+	view.onChange(entry => {
+		const host = keys.readRetiring(entry.key);
+		if (host !== undefined) {
+			retiring.push(host);
+		}
+
+		const fact = keys.decode(entry);
+		if (fact.kind === 'routes') {
+			routes = fact.routes.match<SystemState['routes']>(({version, routes: all}) => ({version, names: all.map(({name}) => name)}), error => ({error}));
+		} else if (fact.kind === 'upstream') {
+			fact.upstream?.match(upstream => upstreams.push(upstream), reason => unreadable.push({id: fact.id, reason}));
+		}
+	});
+	view.apply(declared);
+	const holders = createHolderRegistry(view, store, keys.holders).read();
+	const asked = new Set([...holders ? listAllHolders(holders).map(({address}) => address) : [], ...addresses]);
+	const members = await Promise.all([...asked].map(async address => askMember(linkTo(address), address, declared.revision)));
+	return ok({
+		revision: declared.revision, routes, upstreams, unreadable, holders, retiring, members,
+	});
+};
--- /dev/null
+++ b/packages/gateway/src/inspect/read-turn-copies.ts
@@ -0,0 +1,31 @@
+/**
+Asks every holder for one turn and those before it, to show where copies are.
+*/
+import type {PeerLink} from '@siskinhub/peer/peer-link.js';
+import {askHolder} from '@siskinhub/turns/holders/ask-holder.js';
+import type {Holder} from '@siskinhub/turns/holders/holder.js';
+import type {HolderList} from '@siskinhub/turns/holders/holder-list.js';
+import {listAllHolders} from '@siskinhub/turns/holders/list-all-holders.js';
+
+const HOLDER_TIMEOUT_MS = 1500;
+
+/** `turns` is missing where the holder did not answer; newest first, sizes in bytes. */
+type HolderCopies = {
+	readonly holder: Holder;
+	readonly turns?: ReadonlyArray<{readonly id: string; readonly inputBytes: number; readonly outputBytes: number; readonly expiresAtMs: number}>;
+};
+
+/** One answer of each holder of the list. */
+export const readTurnCopies = async (list: HolderList, turn: string, linkTo: (address: string) => PeerLink): Promise<readonly HolderCopies[]> =>
+	Promise.all(listAllHolders(list).map(async holder => {
+		const answer = await askHolder(linkTo(holder.address), holder, {case: 'readTurns', value: {listVersion: list.version, turn}}, HOLDER_TIMEOUT_MS);
+		if (answer.isErr() || answer.value.case !== 'turns') {
+			return {holder};
+		}
+
+		return {
+			holder, turns: answer.value.value.turns.map(({id, input, output, expiresAtMs}) => ({
+				id, inputBytes: input.length, outputBytes: output.length, expiresAtMs,
+			})),
+		};
+	}));
--- /dev/null
+++ b/packages/gateway/src/metrics/__tests__/create-gateway-metrics.test.ts
@@ -0,0 +1,29 @@
+import {expect, it} from 'vitest';
+import type {Upstream} from '../../upstreams/upstream.js';
+import type {UpstreamLoad} from '../../placement/upstream-load.js';
+import {createGatewayMetrics} from '../create-gateway-metrics.js';
+
+const load = (changes: Partial<UpstreamLoad>): UpstreamLoad => ({
+	upstream: {} as Upstream, running: 0, unreadTokens: 0, heldTokens: 0, penaltyMs: 0, isNear: true, ...changes,
+});
+
+it('counts choices, prompt tokens and preparations, and reads what is watched when asked', async () => {
+	const metrics = createGatewayMetrics();
+	let version = 1;
+	metrics.watch('siskinhub_routes_version', 'Version.', () => version);
+	metrics.countChoice(load({}), {held: 70, missing: 30});
+	metrics.countChoice(load({isNear: false, penaltyMs: 40}), undefined);
+	metrics.observePreparation('ready', 12);
+	version = 9;
+	const text = await metrics.render();
+	for (const line of [
+		'siskinhub_choices_total{data_centre="own",punished="no"} 1',
+		'siskinhub_choices_total{data_centre="other",punished="yes"} 1',
+		'siskinhub_prompt_tokens_total{part="held"} 70',
+		'siskinhub_prompt_tokens_total{part="missing"} 30',
+		'siskinhub_preparation_ms_count{outcome="ready"} 1',
+		'siskinhub_routes_version 9',
+	]) {
+		expect(text).toContain(line);
+	}
+});
--- a/packages/gateway/src/metrics/create-gateway-metrics.ts
+++ b/packages/gateway/src/metrics/create-gateway-metrics.ts
@@ -1,7 +1,9 @@
 /**
 Counters and latency histograms, by prom-client. Labels come from small fixed sets.
 */
-import {Counter, Histogram, Registry} from 'prom-client';
+import {
+	Counter, Gauge, Histogram, Registry,
+} from 'prom-client';
 import type {GatewayMetrics} from './gateway-metrics.js';
 
 const LATENCY_BUCKETS_MS = [5, 10, 25, 50, 100, 250, 500, 1000, 2500, 5000, 10_000];
@@ -18,6 +20,15 @@
 	const attempts = new Counter({
 		name: 'siskinhub_attempts_total', help: 'Requests sent to upstreams by how they ended.', labelNames: ['end'], registers,
 	});
+	const choices = new Counter({
+		name: 'siskinhub_choices_total', help: 'Upstreams chosen, by whether they are in the own data centre and whether failures of late counted against them.', labelNames: ['data_centre', 'punished'], registers,
+	});
+	const promptTokens = new Counter({
+		name: 'siskinhub_prompt_tokens_total', help: 'Tokens of prompts by whether the chosen upstream is believed to hold them.', labelNames: ['part'], registers,
+	});
+	const preparations = new Histogram({
+		name: 'siskinhub_preparation_ms', help: 'Milliseconds from a request until tokens are reserved and earlier turns read, or it is refused for lack of them.', labelNames: ['outcome'], buckets: LATENCY_BUCKETS_MS, registers,
+	});
 	const storeCalls = new Counter({
 		name: 'siskinhub_platform_calls_total', help: 'Calls to the platform\'s service by kind and outcome.', labelNames: ['kind', 'outcome'], registers,
 	});
@@ -32,6 +43,23 @@
 		countStoreCall(kind, outcome) {
 			storeCalls.inc({kind, outcome});
 		},
+		countChoice({isNear, penaltyMs}, prompt) {
+			choices.inc({data_centre: isNear ? 'own' : 'other', punished: penaltyMs >= 1 ? 'yes' : 'no'});
+			if (prompt) {
+				promptTokens.inc({part: 'held'}, prompt.held);
+				promptTokens.inc({part: 'missing'}, prompt.missing);
+			}
+		},
+		observePreparation(outcome, waitMs) {
+			preparations.observe({outcome}, waitMs);
+		},
+		watch(name, help, read) {
+			const gauge: Gauge = new Gauge({
+				name, help, registers, collect() {
+					gauge.set(read());
+				},
+			});
+		},
 		render: async () => registers[0]!.metrics(),
 	};
 };
