refactor(entry): one kind of lease; a type of nodes that stood twice

createRenewingLease in packages/platform had no user: the entry renews at its own beat and had the same steps by hand. UpstreamNode stood in prove and in standins.

--- a/packages/entry/src/ownership/create-ownership.ts
+++ b/packages/entry/src/ownership/create-ownership.ts
@@ -7,7 +7,7 @@
 one key under it.
 */
 import {setTimeout as delay} from 'node:timers/promises';
-import {err, ok, type Result} from 'neverthrow';
+import type {Result} from 'neverthrow';
 import type {ShardId} from '@siskinhub/core/ids/shard-id.js';
 import type {Logger} from '@siskinhub/observe/logger.js';
 import type {PlatformClient} from '@siskinhub/platform/platform-client.js';
@@ -15,6 +15,7 @@
 import type {ShardOwner} from '../owner/shard-owner.js';
 import type {Ownership} from './ownership.js';
 import {ownerRecordSchema} from './owner-record.js';
+import {createOwnerLease} from './create-owner-lease.js';
 import {createTakeoverGuard} from './create-takeover-guard.js';
 import type {ShardMap} from './shard-map.js';
 
@@ -53,9 +54,7 @@
 	const beatsWithoutOwner = new Map<ShardId, number>();
 	let liveInstances = new Set<string>();
 	let liveOwners = new Map<ShardId, {readonly instance: string; readonly epoch: number}>();
-	let lease: string | undefined;
-	let announced = '';
-	let recordVersion = 0;
+	const lease = createOwnerLease({platform, key: `${OWNERS_PREFIX}${instance}`, ttlMs: options.leaseTtlMs});
 	let isPlatformUp = false;
 	let isLeaving = false;
 	let isBusy = false;
@@ -85,53 +84,9 @@
 		return true;
 	};
 
-	const renewLease = async (): Promise<Result<string, string>> => {
-		if (lease !== undefined) {
-			const renewed = await platform.renewLease(lease);
-			if (renewed.isErr()) {
-				return err(renewed.error.message);
-			}
-
-			if (renewed.value.alive) {
-				return ok(lease);
-			}
-		}
-
-		const granted = await platform.grantLease(options.leaseTtlMs);
-		if (granted.isErr()) {
-			return err(granted.error.message);
-		}
-
-		lease = granted.value.lease;
-		announced = '';
-		recordVersion = 0;
-		return ok(lease);
-	};
-
-	const announce = async (): Promise<void> => {
-		const value = JSON.stringify({
-			host, instance, peerAddress, shards: [...owned.values()].map(({shard, epoch}) => ({shard, epoch})),
-		});
-		if (value === announced || lease === undefined) {
-			return;
-		}
-
-		const key = `${OWNERS_PREFIX}${instance}`;
-		const put = await platform.put({
-			key, value, expectedVersion: recordVersion, lease,
-		});
-		if (put.isErr()) {
-			return;
-		}
-
-		if (put.value.kind === 'stored') {
-			recordVersion = put.value.version;
-			announced = value;
-		} else {
-			// The answer to an earlier write was lost; the next beat writes over it.
-			recordVersion = put.value.current?.version ?? 0;
-		}
-	};
+	const announce = async (): Promise<void> => lease.announce(JSON.stringify({
+		host, instance, peerAddress, shards: [...owned.values()].map(({shard, epoch}) => ({shard, epoch})),
+	}));
 
 	const ownRank = (shard: ShardId): number => options.rank(shard).slice(0, CANDIDATES_PER_SHARD).findIndex(entry => entry.id === host);
 
@@ -198,11 +153,11 @@
 
 	/** Entries that own nothing and are candidates for nothing spare the platform's service their renewals. */
 	const keepLease = async (): Promise<void> => {
-		if (owned.size === 0 && lease === undefined && !ranksForAny()) {
+		if (owned.size === 0 && !lease.isHeld() && !ranksForAny()) {
 			return;
 		}
 
-		const renewed = await renewLease();
+		const renewed = await lease.renew();
 		if (renewed.isErr()) {
 			log.warn('the lease could not be renewed', {reason: renewed.error});
 		} else {
@@ -223,11 +178,11 @@
 
 		dropFenced();
 		// Without a lease its shards would not be announced, and others would take them over.
-		if (lease === undefined || hasReturned) {
+		if (!lease.isHeld() || hasReturned) {
 			await keepLease();
 		}
 
-		if (lease === undefined || !guard.mayTakeOver()) {
+		if (!lease.isHeld() || !guard.mayTakeOver()) {
 			return;
 		}
 
@@ -292,10 +247,7 @@
 			await Promise.all([...owned.values()].map(async owner => owner.handOver()));
 			owned.clear();
 			await announce();
-			if (lease !== undefined) {
-				await platform.revokeLease(lease);
-			}
-
+			await lease.revoke();
 			stop();
 		},
 		stop,
--- a/packages/prove/src/cluster/cluster.ts
+++ b/packages/prove/src/cluster/cluster.ts
@@ -3,21 +3,12 @@
 */
 import type {PlatformHost} from '@siskinhub/platform/platform-host.js';
 import type {ManagedProcess} from '@siskinhub/standins/cluster/managed-process.js';
+import type {UpstreamNode} from '@siskinhub/standins/cluster/upstream-node.js';
 import type {TcpCutter} from './tcp-cutter.js';
 
 /** An entry and where clients reach it, through its relay. */
 type EntryNode = {readonly name: string; readonly address: string; readonly process: ManagedProcess};
 
-/** An upstream with its sidecar; `address` reaches the upstream itself, not through the relay. */
-type UpstreamNode = {
-	readonly id: string;
-	readonly kind: 'model' | 'service';
-	readonly target: string;
-	readonly address: string;
-	readonly upstream: ManagedProcess;
-	readonly sidecar: ManagedProcess;
-};
-
 /** Everything runs on the loopback interface under one temporary folder. */
 export type Cluster = {
 	readonly folder: string;
--- a/packages/standins/src/cluster/deployment.ts
+++ b/packages/standins/src/cluster/deployment.ts
@@ -3,6 +3,7 @@
 */
 import type {ManagedProcess} from './managed-process.js';
 import type {StopReport} from './stop-report.js';
+import type {UpstreamNode} from './upstream-node.js';
 
 type EntryNode = {
 	readonly name: string;
@@ -12,16 +13,6 @@
 	readonly process: ManagedProcess;
 };
 
-type UpstreamNode = {
-	readonly id: string;
-	readonly kind: 'model' | 'service';
-	readonly target: string;
-	/** Where the upstream itself listens. */
-	readonly address: string;
-	readonly upstream: ManagedProcess;
-	readonly sidecar: ManagedProcess;
-};
-
 /** Everything runs under one temporary folder. */
 export type Deployment = {
 	readonly folder: string;
