--- a/packages/entry/src/create-entry.ts
+++ b/packages/entry/src/create-entry.ts
@@ -8,7 +8,6 @@
 import {chooseUpstream} from '@siskinhub/core/decide/choose-upstream.js';
 import {createRandom} from '@siskinhub/core/decide/create-random.js';
 import {decideRetry} from '@siskinhub/core/decide/decide-retry.js';
-import type {HostId} from '@siskinhub/core/ids/host-id.js';
 import type {ProgramId} from '@siskinhub/core/ids/program-id.js';
 import type {ShardId} from '@siskinhub/core/ids/shard-id.js';
 import {shardOfProgram} from '@siskinhub/core/ids/shard-of-program.js';
@@ -49,8 +48,8 @@
 import {createSlotTable} from './owner/create-slot-table.js';
 import {createTokenReserver} from './owner/create-token-reserver.js';
 import {createShardOwner} from './owner/create-shard-owner.js';
-import {chooseHolders} from './ownership/choose-holders.js';
 import {createCandidateRanking} from './ownership/create-candidate-ranking.js';
+import {createHolderFinder} from './ownership/create-holder-finder.js';
 import {createHolderWatch} from './ownership/create-holder-watch.js';
 import {createOwnership} from './ownership/create-ownership.js';
 import {createShardMap} from './ownership/create-shard-map.js';
@@ -64,8 +63,6 @@
 
 const MAX_SEED = 2 ** 31;
 const TIME_LIMIT_INTERVAL_MS = 500;
-const HELLO_TIMEOUT_MS = 500;
-const HELLO_POLL_MS = 10;
 const STOP_POLL_MS = 20;
 const BUDGET_RETURN_TIMEOUT_MS = 2000;
 const DRAIN_TIMEOUT_MS = 2000;
@@ -193,33 +190,9 @@
 		}
 	});
 
-	const readFolderId = async (address: string): Promise<string> => {
-		if (address === ownAddress) {
-			return holderService.dataFolderId;
-		}
-
-		const link = pool().get(address);
-		const giveUpAt = Date.now() + HELLO_TIMEOUT_MS;
-		while (link.isOpen() && !link.remote() && Date.now() < giveUpAt) {
-			await delay(HELLO_POLL_MS);
-		}
-
-		return link.remote()?.dataFolderId ?? '';
-	};
-
-	const knownFolderId = (address: string): string => address === ownAddress
-		? holderService.dataFolderId
-		: (pool().get(address).remote()?.dataFolderId ?? '');
-
-	const findHolders = async (shard: ShardId) => {
-		const candidates = await Promise.all(rank(shard).map(async entry => ({
-			host: entry.id as HostId,
-			peerAddress: entry.peerAddress,
-			dataCentre: entry.dataCentre,
-			dataFolderId: await readFolderId(entry.peerAddress),
-		})));
-		return chooseHolders(candidates.filter(candidate => candidate.dataFolderId !== ''));
-	};
+	const finder = createHolderFinder({
+		ownAddress, ownFolderId: holderService.dataFolderId, rank, linkTo: address => pool().get(address),
+	});
 
 	late.ownership = createOwnership({
 		shards: cfg.shards,
@@ -241,7 +214,7 @@
 				peerAddress: ownAddress,
 				createId,
 				commitWindowMs: cfg.commitWindowMs,
-				findHolders: async () => findHolders(shard),
+				findHolders: async () => finder.findHolders(shard),
 				isAlive: owner => isAlive(owner.instance),
 			});
 			return taken.map(({shardLog, epoch, holders, sources}) => {
@@ -260,8 +233,8 @@
 		},
 		onOwned: upstreams.sync,
 		needsOtherHolders: createHolderWatch({
-			isUsable: holder => knownFolderId(holder.peerAddress) === holder.dataFolderId,
-			countCandidates: () => hosts.entries().filter(entry => knownFolderId(entry.peerAddress) !== '').length,
+			isUsable: holder => finder.knownFolderId(holder.peerAddress) === holder.dataFolderId,
+			countCandidates: () => hosts.entries().filter(entry => finder.knownFolderId(entry.peerAddress) !== '').length,
 		}),
 		log,
 	});
