fix(core): a call that has waited for half of its time to start goes next

Change: the time after which a call is refused is part of what the order knows; from half of it on the call goes before others of its priority and within its row's lead, the one with least left first. Ruled out: strict order by deadline (short programs would wait behind long ones for nothing).

--- a/packages/core/src/decide/__tests__/choose-next-call.test.ts
+++ b/packages/core/src/decide/__tests__/choose-next-call.test.ts
@@ -43,6 +43,30 @@
 	expect(chooseNextCall([{...base, attainedMs: 500_000}, {...base, queuedAt: 50}], service(), 100)).toBe(1);
 });
 
+test('a call that has used half of its time to start goes before shorter programs, and not sooner', () => {
+	const pressed = {...base, attainedMs: 500_000, startBy: 5000};
+	const shorter = {...base, queuedAt: 2000, programStartedAt: 2000};
+	expect(chooseNextCall([pressed, shorter], service(), 2400)).toBe(1);
+	expect(chooseNextCall([pressed, shorter], service(), 2500)).toBe(0);
+});
+
+test('of two pressed calls the one with less time left goes first, and priority goes before both', () => {
+	const waiting = [{...base, startBy: 6000}, {...base, attainedMs: 500_000, startBy: 5000}];
+	expect(chooseNextCall(waiting, service(), 4000)).toBe(1);
+	expect(chooseNextCall([...waiting, {...base, priority: 1}], service(), 4000)).toBe(2);
+});
+
+test('no pressed call is refused for its age while shorter programs keep coming and a slot is free in time', () => {
+	const old = {...base, attainedMs: 3_000_000, startBy: 5000};
+	let startedAt = Infinity;
+	for (let now = 0; now <= 5000 && startedAt === Infinity; now += 250) {
+		const newer = {...base, queuedAt: now, programStartedAt: now, startBy: now + 5000};
+		startedAt = chooseNextCall([newer, old], service(), now) === 1 ? now : Infinity;
+	}
+
+	expect(startedAt).toBeLessThanOrEqual(5000);
+});
+
 test.prop([fc.integer({min: 1, max: 6}), fc.integer({min: 0, max: 3_000_000})])('no call starves while newer ones of higher priority keep coming', (priority, attainedMs) => {
 	const old = {...base, attainedMs};
 	const boundMs = (30_000 * (priority + 1)) + (5000 * 10);
--- a/packages/core/src/decide/choose-next-call.ts
+++ b/packages/core/src/decide/choose-next-call.ts
@@ -1,7 +1,7 @@
 /**
 Chooses the next call of an upstream's queue.
 
-Four rules in order. Priority: the highest goes first, and a waiting call gains
+Five rules in order. Priority: the highest goes first, and a waiting call gains
 a step with time, up to the highest that waits. Memory: a call that starts a
 program waits until memory has room for it beside the prefixes of the programs
 under way and some room for these to grow, because a prefix that is pushed out
@@ -9,7 +9,9 @@
 programs under way wait, because these hold memory while they do. Weight: a row that is further
 ahead of the least served waiting row than a fixed slack waits, so shares follow
 weights under backlog; the slack is wider for calls of programs under way, which
-hold memory while they wait. Least attained service: among the rest, the program
+hold memory while they wait. Deadline: a call that has waited for most of the
+time in which it may start goes next, the one with the least left first, since
+no order serves a caller whose call was refused for its age. Least attained service: among the rest, the program
 that has had least goes first, in geometric levels, so that the few very long
 programs do not delay the many short ones; waiting lowers a call's level, so
 that a long program moves on too. Within a level the program that started first
@@ -31,6 +33,8 @@
 const CONTINUE_LEAD_MS = 300_000;
 /** Calls of programs under way that may wait while starts run, as a share of the slots. */
 const WAITING_SHARE = 1 / 32;
+/** Share of the time in which it may start after which a call goes before others that have more left; the rest is for those ahead of it that are pressed too. */
+const PRESSED_SHARE = 0.5;
 /** Share of memory that programs under way may grow into. */
 const GROWTH_SHARE = 0.15;
 
@@ -51,7 +55,16 @@
 	return least;
 };
 
+/** When the call is to start at the latest, if most of its time is over. */
+const pressingDeadline = ({startBy = Infinity, queuedAt}: QueuedCall, now: number): number =>
+	now - queuedAt >= PRESSED_SHARE * (startBy - queuedAt) ? startBy : Infinity;
+
 const goesBefore = (a: QueuedCall, b: QueuedCall, now: number): boolean => {
+	const deadlines = [pressingDeadline(a, now), pressingDeadline(b, now)] as const;
+	if (deadlines[0] !== deadlines[1]) {
+		return deadlines[0] < deadlines[1];
+	}
+
 	const levels = computeLevel(a, now) - computeLevel(b, now);
 	if (levels !== 0) {
 		return levels < 0;
--- a/packages/core/src/decide/queued-call.ts
+++ b/packages/core/src/decide/queued-call.ts
@@ -15,6 +15,8 @@
 	readonly missingTokens: number;
 	/** Time at which it joined this queue, in milliseconds. */
 	readonly queuedAt: number;
+	/** Time after which it is refused instead of started, where its caller set one. */
+	readonly startBy?: number;
 	/** Time at which the outermost program started, in milliseconds. */
 	readonly programStartedAt: number;
 	/** Service that the whole program, sub-agents included, has had on any upstream, in slot milliseconds. */
--- a/packages/sidecar/src/create-run.ts
+++ b/packages/sidecar/src/create-run.ts
@@ -20,6 +20,7 @@
 			weight: grant.weight || 1,
 			priority: grant.priority,
 			queuedAt: now,
+			...(grant.startWithinMs > 0 && {startBy: now + grant.startWithinMs}),
 			programStartedAt: now - Number(grant.programAgeMs),
 			attainedMs: Number(grant.attainedMs),
 			startsProgram: grant.startsProgram,
