--- a/packages/core/src/decide/__tests__/choose-next-call.test.ts
+++ b/packages/core/src/decide/__tests__/choose-next-call.test.ts
@@ -60,7 +60,9 @@
 	const old = {...base, attainedMs: 3_000_000, startBy: 5000};
 	let startedAt = Infinity;
 	for (let now = 0; now <= 5000 && startedAt === Infinity; now += 250) {
-		const newer = {...base, queuedAt: now, programStartedAt: now, startBy: now + 5000};
+		const newer = {
+			...base, queuedAt: now, programStartedAt: now, startBy: now + 5000,
+		};
 		startedAt = chooseNextCall([newer, old], service(), now) === 1 ? now : Infinity;
 	}
 
