--- a/packages/cli/src/__tests__/system.test.ts
+++ b/packages/cli/src/__tests__/system.test.ts
@@ -93,6 +93,21 @@
 		expect(JSON.parse(stdout)).toMatchObject({routes: {version: 7}, upstreams: [{id: 'm1', service: 'models'}], members: [{changesBehind: 0}, {changesBehind: 0}, {changesBehind: 0}]});
 	});
 
+	it('shows the declared routes, and what a file would change about them', async () => {
+		const shown = await runCommand('system:routes', '--settings', settings);
+		expect(shown.stdout).toContain('Version 7');
+		expect(shown.stdout).toContain('/chat/guide/');
+		const file = path.join(folder, 'wanted.json');
+		const wanted = exampleConfig(8);
+		await writeFile(file, JSON.stringify({...wanted, routes: wanted.routes.slice(1).map(route => route.name === 'stock' ? {...route, timeoutMs: 900} : route)}));
+		const compared = await runCommand('system:routes', '--settings', settings, '--diff', file);
+		expect(compared.stdout).toBe('stock: timeoutMs 1000 -> 900\nchat: removed\n');
+		await writeFile(file, JSON.stringify({version: 'nine'}));
+		const broken = await runCommand('system:routes', '--settings', settings, '--diff', file);
+		expect(broken.stderr).toContain('version');
+		expect(broken.exitCode).toBe(1);
+	});
+
 	it('says where a turn is not', async () => {
 		const {stdout, stderr, exitCode} = await runCommand('system:turn', 'never', '--settings', settings);
 		expect(stdout).toContain('has it not');
--- a/packages/cli/src/commands.ts
+++ b/packages/cli/src/commands.ts
@@ -6,6 +6,7 @@
 import {ProgramShow} from './commands/program-show.js';
 import {SettingsCheck} from './commands/settings-check.js';
 import {Status} from './commands/status.js';
+import {SystemRoutes} from './commands/system-routes.js';
 import {SystemStatus} from './commands/system-status.js';
 import {SystemTurn} from './commands/system-turn.js';
 import {TableApply} from './commands/table-apply.js';
@@ -23,6 +24,7 @@
 	'program:show': ProgramShow,
 	'settings:check': SettingsCheck,
 	status: Status,
+	'system:routes': SystemRoutes,
 	'system:status': SystemStatus,
 	'system:turn': SystemTurn,
 	'table:apply': TableApply,
--- a/packages/cli/src/commands/system-status.ts
+++ b/packages/cli/src/commands/system-status.ts
@@ -14,7 +14,7 @@
 
 	return 'error' in routes
 		? `The declared routes cannot be read, so the processes keep the last good ones: ${routes.error} (revision ${revision}).`
-		: `Routes: version ${routes.version}, ${routes.names.length} of them (revision ${revision}).`;
+		: `Routes: version ${routes.version}, ${routes.routes.length} of them (revision ${revision}).`;
 };
 
 const renderMembers = ({members}: SystemState): string => renderGrid(
--- a/packages/gateway/src/inspect/read-system-state.ts
+++ b/packages/gateway/src/inspect/read-system-state.ts
@@ -57,7 +57,7 @@
 
 		const fact = keys.decode(entry);
 		if (fact.kind === 'routes') {
-			routes = fact.routes.match<SystemState['routes']>(({version, routes: all}) => ({version, names: all.map(({name}) => name)}), error => ({error}));
+			routes = fact.routes.match<SystemState['routes']>(({version, routes: all}) => ({version, routes: all}), error => ({error}));
 		} else if (fact.kind === 'upstream') {
 			fact.upstream?.match(upstream => upstreams.push(upstream), reason => unreadable.push({id: fact.id, reason}));
 		}
