fix(platform): bytecode appears whole or not at all

Two builds in one checkout could read what the other had begun to write; the engine checks its length and not its content. Written beside and renamed now. The daemons' bundles are unchanged.

--- a/packages/gateway/src/host/run-bundle.ts
+++ b/packages/gateway/src/host/run-bundle.ts
@@ -5,7 +5,7 @@
 each, with callers waiting. Parsing and compiling a megabyte of JavaScript then
 takes longer than reading back everything that the process is to know.
 */
-import {readFileSync, writeFileSync} from 'node:fs';
+import {readFileSync, renameSync, writeFileSync} from 'node:fs';
 import type {createRequire} from 'node:module';
 import path from 'node:path';
 import process from 'node:process';
@@ -45,7 +45,10 @@
 	(script.runInThisContext() as BundleFunction)(self.exports, load, self, file, path.dirname(file));
 	if (shouldKeep) {
 		process.on('exit', () => {
-			writeFileSync(bytecodeFile, script.createCachedData());
+			// Another build may be reading it, and the engine does not notice bytes that were changed.
+			const unfinished = `${bytecodeFile}.${process.pid}`;
+			writeFileSync(unfinished, script.createCachedData());
+			renameSync(unfinished, bytecodeFile);
 		});
 	}
 };
