--- a/packages/gateway/src/metrics/__tests__/create-gateway-metrics.test.ts
+++ b/packages/gateway/src/metrics/__tests__/create-gateway-metrics.test.ts
@@ -1,10 +1,16 @@
+import type {DataCentreId} from '@siskinhub/core/ids/data-centre-id.js';
+import type {UpstreamId} from '@siskinhub/core/ids/upstream-id.js';
 import {expect, it} from 'vitest';
 import type {Upstream} from '../../upstreams/upstream.js';
 import type {UpstreamLoad} from '../../placement/upstream-load.js';
 import {createGatewayMetrics} from '../create-gateway-metrics.js';
 
+const upstream: Upstream = {
+	id: 'u1' as UpstreamId, service: 'models', address: '10.0.0.1:80', dataCentre: 'z1' as DataCentreId, slots: 1, isLeaving: false, coldMs: 0, sequence: 1, bornAtMs: 1,
+};
+
 const load = (changes: Partial<UpstreamLoad>): UpstreamLoad => ({
-	upstream: {} as Upstream, running: 0, unreadTokens: 0, heldTokens: 0, penaltyMs: 0, isNear: true, ...changes,
+	upstream, running: 0, unreadTokens: 0, heldTokens: 0, penaltyMs: 0, isNear: true, ...changes,
 });
 
 it('counts choices, prompt tokens and preparations, and reads what is watched when asked', async () => {
