refactor: what the change wrote twice, and names of the platform back into platform/

The local system of two scripts, full of the platform's names, lies with the fakes in platform/.

Left as they are, on purpose: create-crash-book beside entry's create-crash-register (one counts different upstreams over processes and ages, the other runs suspects alone); the shapes of option types, which share no logic.

--- a/packages/cli/src/commands/system-routes.ts
+++ b/packages/cli/src/commands/system-routes.ts
@@ -4,7 +4,6 @@
 import {readFile} from 'node:fs/promises';
 import {Flags} from '@oclif/core';
 import {diffRoutes} from '@siskinhub/gateway/inspect/diff-routes.js';
-import {readSystemState} from '@siskinhub/gateway/inspect/read-system-state.js';
 import type {Route} from '@siskinhub/gateway/routes/route.js';
 import {ResultAsync} from 'neverthrow';
 import {EXIT_CODE} from '../command/exit-code.js';
@@ -31,12 +30,7 @@
 	async run(): Promise<unknown> {
 		const {flags} = await this.parse(SystemRoutes);
 		return this.withSystem(flags.settings, async system => {
-			const state = await readSystemState({...system, addresses: []});
-			if (state.isErr()) {
-				return this.fail({code: 'unreachable', message: `The platform's service does not answer: ${state.error}. Ask again once it does.`, exitCode: EXIT_CODE.FAILED});
-			}
-
-			const {routes} = state.value;
+			const {routes} = await this.readState(system, []);
 			if (!routes || 'error' in routes) {
 				return this.fail({code: 'no-routes', message: routes ? `The declared routes cannot be read: ${routes.error}` : 'No routes are declared yet.', exitCode: EXIT_CODE.FAILED});
 			}
--- a/packages/cli/src/commands/system-status.ts
+++ b/packages/cli/src/commands/system-status.ts
@@ -1,7 +1,6 @@
 /**
 `siskinhub system status`.
 */
-import {readSystemState} from '@siskinhub/gateway/inspect/read-system-state.js';
 import type {SystemState} from '@siskinhub/gateway/inspect/system-state.js';
 import {EXIT_CODE} from '../command/exit-code.js';
 import {SystemCommand} from '../command/system-command.js';
@@ -41,27 +40,20 @@
 
 	async run(): Promise<unknown> {
 		const {flags} = await this.parse(SystemStatus);
-		const state = await this.withSystem(flags.settings, async system => readSystemState(system));
-		if (state.isErr()) {
-			return this.fail({
-				code: 'unreachable', message: `The platform's service does not answer: ${state.error}. The processes go on with what they know; ask again, or read their logs.`, exitCode: EXIT_CODE.FAILED,
-			});
-		}
-
-		const {value} = state;
-		for (const text of [renderRoutes(value), ...renderHolders(value), renderMembers(value), renderUpstreams(value)]) {
+		const state = await this.withSystem(flags.settings, async system => this.readState(system, system.addresses));
+		for (const text of [renderRoutes(state), ...renderHolders(state), renderMembers(state), renderUpstreams(state)]) {
 			this.log(text);
 		}
 
-		for (const {id, reason} of value.unreadable) {
+		for (const {id, reason} of state.unreadable) {
 			this.log(`The entry ${id} names no upstream: ${reason}`);
 		}
 
-		const silent = value.members.filter(({host}) => host === undefined).map(({address}) => address);
+		const silent = state.members.filter(({host}) => host === undefined).map(({address}) => address);
 		return silent.length === 0
-			? value
+			? state
 			: this.fail({
-				code: 'unreachable', message: `No answer from ${silent.join(', ')}. It may be down, cut off or replaced; addresses from the settings file may be out of date.`, exitCode: EXIT_CODE.FAILED, details: {state: value},
+				code: 'unreachable', message: `No answer from ${silent.join(', ')}. It may be down, cut off or replaced; addresses from the settings file may be out of date.`, exitCode: EXIT_CODE.FAILED, details: {state},
 			});
 	}
 }
--- a/packages/cli/src/commands/system-turn.ts
+++ b/packages/cli/src/commands/system-turn.ts
@@ -2,7 +2,6 @@
 `siskinhub system turn`.
 */
 import {Args} from '@oclif/core';
-import {readSystemState} from '@siskinhub/gateway/inspect/read-system-state.js';
 import {readTurnCopies} from '@siskinhub/gateway/inspect/read-turn-copies.js';
 import {EXIT_CODE} from '../command/exit-code.js';
 import {SystemCommand} from '../command/system-command.js';
@@ -29,12 +28,8 @@
 	async run(): Promise<unknown> {
 		const {args, flags} = await this.parse(SystemTurn);
 		const copies = await this.withSystem(flags.settings, async system => {
-			const state = await readSystemState({...system, addresses: []});
-			if (state.isErr()) {
-				return this.fail({code: 'unreachable', message: `The platform's service does not answer: ${state.error}. The list of copy holders is there; ask again.`, exitCode: EXIT_CODE.FAILED});
-			}
-
-			return state.value.holders ? readTurnCopies(state.value.holders, args.turn, system.linkTo) : [];
+			const {holders} = await this.readState(system, []);
+			return holders ? readTurnCopies(holders, args.turn, system.linkTo) : [];
 		});
 		this.log(renderGrid(['holder', 'turn', 'turns up to it', 'bytes', 'kept until'], copies.map(each => describeCopies(each))));
 		if (copies.some(({turns}) => turns && turns.length > 0)) {
--- a/packages/gateway/src/forward/create-crash-book.ts
+++ b/packages/gateway/src/forward/create-crash-book.ts
@@ -8,7 +8,6 @@
 decides by itself. One crash proves nothing: upstreams also die by themselves,
 and connections are reset. The same request on three different upstreams does.
 */
-
 import type {Crash} from './crash.js';
 import type {CrashBook} from './crash-book.js';
 
--- a/packages/sidecar/src/create-run-scheduler.ts
+++ b/packages/sidecar/src/create-run-scheduler.ts
@@ -111,10 +111,7 @@
 		};
 	};
 
-	const isExpired = (run: Run): boolean => {
-		const {startWithinMs} = grantOf(run);
-		return startWithinMs > 0 && Date.now() - run.queued.queuedAt > startWithinMs;
-	};
+	const isExpired = ({queued: {startBy = Infinity}}: Run): boolean => Date.now() > startBy;
 
 	const takeNext = (): Run | undefined => {
 		const runningAlone = [...running].some(run => grantOf(run).runAlone);
--- a/packages/standins/src/cluster/create-deployment-builder.ts
+++ b/packages/standins/src/cluster/create-deployment-builder.ts
@@ -5,7 +5,9 @@
 import {allocatePorts} from './allocate-ports.js';
 import {buildSettings} from './build-settings.js';
 import {createProcessGroup} from './create-process-group.js';
+import type {EntryNode} from './entry-node.js';
 import type {ManagedProcess} from './managed-process.js';
+import type {UpstreamNode} from './upstream-node.js';
 
 type Settings = Readonly<Record<string, unknown>>;
 
@@ -30,30 +32,14 @@
 /** A line of the platform's list of hosts. */
 type ListedHost = Readonly<Record<string, unknown>>;
 
-type EntryNode = {
-	readonly name: string;
-	readonly dataCentre: string;
-	readonly address: string;
-	readonly process: ManagedProcess;
-	readonly host: ListedHost;
-};
-
-type UpstreamNode = {
-	readonly id: string;
-	readonly kind: 'model' | 'service';
-	readonly target: string;
-	readonly address: string;
-	readonly upstream: ManagedProcess;
-	readonly sidecar: ManagedProcess;
-	readonly host: ListedHost;
-};
+type Listed = {readonly host: ListedHost};
 
 type DeploymentBuilder = {
 	readonly processes: ReadonlyMap<string, ManagedProcess>;
 	readonly readLog: (name: string) => string;
 	readonly addPlatform: () => Promise<{readonly address: string; readonly process: ManagedProcess}>;
-	readonly addEntry: (plan: EntryPlan) => Promise<EntryNode>;
-	readonly addUpstream: (plan: UpstreamPlan) => Promise<UpstreamNode>;
+	readonly addEntry: (plan: EntryPlan) => Promise<EntryNode & Listed>;
+	readonly addUpstream: (plan: UpstreamPlan) => Promise<UpstreamNode & Listed>;
 };
 
 const toAddress = (port: number): string => `http://127.0.0.1:${port}`;
--- a/packages/standins/src/cluster/deployment.ts
+++ b/packages/standins/src/cluster/deployment.ts
@@ -1,18 +1,11 @@
 /**
 The processes of one deployment on the loopback interface.
 */
+import type {EntryNode} from './entry-node.js';
 import type {ManagedProcess} from './managed-process.js';
 import type {StopReport} from './stop-report.js';
 import type {UpstreamNode} from './upstream-node.js';
 
-type EntryNode = {
-	readonly name: string;
-	readonly dataCentre: string;
-	/** Where callers and operators reach the entry. */
-	readonly address: string;
-	readonly process: ManagedProcess;
-};
-
 /** Everything runs under one temporary folder. */
 export type Deployment = {
 	readonly folder: string;
--- a/scripts/build-platform.ts
+++ b/scripts/build-platform.ts
@@ -9,7 +9,7 @@
 import process from 'node:process';
 import {fileURLToPath} from 'node:url';
 import {build, type Plugin} from 'esbuild';
-import {startLocalSystem} from './local-system.js';
+import {startLocalSystem} from '../platform/src/__tests__/fakes/start-local-system.js';
 import {readNodeFlags} from './read-node-flags.js';
 
 const BINARIES = ['siskinhub-gateway', 'siskinhub-holder'] as const;
--- a/scripts/profile-gateway.ts
+++ b/scripts/profile-gateway.ts
@@ -8,8 +8,8 @@
 import {readFileSync} from 'node:fs';
 import process from 'node:process';
 import {setTimeout as delay} from 'node:timers/promises';
+import {startLocalSystem} from '../platform/src/__tests__/fakes/start-local-system.js';
 import {readNodeFlags} from './read-node-flags.js';
-import {startLocalSystem} from './local-system.js';
 
 const FIRST_PORT = 21_000;
 const REST_MS = 5000;
