--- a/scripts/build-platform.ts
+++ b/scripts/build-platform.ts
@@ -14,7 +14,7 @@
 
 const BINARIES = ['siskinhub-gateway', 'siskinhub-holder'] as const;
 const FOLDER = 'target';
-const UNDICI_PARTS = fileURLToPath(new URL('undici-parts.mjs', import.meta.url));
+const UNDICI_PARTS = fileURLToPath(new URL('undici-parts.ts', import.meta.url));
 const HASH_CHARACTERS = 16;
 const WARM_CALLS = 300;
 const WARM_CALLS_AT_ONCE = 10;
--- a/scripts/undici-parts.mjs
+++ b/scripts/undici-parts.ts
@@ -3,6 +3,7 @@
 The index loads fetch, cookies and WebSockets too, which costs each start of a
 process more time than all of the product's own modules.
 */
+import type {Dispatcher as UndiciDispatcher} from 'undici';
 import request from 'undici/lib/api/api-request.js';
 import util from 'undici/lib/core/util.js';
 import Dispatcher from 'undici/lib/dispatcher/dispatcher.js';
@@ -11,9 +12,11 @@
 export {default as Agent} from 'undici/lib/dispatcher/agent.js';
 export {default as Client} from 'undici/lib/dispatcher/client.js';
 
+type RequestOptions = Omit<UndiciDispatcher.RequestOptions, 'origin' | 'path'> & {readonly dispatcher: UndiciDispatcher};
+
 Dispatcher.prototype.request = request;
 
-const requestUrl = async (url, {dispatcher, ...options}) => {
+const requestUrl = async (url: string, {dispatcher, ...options}: RequestOptions): Promise<UndiciDispatcher.ResponseData> => {
 	const {origin, pathname, search} = util.parseURL(url);
 	return dispatcher.request({...options, origin, path: `${pathname}${search}`});
 };
