fix(entry): a sidecar that restarts is dialled again by owners

Cause: an owner dials sidecars when the platform's host list changes. A sidecar that restarts between two readings of the list (2 s) leaves the list as it was; its link had closed and was never dialled again, so its upstream stayed 'silent' for that owner.

Ruled out: the dispatch itself (the refused call was released and asked for again at once), the list's state 'leaving' (other entries used both sidecars the moment they took the shards over).

Change: links that are kept for the other side's heartbeats are dialled again after each break while they are wanted (create-link-keeper.ts), for sidecars and for neighbours of the table. create-upstream-directory.test.ts failed first: 'expected to have a length of 2 but got 1'.

--- a/packages/entry/src/create-entry.ts
+++ b/packages/entry/src/create-entry.ts
@@ -17,6 +17,7 @@
 import type {Body} from '@siskinhub/peer/body.js';
 import type {BodyInit} from '@siskinhub/peer/body-init.js';
 import {createPauseDetector} from '@siskinhub/peer/create-pause-detector.js';
+import {createLinkKeeper} from '@siskinhub/peer/create-link-keeper.js';
 import {createPeerPool} from '@siskinhub/peer/create-peer-pool.js';
 import {createPeerServer} from '@siskinhub/peer/create-peer-server.js';
 import type {IncomingMessage} from '@siskinhub/peer/incoming-message.js';
@@ -105,11 +106,13 @@
 		return late.ownership;
 	};
 
+	const neighbourLinks = createLinkKeeper(pool);
+	const listNeighbours = () => isLeaving ? [] : chooseNeighbours(cfg.host, cfg.dataCentre, hosts.entries());
 	const hosts = createHostDirectory({
 		platform, region: cfg.region, onChange() {
 			upstreams.sync();
-			for (const neighbour of chooseNeighbours(cfg.host, cfg.dataCentre, hosts.entries())) {
-				pool().get(neighbour.peerAddress);
+			for (const {peerAddress} of listNeighbours()) {
+				neighbourLinks.keep(peerAddress, () => listNeighbours().some(neighbour => neighbour.peerAddress === peerAddress));
 			}
 		},
 	});
--- /dev/null
+++ b/packages/entry/src/directory/__tests__/create-upstream-directory.test.ts
@@ -0,0 +1,111 @@
+/**
+An owner hears of a sidecar only over a link of its own. A sidecar that restarts
+between two readings of the platform's list leaves that list as it was.
+*/
+import type {PeerLink} from '@siskinhub/peer/peer-link.js';
+import type {PeerPool} from '@siskinhub/peer/peer-pool.js';
+import type {PlatformHost} from '@siskinhub/platform/platform-host.js';
+import {err} from 'neverthrow';
+import {
+	afterEach, beforeEach, expect, it, vi,
+} from 'vitest';
+import {createUpstreamDirectory} from '../create-upstream-directory.js';
+
+const SIDECAR: PlatformHost = {
+	id: 'sidecar-1', role: 'sidecar', peerAddress: 'http://127.0.0.1:7000', dataCentre: 'dc-1', state: 'live', upstream: {id: 'engine-1', kind: 'model', target: 'm'},
+};
+
+/** Links that the test closes by hand. */
+const createFakePool = () => {
+	const dialled: Array<{readonly address: string; readonly close: () => void}> = [];
+	const links = new Map<string, PeerLink>();
+	const pool: PeerPool = {
+		get(address) {
+			const known = links.get(address);
+			if (known) {
+				return known;
+			}
+
+			const listeners: Array<() => void> = [];
+			const link: PeerLink = {
+				remote: () => undefined,
+				isOpen: () => links.has(address),
+				send() {/* Nobody listens. */},
+				request: async () => err({kind: 'lost', message: 'nobody listens'}),
+				openCall: () => ({close() {/* Nothing is open. */}}),
+				reply() {/* Nobody listens. */},
+				onClosed(listener) {
+					listeners.push(listener);
+				},
+				close() {/* The test closes its links itself. */},
+			};
+			links.set(address, link);
+			dialled.push({
+				address, close() {
+					links.delete(address);
+					for (const listener of listeners) {
+						listener();
+					}
+				},
+			});
+			return link;
+		},
+		links: () => [...links.values()],
+		closeAll() {/* The test closes its links itself. */},
+	};
+	return {pool, dialled};
+};
+
+const createDirectory = (isOwner: () => boolean) => {
+	const {pool, dialled} = createFakePool();
+	const listed: PlatformHost[] = [SIDECAR];
+	const directory = createUpstreamDirectory({
+		hosts: {
+			entries: () => [],
+			sidecars: () => listed,
+			sidecarsFor: () => listed,
+			findSidecar: id => listed.find(host => host.id === id),
+			async refresh() {/* The list is fixed. */},
+			stop() {/* Nothing runs. */},
+		},
+		pool: () => pool,
+		silenceMs: 800,
+		isOwner,
+	});
+	return {directory, dialled, listed};
+};
+
+beforeEach(() => {
+	vi.useFakeTimers();
+});
+afterEach(() => {
+	vi.useRealTimers();
+});
+
+it('dials a sidecar again after each break while the list does not change', () => {
+	const {directory, dialled} = createDirectory(() => true);
+	directory.sync();
+	dialled.at(-1)!.close();
+	vi.advanceTimersByTime(1000);
+	expect(dialled).toHaveLength(2);
+	dialled.at(-1)!.close();
+	vi.advanceTimersByTime(1000);
+	expect(dialled).toHaveLength(3);
+});
+
+it('lets a sidecar be that left the list or that no owner needs', () => {
+	let isOwner = true;
+	const {directory, dialled, listed} = createDirectory(() => isOwner);
+	directory.sync();
+	isOwner = false;
+	dialled.at(-1)!.close();
+	vi.advanceTimersByTime(1000);
+	expect(dialled).toHaveLength(1);
+	isOwner = true;
+	directory.sync();
+	expect(dialled).toHaveLength(2);
+	listed.pop();
+	dialled.at(-1)!.close();
+	vi.advanceTimersByTime(1000);
+	expect(dialled).toHaveLength(2);
+});
--- a/packages/entry/src/directory/create-upstream-directory.ts
+++ b/packages/entry/src/directory/create-upstream-directory.ts
@@ -5,6 +5,7 @@
 sidecar without a link, or without a report for the silence bound, is silent.
 */
 import type {UpstreamId} from '@siskinhub/core/ids/upstream-id.js';
+import {createLinkKeeper} from '@siskinhub/peer/create-link-keeper.js';
 import type {PeerPool} from '@siskinhub/peer/peer-pool.js';
 import type {Load} from '@siskinhub/proto/gen/siskinhub/peer/v1/peer_pb.js';
 import type {PlatformHost} from '@siskinhub/platform/platform-host.js';
@@ -82,19 +83,21 @@
 		}];
 	});
 
-	const dialAll = () => {
-		for (const host of hosts.sidecars()) {
-			pool().get(host.peerAddress);
-		}
-	};
+	const links = createLinkKeeper(pool);
+
+	const isNeeded = (address: string): boolean => isOwner() && hosts.sidecars().some(host => host.peerAddress === address);
 
 	return {
 		list: () => describe(hosts.sidecars()),
 		listFor: target => describe(hosts.sidecarsFor(target)),
-		follow: dialAll,
+		follow() {
+			for (const {peerAddress} of hosts.sidecars()) {
+				pool().get(peerAddress);
+			}
+		},
 		sync() {
-			if (isOwner()) {
-				dialAll();
+			for (const {peerAddress} of hosts.sidecars()) {
+				links.keep(peerAddress, () => isNeeded(peerAddress));
 			}
 		},
 		receiveHeartbeat(link, heartbeat) {
--- a/packages/entry/src/directory/upstream-directory.ts
+++ b/packages/entry/src/directory/upstream-directory.ts
@@ -13,7 +13,7 @@
 	readonly listFor: (target: string) => readonly UpstreamEntry[];
 	/** Dials every sidecar also if this entry owns no shard, so that an operator sees their loads. */
 	readonly follow: () => void;
-	/** Opens links to sidecars that are new in the host list. */
+	/** Keeps links open to all sidecars of the host list while this entry owns a shard. */
 	readonly sync: () => void;
 	readonly receiveHeartbeat: (link: PeerLink, heartbeat: Heartbeat) => void;
 	readonly noteSent: (id: UpstreamId) => void;
