feat(gateway): call lines say when a turn was prepared

A late turn is either late before its upstream got it or at the upstream; the line had only the sum.

--- a/packages/gateway/src/forward/run-call.ts
+++ b/packages/gateway/src/forward/run-call.ts
@@ -72,7 +72,8 @@
 		keeper: parts.keeper, call, route, body, tokensPerEvent,
 	});
 	const prepared = await turn.prepare(deadlineAt - Date.now());
-	parts.metrics.observePreparation(prepared.kind, Date.now() - arrivedAt);
+	const preparedMs = Date.now() - arrivedAt;
+	parts.metrics.observePreparation(prepared.kind, preparedMs);
 	if (prepared.kind !== 'ready') {
 		turn.settleInBackground();
 		const status = STATUS_OF_TURN[prepared.kind];
@@ -103,7 +104,9 @@
 
 		turn.settleInBackground();
 		const firstEventMs = progress.firstEventAt && progress.firstEventAt - arrivedAt;
-		Object.assign(fields, {trail: attempts.trail, events: progress.events, firstEventMs});
+		Object.assign(fields, {
+			trail: attempts.trail, events: progress.events, preparedMs, firstEventMs,
+		});
 		return {...endCall(answer, end, step), attempts: attempts.trail.length, firstEventMs};
 	}
 };
