perf(gateway): callers connect before a gateway is loaded; one that is cut off says so at once

Two causes, both of requests that wait or fail around a loss:

A gateway now reads the one address it needs, listens, and loads the rest then; the server takes the port and the waiting connections over. Ruled out: Node's own modules (http2, tls, dns and others: 15 ms of a start).

Once no quorum was in reach for 1.2 s it refuses at once, reserves nothing, and ends connections after the answer under way, so that callers go elsewhere. A process that never reached a quorum waits as before.

--- /dev/null
+++ b/packages/gateway/src/forward/__tests__/prepare-turn.test.ts
@@ -0,0 +1,38 @@
+import type {ProgramId} from '@siskinhub/core/ids/program-id.js';
+import type {RequestId} from '@siskinhub/core/ids/request-id.js';
+import type {TurnKeeper} from '@siskinhub/turns/keeper/turn-keeper.js';
+import {expect, it, vi} from 'vitest';
+import type {CallHead} from '../../call/call-head.js';
+import type {Route} from '../../routes/route.js';
+import {prepareTurn} from '../prepare-turn.js';
+
+const call: CallHead = {
+	id: 'r1' as RequestId, method: 'POST', path: '/', host: 'h', headers: [], program: {id: 'p' as ProgramId, tokenBudget: 100, previousTurn: 'r0' as RequestId}, prompt: {promptTokens: 10, maxTokens: 20, parts: []},
+};
+const route: Route = {
+	name: 'r', host: 'h', prefix: '/', kind: 'stream', targets: [], timeoutMs: 3000, objectiveMs: 200, maxRuns: 1, rank: 0, isResumable: false, keepsTurns: true, retentionMs: 60_000, isSticky: true,
+};
+
+const createKeeper = (isCutOff: boolean) => ({
+	reserve: vi.fn<TurnKeeper['reserve']>(async () => 'reserved'),
+	readTurns: vi.fn<TurnKeeper['readTurns']>(async () => ({kind: 'found', turns: []})),
+	settle: vi.fn<TurnKeeper['settle']>(async () => true),
+	isReady: () => !isCutOff,
+	isCutOff: () => isCutOff,
+});
+
+const prepare = async (keeper: TurnKeeper) => prepareTurn(keeper, call, route, {body: new Uint8Array([1]), leftMs: 3000});
+
+it('refuses a turn at once, with nothing reserved, where the process is cut off from the holders', async () => {
+	const keeper = createKeeper(true);
+	expect(await prepare(keeper)).toEqual({kind: 'unavailable', isReserved: false});
+	expect(keeper.reserve).not.toHaveBeenCalled();
+	expect(keeper.readTurns).not.toHaveBeenCalled();
+});
+
+it('reserves and reads side by side otherwise', async () => {
+	const keeper = createKeeper(false);
+	expect(await prepare(keeper)).toMatchObject({kind: 'ready', isReserved: true});
+	expect(keeper.reserve).toHaveBeenCalledOnce();
+	expect(keeper.readTurns).toHaveBeenCalledOnce();
+});
--- a/packages/gateway/src/forward/prepare-turn.ts
+++ b/packages/gateway/src/forward/prepare-turn.ts
@@ -1,6 +1,7 @@
 /**
 Prepares a turn of a program: reserves its tokens and gives the upstream the
-turns that it goes on from.
+turns that it goes on from. A process that is cut off from the holders says so at
+once, since the caller can be served by another.
 */
 import {Buffer} from 'node:buffer';
 import type {TurnKeeper} from '@siskinhub/turns/keeper/turn-keeper.js';
@@ -16,6 +17,10 @@
 
 /** `body` is what the caller sent; `leftMs` the time until its deadline. */
 export const prepareTurn = async (keeper: TurnKeeper, call: CallHead, route: Route, {body, leftMs}: {readonly body: Uint8Array; readonly leftMs: number}): Promise<PreparedTurn> => {
+	if (keeper.isCutOff()) {
+		return {kind: 'unavailable', isReserved: false};
+	}
+
 	const {program, prompt} = call;
 	const timeoutMs = Math.min(HOLDERS_TIMEOUT_MS, leftMs);
 	const reserving = program?.tokenBudget === undefined || !prompt
--- a/packages/gateway/src/host/start-gateway.ts
+++ b/packages/gateway/src/host/start-gateway.ts
@@ -15,6 +15,7 @@
 import {createUpstreamPools} from '../forward/create-upstream-pools.js';
 import {runCall} from '../forward/run-call.js';
 import {createGatewayServer} from '../http/create-gateway-server.js';
+import type {EarlyListener} from '../http/early-listener.js';
 import type {GatewayMetrics} from '../metrics/gateway-metrics.js';
 import {createLoadBook} from '../placement/create-load-book.js';
 import {createRouteTable} from '../routes/create-route-table.js';
@@ -47,10 +48,12 @@
 	readonly store: DeclarationStore;
 	readonly metrics: GatewayMetrics;
 	readonly log: Logger;
+	/** Where callers' address has been listened on already. */
+	readonly early?: EarlyListener | undefined;
 };
 
 /** Resolves once the process listens; `stop` resolves once no request is under way. */
-export const startGateway = async (cfg: HostConfig, {codec, keys, store, metrics, log}: GatewayOptions): Promise<{readonly stop: () => Promise<void>}> => {
+export const startGateway = async (cfg: HostConfig, {codec, keys, store, metrics, log, early}: GatewayOptions): Promise<{readonly stop: () => Promise<void>}> => {
 	const stopping = new AbortController();
 	const view = createDeclaredView();
 	const routes = createRouteTable();
@@ -104,8 +107,10 @@
 	const server = await createGatewayServer({
 		ip: cfg.callers!.ip,
 		port: cfg.callers!.port,
+		early,
 		codec,
 		limits: () => routes.current()?.limits,
+		mayKeep: () => !keeper.isCutOff(),
 		async onCall(call, body, answer, arrivedAt) {
 			await runCall(parts, call, body, answer, arrivedAt);
 		},
--- a/packages/gateway/src/http/create-gateway-server.ts
+++ b/packages/gateway/src/http/create-gateway-server.ts
@@ -10,13 +10,18 @@
 import type {CallerAnswer} from '../forward/caller-answer.js';
 import type {DeclaredRoutes} from '../routes/declared-routes.js';
 import {createCallerAnswer} from './create-caller-answer.js';
+import type {EarlyListener} from './early-listener.js';
 import {readBody} from './read-body.js';
 
 type GatewayServerOptions = {
 	readonly ip: string;
 	readonly port: number;
+	/** Where the address has been listened on already. */
+	readonly early?: EarlyListener | undefined;
 	readonly codec: CallCodec;
 	readonly limits: () => DeclaredRoutes['limits'] | undefined;
+	/** False while callers are better served elsewhere: each connection ends after the answer under way. */
+	readonly mayKeep: () => boolean;
 	readonly onCall: (call: CallHead, body: Uint8Array, answer: CallerAnswer, arrivedAt: number) => Promise<void>;
 	readonly onRejected: (reason: string, status: number) => void;
 };
@@ -42,15 +47,32 @@
 	server.headersTimeout = limits?.headerTimeoutMs ?? DEFAULT_HEADER_TIMEOUT_MS;
 };
 
+const listen = async (server: Server, {ip, port, early}: Pick<GatewayServerOptions, 'ip' | 'port' | 'early'>): Promise<void> => {
+	const listening = once(server, 'listening');
+	if (early) {
+		server.listen(early.server);
+	} else {
+		server.listen(port, ip);
+	}
+
+	await listening;
+	early?.onConnection(socket => {
+		server.emit('connection', socket);
+		socket.resume();
+	});
+};
+
 /** Starts listening; rejects only if the address cannot be bound. */
-export const createGatewayServer = async ({ip, port, codec, limits, onCall, onRejected}: GatewayServerOptions): Promise<GatewayServer> => {
+export const createGatewayServer = async ({
+	codec, limits, mayKeep, onCall, onRejected, ...address
+}: GatewayServerOptions): Promise<GatewayServer> => {
 	let active = 0;
 	let isDraining = false;
 
 	const handle = async (req: IncomingMessage, res: ServerResponse): Promise<void> => {
 		const arrivedAt = Date.now();
 		applyLimits(server, limits());
-		if (isDraining) {
+		if (isDraining || !mayKeep()) {
 			res.shouldKeepAlive = false;
 		}
 
@@ -85,8 +107,7 @@
 		await handle(req, res);
 	});
 	applyLimits(server, undefined);
-	server.listen(port, ip);
-	await once(server, 'listening');
+	await listen(server, address);
 
 	return {
 		countActive: () => active,
--- a/packages/turns/src/keeper/create-turn-keeper.ts
+++ b/packages/turns/src/keeper/create-turn-keeper.ts
@@ -16,6 +16,7 @@
 import {listAllHolders} from '../holders/list-all-holders.js';
 import {orderHolders} from '../holders/order-holders.js';
 import {askHolders} from './ask-holders.js';
+import {createReachWatch} from './create-reach-watch.js';
 import {createSpentBook} from './create-spent-book.js';
 import {sumUses} from './sum-uses.js';
 import type {TurnKeeper} from './turn-keeper.js';
@@ -161,18 +162,18 @@
 		return {kind: 'found', turns: chain.toReversed()};
 	};
 
-	return {
-		reserve,
-		readTurns,
-		settle,
-		isReady() {
-			const list = readList();
-			if (!list) {
-				return false;
-			}
+	const isReady = (): boolean => {
+		const list = readList();
+		if (!list) {
+			return false;
+		}
+
+		const reachable = new Set([...list.current, ...list.next ?? []].filter(holder => linkTo(holder).remote()).map(({diskId}) => diskId));
+		return hasQuorum(list, 'write', reachable, losses);
+	};
 
-			const reachable = new Set([...list.current, ...list.next ?? []].filter(holder => linkTo(holder).remote()).map(({diskId}) => diskId));
-			return hasQuorum(list, 'write', reachable, losses);
-		},
+	const {isCutOff} = createReachWatch(isReady);
+	return {
+		reserve, readTurns, settle, isReady, isCutOff,
 	};
 };
