refactor(gateway): the end of a planned stop is a module; decoded fields that nothing read are out

drain-server.ts counts by the steady clock: the time of day may be set while a process stops, and the old count then ended it early or late.

--- a/packages/gateway/src/call/call-head.ts
+++ b/packages/gateway/src/call/call-head.ts
@@ -23,8 +23,6 @@
 	readonly maxTokens: number;
 	/** In the order of the prompt; the last belongs to the request or its program alone. */
 	readonly parts: readonly PromptPart[];
-	/** The caller's estimate of the tokens generated; right at the median and often far off. */
-	readonly expectedTokens?: number;
 };
 
 /** One attempt of a caller; each attempt has its own id. */
--- a/packages/gateway/src/call/upstream-head.ts
+++ b/packages/gateway/src/call/upstream-head.ts
@@ -15,8 +15,6 @@
 	readonly hasNotRun: boolean;
 	/** The upstream that was expected is not the one at this address. */
 	readonly isOtherUpstream: boolean;
-	/** The upstream will close the connection; it may be leaving. */
-	readonly isClosing: boolean;
 	/** The end of the body shows by its length or its last chunk, and not only by the end of the connection. */
 	readonly isFramed: boolean;
 };
--- a/packages/gateway/src/forward/__tests__/judge-head.test.ts
+++ b/packages/gateway/src/forward/__tests__/judge-head.test.ts
@@ -3,7 +3,7 @@
 import {judgeHead} from '../judge-head.js';
 
 const head = (changes: Partial<UpstreamHead>): UpstreamHead => ({
-	status: 200, headers: [], answers: 'a', isSigned: true, hasNotRun: false, isOtherUpstream: false, isClosing: false, isFramed: true, ...changes,
+	status: 200, headers: [], answers: 'a', isSigned: true, hasNotRun: false, isOtherUpstream: false, isFramed: true, ...changes,
 });
 
 describe('judgeHead', () => {
--- a/packages/gateway/src/host/start-gateway.ts
+++ b/packages/gateway/src/host/start-gateway.ts
@@ -25,6 +25,7 @@
 import {createHostLinks} from './create-host-links.js';
 import {decideReadiness} from './decide-readiness.js';
 import type {DeclaredKeys} from './declared-keys.js';
+import {drainServer} from './drain-server.js';
 import {followStore} from './follow-store.js';
 import type {HostConfig} from './host-config.js';
 import {serveText} from './serve-text.js';
@@ -34,11 +35,6 @@
 const CONNECTION_SHARE = 0.25;
 const DEFAULT_CONNECTIONS = 64;
 const DEFAULT_MEMORY_TOKENS = 100_000;
-/** The balancer asks once a second and takes a process out after two misses. */
-const LEAVE_ROTATION_MS = 2300;
-/** Left between the last request's end and the kill. */
-const STOP_MARGIN_MS = 400;
-const STOP_CHECK_MS = 50;
 /** How often a process that starts dials the holders that do not answer yet. */
 const FIRST_DIAL_INTERVAL_MS = 40;
 
@@ -147,24 +143,9 @@
 
 	return {
 		async stop() {
-			const startedAt = Date.now();
 			log.info('gateway stops', {active: server.countActive()});
 			stopping.abort();
-			server.drain();
-			const killAt = startedAt + cfg.stopWithinMs - STOP_MARGIN_MS;
-			await new Promise<void>(resolve => {
-				const timer = setInterval(() => {
-					const now = Date.now();
-					if (now - startedAt >= LEAVE_ROTATION_MS) {
-						server.stopListening();
-					}
-
-					if ((now - startedAt >= LEAVE_ROTATION_MS && server.countActive() === 0) || now >= killAt) {
-						clearInterval(timer);
-						resolve();
-					}
-				}, STOP_CHECK_MS);
-			});
+			await drainServer(server, cfg.stopWithinMs);
 			readiness?.close();
 			metricsServer.close();
 			links.close();
