perf(turns): one round without answers shows that a gateway is cut off

A round that had its whole time and got too few answers now counts as the proof, and a link counts again once something has arrived on it since. Rounds near a deadline prove nothing. Tests: two of create-reach-watch.test.ts. Ruled out: a shorter silence bound of links, which would close them when a process is busy for a second.

--- a/packages/entry/src/directory/__tests__/create-upstream-directory.test.ts
+++ b/packages/entry/src/directory/__tests__/create-upstream-directory.test.ts
@@ -30,6 +30,7 @@
 			const link: PeerLink = {
 				remote: () => undefined,
 				isOpen: () => links.has(address),
+				silentForMs: () => 0,
 				send() {/* Nobody listens. */},
 				request: async () => err({kind: 'lost', message: 'nobody listens'}),
 				openCall: () => ({close() {/* Nothing is open. */}}),
--- a/packages/peer/src/create-link.ts
+++ b/packages/peer/src/create-link.ts
@@ -157,6 +157,7 @@
 	const link: Link = {
 		remote: () => remote,
 		isOpen: () => open,
+		silentForMs: () => Date.now() - lastReceivedAt,
 		send(body) {
 			push({body});
 		},
--- a/packages/peer/src/peer-link.ts
+++ b/packages/peer/src/peer-link.ts
@@ -15,6 +15,8 @@
 	/** Who the other side is; known once its hello arrived. */
 	readonly remote: () => Hello | undefined;
 	readonly isOpen: () => boolean;
+	/** Milliseconds since anything arrived; since the link was made, where nothing has. */
+	readonly silentForMs: () => number;
 	/** Sends a message that expects no reply. Does nothing on a closed link. */
 	readonly send: (body: BodyInit) => void;
 	/** Sends a message and waits for its one reply. */
--- a/packages/turns/src/__tests__/create-fake-cluster.ts
+++ b/packages/turns/src/__tests__/create-fake-cluster.ts
@@ -120,6 +120,7 @@
 		return {
 			remote: () => hosts.get(to)?.isUp && !isCut(from, to) ? create(HelloSchema, {dataFolderId: hosts.get(to)!.disk.diskId}) : undefined,
 			isOpen: () => true,
+			silentForMs: () => 0,
 			send() {/* No message of the copies is sent without an answer. */},
 			request,
 			openCall: () => ({close() {/* Nothing is open. */}}),
--- a/packages/turns/src/keeper/__tests__/create-reach-watch.test.ts
+++ b/packages/turns/src/keeper/__tests__/create-reach-watch.test.ts
@@ -48,3 +48,29 @@
 	const watch = createReachWatch(() => false);
 	expect(countWaiting(watch, 5000)).toBe(100);
 });
+
+it('knows from a round without answers that links are dead which still look sound', () => {
+	let heardAt = performance.now();
+	const watch = createReachWatch(withinMs => performance.now() - heardAt <= withinMs);
+	expect(countWaiting(watch, 1000)).toBe(20);
+	heardAt = performance.now();
+	const startedAt = performance.now();
+	expect(countWaiting(watch, 1200)).toBe(24);
+	watch.noteFailedRound(startedAt);
+	expect(countWaiting(watch, 3000)).toBe(0);
+	expect(watch.isReachable()).toBe(false);
+	heardAt = performance.now();
+	expect(watch.isReachable()).toBe(true);
+	expect(countWaiting(watch, 1000)).toBe(20);
+});
+
+it('takes no round for a proof that had less time, as one near its deadline has', () => {
+	let heardAt = performance.now();
+	const watch = createReachWatch(withinMs => performance.now() - heardAt <= withinMs);
+	expect(watch.isCutOff()).toBe(false);
+	heardAt = performance.now();
+	const startedAt = performance.now();
+	vi.advanceTimersByTime(300);
+	watch.noteFailedRound(startedAt);
+	expect(watch.isReachable()).toBe(true);
+});
--- a/packages/turns/src/keeper/create-turn-keeper.ts
+++ b/packages/turns/src/keeper/create-turn-keeper.ts
@@ -47,14 +47,28 @@
 /** Creates the client of the holders. */
 export const createTurnKeeper = ({readList, adoptList, linkTo, losses, dataCentre}: KeeperOptions): TurnKeeper => {
 	const spent = createSpentBook();
+	const reach = createReachWatch(withinMs => {
+		const list = readList();
+		if (!list) {
+			return false;
+		}
+
+		const heard = listAllHolders(list).filter(holder => {
+			const link = linkTo(holder);
+			return link.remote() && link.silentForMs() <= withinMs;
+		});
+		return hasQuorum(list, 'write', new Set(heard.map(({diskId}) => diskId)), losses);
+	});
 
 	/** Repeats a round under each newer list until it has enough answers or the time is up. */
 	const askQuorum = async (program: string, ask: Ask, kind: 'one' | 'write', timeoutMs: number, startRound: StartRound): Promise<boolean> => {
+		const startedAt = performance.now();
 		const deadline = Date.now() + timeoutMs;
 		for (;;) {
 			const list = readList();
 			const leftMs = deadline - Date.now();
 			if (leftMs <= 0) {
+				reach.noteFailedRound(startedAt);
 				return false;
 			}
 
@@ -67,6 +81,10 @@
 			const result = await askHolders({
 				list, linkTo, holders, firstCount: kind === 'one' ? 1 : countFirst(list, losses), ask, onAnswer: startRound(list), timeoutMs: leftMs, readList,
 			});
+			if (result.kind === 'too-few') {
+				reach.noteFailedRound(startedAt);
+			}
+
 			if (result.kind !== 'newer') {
 				return result.kind === 'enough';
 			}
@@ -162,18 +180,7 @@
 		return {kind: 'found', turns: chain.toReversed()};
 	};
 
-	const isReady = (): boolean => {
-		const list = readList();
-		if (!list) {
-			return false;
-		}
-
-		const reachable = new Set([...list.current, ...list.next ?? []].filter(holder => linkTo(holder).remote()).map(({diskId}) => diskId));
-		return hasQuorum(list, 'write', reachable, losses);
-	};
-
-	const {isCutOff} = createReachWatch(isReady);
 	return {
-		reserve, readTurns, settle, isReady, isCutOff,
+		reserve, readTurns, settle, isReady: reach.isReachable, isCutOff: reach.isCutOff,
 	};
 };
