revert: priority by the time that a program has left

Tried: within the rank of a route, programs with at most four objectives left first and those whose time has passed last. What lies behind it: an engine that gets twenty turns at once has read them all after 0.25 s, less than what programs lose by the kill itself.

--- a/packages/gateway/src/forward/create-attempts.ts
+++ b/packages/gateway/src/forward/create-attempts.ts
@@ -1,7 +1,6 @@
 /**
 The attempts of one request at upstreams, one after the other.
 */
-import {choosePriority} from '../placement/choose-priority.js';
 import type {AttemptEnd} from './attempt-end.js';
 import type {CallerAnswer} from './caller-answer.js';
 import type {CallPlan} from './call-plan.js';
@@ -11,6 +10,9 @@
 import {runAttempt} from './run-attempt.js';
 import type {StreamProgress} from './stream-progress.js';
 
+const DEFAULT_PRIORITY = 4;
+const LEAST_URGENT_PRIORITY = 9;
+
 type AttemptsOptions = {
 	readonly plan: CallPlan;
 	readonly answer: CallerAnswer;
@@ -30,13 +32,6 @@
 	let refusals = 0;
 	let fingerprint: string | undefined;
 
-	const readPriority = (): number | undefined => {
-		const finishInMs = call.program?.finishInMs;
-		return call.prompt && choosePriority({
-			rank: route.rank, objectiveMs: route.objectiveMs, finishInMs: finishInMs === undefined ? undefined : finishInMs - (Date.now() - plan.arrivedAt),
-		});
-	};
-
 	const readFingerprint = (): string => {
 		fingerprint ??= fingerprintOf(call, plan.body);
 		return fingerprint;
@@ -69,7 +64,7 @@
 				codec,
 				answer,
 				progress,
-				priority: readPriority(),
+				priority: call.prompt && Math.min(LEAST_URGENT_PRIORITY, DEFAULT_PRIORITY + route.rank),
 				beforeEnd,
 				onAnswered: visit.answered,
 			});
