fix(gateway): a gateway that is cut off asks callers back when another can take them

Cause: the only gateway of a data centre stays in rotation for two misses of the balancer, and callers that come back after 0.3 s meet it again until their six attempts are spent.

--- a/packages/gateway/src/forward/__tests__/prepare-turn.test.ts
+++ b/packages/gateway/src/forward/__tests__/prepare-turn.test.ts
@@ -18,7 +18,7 @@
 	readTurns: vi.fn<TurnKeeper['readTurns']>(async () => ({kind: 'found', turns: []})),
 	settle: vi.fn<TurnKeeper['settle']>(async () => true),
 	isReady: () => !isCutOff,
-	isCutOff: () => isCutOff,
+	cutOffForMs: () => isCutOff ? 1 : 0,
 });
 
 const prepare = async (keeper: TurnKeeper) => prepareTurn(keeper, call, route, {body: new Uint8Array([1]), leftMs: 3000});
--- a/packages/gateway/src/forward/prepare-turn.ts
+++ b/packages/gateway/src/forward/prepare-turn.ts
@@ -17,7 +17,7 @@
 
 /** `body` is what the caller sent; `leftMs` the time until its deadline. */
 export const prepareTurn = async (keeper: TurnKeeper, call: CallHead, route: Route, {body, leftMs}: {readonly body: Uint8Array; readonly leftMs: number}): Promise<PreparedTurn> => {
-	if (keeper.isCutOff()) {
+	if (keeper.cutOffForMs() > 0) {
 		return {kind: 'unavailable', isReserved: false};
 	}
 
--- a/packages/gateway/src/forward/run-call.ts
+++ b/packages/gateway/src/forward/run-call.ts
@@ -6,6 +6,7 @@
 import type {Route} from '../routes/route.js';
 import type {AttemptEnd} from './attempt-end.js';
 import type {CallerAnswer} from './caller-answer.js';
+import {chooseTurnRetry} from './choose-turn-retry.js';
 import {createAttempts} from './create-attempts.js';
 import {createTurnRun} from './create-turn-run.js';
 import {decideNextStep} from './decide-next-step.js';
@@ -78,7 +79,14 @@
 		turn.settleInBackground();
 		const status = STATUS_OF_TURN[prepared.kind];
 		fields.previousTurn = call.program?.previousTurn;
-		answer.refuse(status, prepared.kind === 'unavailable' ? RETRY_WHEN_FULL_MS : undefined);
+		if (prepared.kind === 'unavailable') {
+			const cutOffForMs = parts.keeper.cutOffForMs();
+			fields.cutOffForMs = Math.round(cutOffForMs);
+			answer.refuse(status, chooseTurnRetry(cutOffForMs));
+		} else {
+			answer.refuse(status);
+		}
+
 		return {outcome: prepared.kind, status};
 	}
 
--- a/packages/gateway/src/host/start-gateway.ts
+++ b/packages/gateway/src/host/start-gateway.ts
@@ -106,7 +106,7 @@
 		early,
 		codec,
 		limits: () => routes.current()?.limits,
-		mayKeep: () => !keeper.isCutOff(),
+		mayKeep: () => keeper.cutOffForMs() === 0,
 		async onCall(call, body, answer, arrivedAt) {
 			await runCall(parts, call, body, answer, arrivedAt);
 		},
--- a/packages/turns/src/keeper/__tests__/create-reach-watch.test.ts
+++ b/packages/turns/src/keeper/__tests__/create-reach-watch.test.ts
@@ -16,7 +16,7 @@
 const countWaiting = (watch: ReturnType<typeof createReachWatch>, ms: number): number => {
 	let waiting = 0;
 	for (let passed = 0; passed < ms; passed += REQUEST_INTERVAL_MS) {
-		waiting += watch.isCutOff() ? 0 : 1;
+		waiting += watch.cutOffForMs() > 0 ? 0 : 1;
 		vi.advanceTimersByTime(REQUEST_INTERVAL_MS);
 	}
 
@@ -67,7 +67,7 @@
 it('takes no round for a proof that had less time, as one near its deadline has', () => {
 	let heardAt = performance.now();
 	const watch = createReachWatch(withinMs => performance.now() - heardAt <= withinMs);
-	expect(watch.isCutOff()).toBe(false);
+	expect(watch.cutOffForMs()).toBe(0);
 	heardAt = performance.now();
 	const startedAt = performance.now();
 	vi.advanceTimersByTime(300);
--- a/packages/turns/src/keeper/create-reach-watch.ts
+++ b/packages/turns/src/keeper/create-reach-watch.ts
@@ -33,16 +33,16 @@
 				lostAt ??= startedAt;
 			}
 		},
-		/** No quorum has been in reach for so long that waiting for one is of no use; a process that never had one waits. */
-		isCutOff(): boolean {
+		/** Milliseconds for which waiting for a quorum has been of no use; 0 while it may be of some, as in a process that never had one. */
+		cutOffForMs(): number {
 			if (isReachable()) {
 				hadQuorum = true;
 				lostAt = undefined;
-				return false;
+				return 0;
 			}
 
 			lostAt ??= performance.now();
-			return hadQuorum && performance.now() - lostAt >= CUT_OFF_AFTER_MS;
+			return hadQuorum ? Math.max(0, performance.now() - lostAt - CUT_OFF_AFTER_MS + TIMER_SLACK_MS) : 0;
 		},
 	};
 };
--- a/packages/turns/src/keeper/create-turn-keeper.ts
+++ b/packages/turns/src/keeper/create-turn-keeper.ts
@@ -181,6 +181,6 @@
 	};
 
 	return {
-		reserve, readTurns, settle, isReady: reach.isReachable, isCutOff: reach.isCutOff,
+		reserve, readTurns, settle, isReady: reach.isReachable, cutOffForMs: reach.cutOffForMs,
 	};
 };
--- a/packages/turns/src/keeper/turn-keeper.ts
+++ b/packages/turns/src/keeper/turn-keeper.ts
@@ -22,6 +22,6 @@
 	readonly settle: (attempt: Attempt, turn: {readonly previous: string; readonly input: Uint8Array; readonly output: Uint8Array} | undefined, timeoutMs: number) => Promise<boolean>;
 	/** Whether a write quorum of holders can be reached now. */
 	readonly isReady: () => boolean;
-	/** Whether none could be for so long that a turn which begins now would wait in vain. */
-	readonly isCutOff: () => boolean;
+	/** Milliseconds for which a turn that begins would have waited in vain for such a quorum; 0 while it may find one. */
+	readonly cutOffForMs: () => number;
 };
