fix(entry): a shard that was handed over is taken over by the next in rank at once

Cause: entries that rank behind an owner wait three beats for each rank before them, also where that entry stops as planned and has handed its shards over, since the platform's list still has it as live: 1.9 s without an owner (entry logs, 46.717 to 48.610). Heartbeats say at once that a process leaves.

--- a/packages/entry/src/create-entry.ts
+++ b/packages/entry/src/create-entry.ts
@@ -33,6 +33,7 @@
 import {createAskPeer} from './create-ask-peer.js';
 import {createSidecarOrders} from './create-sidecar-orders.js';
 import {createHostDirectory} from './directory/create-host-directory.js';
+import {createLeavingHosts} from './directory/create-leaving-hosts.js';
 import {createUpstreamDirectory} from './directory/create-upstream-directory.js';
 import type {Entry} from './entry.js';
 import {createHistoryClient} from './history/create-history-client.js';
@@ -119,6 +120,7 @@
 	const upstreams = createUpstreamDirectory({
 		hosts, pool, silenceMs: cfg.heartbeat.silenceMs, isOwner: () => (late.ownership?.owned().length ?? 0) > 0,
 	});
+	const leavingHosts = createLeavingHosts();
 	const map = createShardMap();
 	const crashes = createCrashRegister((fingerprint, crashesAlone) => {
 		for (const entry of hosts.entries()) {
@@ -172,6 +174,11 @@
 			void onMessage(message);
 		},
 		onHeartbeat(link, heartbeat) {
+			const remote = link.remote();
+			if (remote) {
+				leavingHosts.note(remote, heartbeat.leaving);
+			}
+
 			upstreams.receiveHeartbeat(link, heartbeat);
 			exchange.receiveRevision(link, Number(heartbeat.tableRevision));
 		},
@@ -182,7 +189,7 @@
 	late.pool = createPeerPool(settings);
 	const ask = createAskPeer({ownAddress, pool, answer: answerTraced});
 	const histories = createHistoryClient(ask, ownAddress);
-	const rank = createCandidateRanking({entries: hosts.entries, hash: h32});
+	const rank = createCandidateRanking({entries: hosts.entries, hash: h32, isLeaving: () => false});
 	const router = createOwnerRouter({ask, map, rank});
 	const orders = createSidecarOrders(pool(), hosts);
 	const acquireSlots = createSlotClient({router, homeOf: row => h32(row) % cfg.shards as ShardId, createId});
@@ -203,7 +210,8 @@
 		instance,
 		peerAddress: ownAddress,
 		platform,
-		rank,
+		// A host that leaves takes no shard over, but still answers and still holds histories.
+		rank: createCandidateRanking({entries: hosts.entries, hash: h32, isLeaving: leavingHosts.isLeaving}),
 		map,
 		leaseTtlMs: cfg.lease.ttlMs,
 		leaseRenewEveryMs: cfg.lease.renewEveryMs,
--- /dev/null
+++ b/packages/entry/src/ownership/__tests__/create-candidate-ranking.test.ts
@@ -0,0 +1,42 @@
+/**
+Pattern of load: an owner stops as planned and hands its shards over, while the
+platform's list still has it. Whoever ranks behind it must not wait for it.
+*/
+import type {ShardId} from '@siskinhub/core/ids/shard-id.js';
+import type {PlatformHost} from '@siskinhub/platform/platform-host.js';
+import {expect, it} from 'vitest';
+import {createLeavingHosts} from '../../directory/create-leaving-hosts.js';
+import {createCandidateRanking} from '../create-candidate-ranking.js';
+
+const SHARD = 1 as ShardId;
+const entries: readonly PlatformHost[] = ['e1', 'e2', 'e3'].map(id => ({
+	id, role: 'entry', peerAddress: id, dataCentre: 'delta-a', state: 'live',
+}));
+const hash = (text: string): number => text.codePointAt(text.length - 1)!;
+
+const createRank = () => {
+	const leaving = createLeavingHosts();
+	const rank = createCandidateRanking({entries: () => entries, hash, isLeaving: leaving.isLeaving});
+	return {leaving, list: () => rank(SHARD).map(({id}) => id)};
+};
+
+it('passes over a host that says it leaves, though the list has it as live', () => {
+	const {leaving, list} = createRank();
+	expect(list()).toEqual(['e3', 'e2', 'e1']);
+	leaving.note({host: 'e3', instance: 'i1'}, true);
+	expect(list()).toEqual(['e2', 'e1']);
+});
+
+it('has a host back with the first heartbeat of its next process', () => {
+	const {leaving, list} = createRank();
+	leaving.note({host: 'e3', instance: 'i1'}, true);
+	leaving.note({host: 'e3', instance: 'i2'}, false);
+	expect(list()).toEqual(['e3', 'e2', 'e1']);
+});
+
+it('believes no late heartbeat of the process that leaves', () => {
+	const {leaving, list} = createRank();
+	leaving.note({host: 'e3', instance: 'i1'}, true);
+	leaving.note({host: 'e3', instance: 'i1'}, false);
+	expect(list()).toEqual(['e2', 'e1']);
+});
--- a/packages/entry/src/ownership/__tests__/create-ownership.test.ts
+++ b/packages/entry/src/ownership/__tests__/create-ownership.test.ts
@@ -28,7 +28,7 @@
 	const entries = HOSTS.map(id => ({
 		id, role: 'entry' as const, peerAddress: id, dataCentre: 'delta-a', state: 'live' as const,
 	}));
-	return createCandidateRanking({entries: () => Date.now() - startedAt < 100 ? [] : entries, hash});
+	return createCandidateRanking({entries: () => Date.now() - startedAt < 100 ? [] : entries, hash, isLeaving: () => false});
 };
 
 const startEntries = async () => {
--- a/packages/entry/src/ownership/create-candidate-ranking.ts
+++ b/packages/entry/src/ownership/create-candidate-ranking.ts
@@ -9,10 +9,12 @@
 	/** The same array as long as the list has not changed. */
 	readonly entries: () => readonly PlatformHost[];
 	readonly hash: (text: string) => number;
+	/** Whether the host with this id says that it leaves, ahead of the list. */
+	readonly isLeaving: (host: string) => boolean;
 };
 
 /** Creates the function that returns the entries in the order in which they may take a shard over; it sorts only after the list has changed. */
-export const createCandidateRanking = ({entries, hash}: RankingOptions) => {
+export const createCandidateRanking = ({entries, hash, isLeaving}: RankingOptions) => {
 	let rankedList: readonly PlatformHost[] | undefined;
 	const ranked = new Map<ShardId, readonly PlatformHost[]>();
 
@@ -25,6 +27,6 @@
 
 		const known = ranked.get(shard) ?? rankCandidates(shard, list, hash);
 		ranked.set(shard, known);
-		return known;
+		return known.filter(({id}) => !isLeaving(id));
 	};
 };
