fix(platform): a gateway without usable settings ends although its port is open

Found in review: the address of callers may be right while other settings are not; the open port then kept the process alive, silent, for ever. run-process.test.ts failed first: after 15 s the process had to be killed ('expected null to be 78').

--- a/packages/gateway/src/http/early-listener.ts
+++ b/packages/gateway/src/http/early-listener.ts
@@ -8,4 +8,6 @@
 	readonly server: Server;
 	/** Hands over each connection that this server accepted, from the first on; none of them has been read from. */
 	readonly onConnection: (listener: (socket: Socket) => void) => void;
+	/** Closes the port and the connections that wait, where nobody takes them over. */
+	readonly close: () => void;
 };
--- a/packages/gateway/src/http/listen-early.ts
+++ b/packages/gateway/src/http/listen-early.ts
@@ -36,5 +36,11 @@
 				listener(socket);
 			}
 		},
+		close() {
+			server.close();
+			for (const socket of waiting) {
+				socket.destroy();
+			}
+		},
 	};
 };
