--- a/packages/gateway/src/forward/choose-turn-retry.ts
+++ b/packages/gateway/src/forward/choose-turn-retry.ts
@@ -7,9 +7,8 @@
 and spends one of few attempts; after that new connections reach another process
 at once, and only callers that kept a connection still come here.
 */
+import {LEAVE_ROTATION_MS} from '../host/leave-rotation-ms.js';
 
-/** The balancer asks once a second and takes a process out after two misses. */
-const LEAVE_ROTATION_MS = 2300;
 /** Callers wait no longer than a third of the time that they have left. */
 const MAX_RETRY_AFTER_MS = 1000;
 const RETRY_ELSEWHERE_MS = 100;
--- a/packages/gateway/src/host/drain-server.ts
+++ b/packages/gateway/src/host/drain-server.ts
@@ -2,9 +2,8 @@
 Ends a planned stop: callers are served until none is left or the kill is near.
 */
 import type {createGatewayServer} from '../http/create-gateway-server.js';
+import {LEAVE_ROTATION_MS} from './leave-rotation-ms.js';
 
-/** The balancer asks once a second and takes a process out after two misses. */
-const LEAVE_ROTATION_MS = 2300;
 /** Left between the last request's end and the kill. */
 const STOP_MARGIN_MS = 400;
 const STOP_CHECK_MS = 50;
