--- a/packages/cli/src/__tests__/system.test.ts
+++ b/packages/cli/src/__tests__/system.test.ts
@@ -61,7 +61,7 @@
 
 		cleanups.push(store.close, worker.close, async () => rm(folder, {recursive: true}));
 		const isSettled = (): boolean => {
-			const list = JSON.parse(store.read('siskinhub/copy-holders') ?? '{}') as {current?: unknown[]; next?: unknown[]};
+			const list = JSON.parse(store.read('siskinhub/groups/32') ?? '{}') as {current?: unknown[]; next?: unknown[]};
 			return list.current?.length === HOLDERS && list.next === undefined;
 		};
 
--- a/packages/cli/src/commands/system-status.ts
+++ b/packages/cli/src/commands/system-status.ts
@@ -23,10 +23,17 @@
 	members.map(({address, host, dataCentre, diskId, changesBehind}) => [address, host ?? 'no answer', dataCentre, diskId, changesBehind]),
 );
 
-const renderHolders = ({holders, retiring}: SystemState): string[] => {
-	const lines = holders
-		? [`Copy holders: list ${holders.version}, ${holders.current.map(({host}) => host).join(', ')}${holders.next ? `; changing to ${holders.next.map(({host}) => host).join(', ')}` : ''}.`]
-		: ['There is no list of copy holders yet: no turn can be kept.'];
+const renderGroups = ({disks, groups, retiring}: SystemState): string[] => {
+	if (groups.length === 0) {
+		return [`There are no replica groups yet (${disks.length} disks are registered): no turn can be kept.`];
+	}
+
+	const sizes = groups.map(({current}) => current.length);
+	const lines = [`Replica groups: ${groups.length} with ${Math.min(...sizes)} to ${Math.max(...sizes)} copy holders each, of ${disks.length} registered disks.`];
+	for (const {group, version, current, next} of groups.filter(each => each.next)) {
+		lines.push(`Group ${group} (list ${version}) changes from ${current.map(({host}) => host).join(', ')} to ${next!.map(({host}) => host).join(', ')}.`);
+	}
+
 	return retiring.length > 0 ? [...lines, `To be emptied: ${retiring.join(', ')}.`] : lines;
 };
 
@@ -42,7 +49,7 @@
 	async run(): Promise<unknown> {
 		const {flags} = await this.parse(SystemStatus);
 		const state = await this.withSystem(flags.settings, async system => this.readState(system, system.addresses));
-		for (const text of [renderRoutes(state), ...renderHolders(state), renderMembers(state), renderUpstreams(state)]) {
+		for (const text of [renderRoutes(state), ...renderGroups(state), renderMembers(state), renderUpstreams(state)]) {
 			this.log(text);
 		}
 
--- a/packages/cli/src/commands/system-turn.ts
+++ b/packages/cli/src/commands/system-turn.ts
@@ -28,8 +28,8 @@
 	async run(): Promise<unknown> {
 		const {args, flags} = await this.parse(SystemTurn);
 		const copies = await this.withSystem(flags.settings, async system => {
-			const {holders} = await this.readState(system, []);
-			return holders ? readTurnCopies(holders, args.turn, system.linkTo) : [];
+			const {groups} = await this.readState(system, []);
+			return readTurnCopies(groups, args.turn, system.linkTo);
 		});
 		this.log(renderGrid(['holder', 'turn', 'turns up to it', 'bytes', 'kept until'], copies.map(copy => describeCopies(copy))));
 		if (copies.some(({turns}) => turns && turns.length > 0)) {
--- a/packages/declared/src/declaration-store.ts
+++ b/packages/declared/src/declaration-store.ts
@@ -4,9 +4,10 @@
 */
 import type {DeclarationSource} from './declaration-source.js';
 import type {DeclaredEntry} from './declared-entry.js';
+import type {KeyChange} from './key-change.js';
 
 /** Reads, and writes by compare-and-swap. The service counts each call. */
 export type DeclarationStore = DeclarationSource & {
-	/** Writes only if the key's revision is `expected` (0: the key must be absent; `undefined`: any revision). Resolves to the new entry, or to `undefined` if the revision was another one or the service did not answer. */
-	readonly write: (key: string, value: string, expected: number | undefined) => Promise<DeclaredEntry | undefined>;
+	/** Makes all of the changes or none. Resolves to the new entries, or to `undefined` if a key had another revision than expected or the service did not answer. */
+	readonly commit: (changes: readonly KeyChange[]) => Promise<readonly DeclaredEntry[] | undefined>;
 };
--- a/packages/gateway/src/forward/__tests__/prepare-turn.test.ts
+++ b/packages/gateway/src/forward/__tests__/prepare-turn.test.ts
@@ -15,9 +15,10 @@
 
 const createHolderClient = (isCutOff: boolean) => ({
 	reserve: vi.fn<HolderClient['reserve']>(async () => 'reserved'),
-	readTurns: vi.fn<HolderClient['readTurns']>(async () => ({kind: 'found', turns: []})),
+	readTurns: vi.fn<HolderClient['readTurns']>(async () => ({kind: 'found', turns: [], isFromOtherGroup: false})),
 	settle: vi.fn<HolderClient['settle']>(async () => true),
 	isReady: () => !isCutOff,
+	isCutOff: () => isCutOff,
 	cutOffForMs: () => isCutOff ? 1 : 0,
 });
 
--- a/packages/gateway/src/forward/create-turn-handler.ts
+++ b/packages/gateway/src/forward/create-turn-handler.ts
@@ -5,6 +5,7 @@
 */
 import {Buffer} from 'node:buffer';
 import type {HolderClient} from '@siskinhub/turns/client/holder-client.js';
+import type {KeptTurn} from '@siskinhub/proto/gen/siskinhub/peer/v1/peer_pb.js';
 import type {CallHead} from '../call/call-head.js';
 import type {Route} from '../routes/route.js';
 import {prepareTurn} from './prepare-turn.js';
@@ -29,6 +30,7 @@
 		lastEventId: undefined, events: 0, output: isTurn && route.keepsTurns ? [] : undefined, firstEventAt: undefined,
 	};
 	let isReserved = false;
+	let ancestors: readonly KeptTurn[] = [];
 
 	const settle = async (turn?: Parameters<HolderClient['settle']>[1]): Promise<boolean> => {
 		isReserved = false;
@@ -50,17 +52,22 @@
 		settleInBackground,
 		async prepare(remainingMs: number): ReturnType<typeof prepareTurn> {
 			if (!isTurn) {
-				return {kind: 'ready', body, isReserved: false};
+				return {
+					kind: 'ready', body, isReserved: false, ancestors,
+				};
 			}
 
 			const prepared = await prepareTurn(holderClient, call, route, {body, remainingMs});
 			isReserved = prepared.isReserved;
+			ancestors = prepared.kind === 'ready' ? prepared.ancestors : [];
 			return prepared;
 		},
 		/** Must be called before the response ends; resolves to whether everything that has to be stored by then is stored. */
 		async completeTurn(): Promise<boolean> {
 			if (progress.output) {
-				return settle({previous: call.program?.previousTurn ?? '', input: body, output: Buffer.from(progress.output.join(''))});
+				return settle({
+					previous: call.program?.previousTurn ?? '', input: body, output: Buffer.from(progress.output.join('')), ancestors,
+				});
 			}
 
 			settleInBackground();
--- a/packages/gateway/src/forward/run-call.ts
+++ b/packages/gateway/src/forward/run-call.ts
@@ -81,7 +81,7 @@
 		const status = STATUS_BY_TURN_FAILURE[prepared.kind];
 		fields.previousTurn = call.program?.previousTurn;
 		if (prepared.kind === 'unavailable') {
-			const cutOffForMs = context.holderClient.cutOffForMs();
+			const cutOffForMs = context.holderClient.cutOffForMs(call.program?.id ?? '');
 			fields.cutOffForMs = Math.round(cutOffForMs);
 			response.refuse(status, chooseTurnRetryDelay(cutOffForMs));
 		} else {
--- a/packages/gateway/src/host/create-host-links.ts
+++ b/packages/gateway/src/host/create-host-links.ts
@@ -4,6 +4,8 @@
 import {randomUUID} from 'node:crypto';
 import type {DataCentreId} from '@siskinhub/core/ids/data-centre-id.js';
 import type {HostId} from '@siskinhub/core/ids/host-id.js';
+import type {createChangePublisher} from '@siskinhub/declared/create-change-publisher.js';
+import type {DeclarationRelay} from '@siskinhub/declared/declaration-relay.js';
 import type {DeclarationSource} from '@siskinhub/declared/declaration-source.js';
 import type {DeclaredView} from '@siskinhub/declared/declared-view.js';
 import {createPauseDetector} from '@siskinhub/peer/create-pause-detector.js';
@@ -12,8 +14,12 @@
 import type {LinkSettings} from '@siskinhub/peer/link-settings.js';
 import type {PeerLink} from '@siskinhub/peer/peer-link.js';
 import {Role} from '@siskinhub/proto/gen/siskinhub/peer/v1/peer_pb.js';
+import {chooseRelay} from '@siskinhub/turns/membership/choose-relay.js';
+import type {Holder} from '@siskinhub/turns/membership/holder.js';
 import {err, ok} from 'neverthrow';
 import type {CrashTracker} from '../forward/crash-tracker.js';
+import {fromWireChanges} from './from-wire-changes.js';
+import {toWireChanges} from './to-wire-changes.js';
 
 /** Not shorter, because each heartbeat wakes both processes. */
 const HEARTBEAT_INTERVAL_MS = 800;
@@ -26,16 +32,18 @@
 	readonly dataCentre: DataCentreId;
 	readonly view: DeclaredView;
 	readonly crashes: CrashTracker;
+	/** Passes own reads of the platform's service on to other processes; absent in processes that do not read it. */
+	readonly publisher?: ReturnType<typeof createChangePublisher<PeerLink>>;
 	/** Id of this host's disk; absent on hosts that hold no copies. */
 	readonly diskId?: string;
-	/** Handles every message except `changesSince`. Returns whether it answers the message; if not, the message is refused. */
+	/** Handles every message except those about the declared state. Returns whether it answers the message; if not, the message is refused. */
 	readonly onMessage?: (message: IncomingMessage) => boolean;
 	/** Called after the process did not run for so long that others may have closed their links to it. */
 	readonly onPause: () => void;
 };
 
 /** The links answer neighbours that ask for changes of the declared state, and exchange the known upstream crashes with each heartbeat. */
-export const createHostLinks = ({host, dataCentre, view, crashes, diskId = '', onMessage = () => false, onPause}: HostLinksOptions) => {
+export const createHostLinks = ({host, dataCentre, view, crashes, publisher, diskId = '', onMessage = () => false, onPause}: HostLinksOptions) => {
 	const settings: LinkSettings = {
 		hello: {
 			host, instance: randomUUID(), role: Role.ENTRY, dataCentre, dataFolderId: diskId,
@@ -48,23 +56,19 @@
 		},
 		pauseDetector: createPauseDetector(SILENCE_MS, onPause),
 		onMessage(message) {
-			const {body, reply} = message;
-			if (body.case !== 'changesSince') {
-				if (!onMessage(message)) {
-					reply({case: 'refused', value: {}});
-				}
-
-				return;
+			const {link, body, reply} = message;
+			if (body.case === 'changesSince') {
+				reply({case: 'changes', value: toWireChanges(view.changesSince(body.value.revision))});
+			} else if (body.case === 'followChanges' && publisher) {
+				publisher.follow(link, body.value.revision, changes => {
+					reply({case: 'changes', value: toWireChanges(changes)});
+				});
+				link.onClosed(() => {
+					publisher.remove(link);
+				});
+			} else if (!onMessage(message)) {
+				reply({case: 'refused', value: {}});
 			}
-
-			const {entries, revision, isWhole} = view.changesSince(body.value.revision);
-			reply({
-				case: 'changes', value: {
-					entries: entries.map(({key, revision: changed, value}) => ({
-						key, revision: changed, value: value ?? '', deleted: value === undefined,
-					})), revision, whole: isWhole,
-				},
-			});
 		},
 	};
 	const pool = createPeerPool(settings);
@@ -76,11 +80,20 @@
 				return err({kind: 'unavailable', message: 'a neighbour did not answer'});
 			}
 
-			const {entries, revision, whole} = answer.value.value;
-			return ok({
-				entries: entries.map(({key, revision: changed, value, deleted}) => ({key, revision: changed, ...(!deleted && {value})})),
-				revision,
-				isWhole: whole,
+			return ok(fromWireChanges(answer.value.value));
+		},
+	});
+
+	const toRelay = (address: string, link: PeerLink): DeclarationRelay => ({
+		id: address,
+		follow(after, onRead, onLost) {
+			return link.openCall({case: 'followChanges', value: {revision: after}}, {
+				onReply(body) {
+					if (body.case === 'changes') {
+						onRead(fromWireChanges(body.value));
+					}
+				},
+				onLost,
 			});
 		},
 	});
@@ -90,6 +103,17 @@
 		linkTo: (address: string): PeerLink => pool.get(address),
 		/** Sources of the declared state: one for each address whose link is established. */
 		listSources: (addresses: readonly string[]): readonly DeclarationSource[] => addresses.map(address => pool.get(address)).filter(link => link.remote()).map(link => toSource(link)),
+		/** Returns the holder that this process is to follow for the declared state; `undefined` if it is to read the platform's service itself. */
+		chooseRelay(disks: readonly Holder[], failed: ReadonlySet<string>): DeclarationRelay | undefined {
+			if (publisher?.hasFollowers()) {
+				return undefined;
+			}
+
+			const chosen = chooseRelay({
+				disks, ownDiskId: diskId, dataCentre, isUsable: ({diskId: id, address}) => !failed.has(address) && pool.get(address).remote()?.dataFolderId === id,
+			});
+			return chosen && toRelay(chosen.address, pool.get(chosen.address));
+		},
 		close() {
 			pool.closeAll('the process is stopping');
 		},
--- a/packages/gateway/src/host/declared-keys.ts
+++ b/packages/gateway/src/host/declared-keys.ts
@@ -14,8 +14,10 @@
 	| {readonly kind: 'other'};
 
 export type DeclaredKeys = {
-	/** Key of the list of copy holders. */
-	readonly holders: string;
+	/** Prefix of the keys of the replica groups' lists of copy holders; the number of the group follows. */
+	readonly groups: string;
+	/** Prefix of the keys of registered disks; the id of the disk follows. */
+	readonly disks: string;
 	readonly decode: (entry: DeclaredEntry) => DeclaredFact;
 	/** Returns the host whose copies are to be moved away, or `undefined` if the key is no such request of the operators. */
 	readonly decodeRetireRequest: (key: string) => string | undefined;
--- a/packages/gateway/src/host/follow-store.ts
+++ b/packages/gateway/src/host/follow-store.ts
@@ -3,41 +3,54 @@
 upstreams are deferred. During an outage of the platform's service, entries of
 upstreams lapse because they cannot be renewed; they return soon after it.
 */
+import type {createChangePublisher} from '@siskinhub/declared/create-change-publisher.js';
+import type {DeclarationRelay} from '@siskinhub/declared/declaration-relay.js';
 import type {DeclarationSource} from '@siskinhub/declared/declaration-source.js';
 import type {DeclarationStore} from '@siskinhub/declared/declaration-store.js';
 import type {DeclaredView} from '@siskinhub/declared/declared-view.js';
 import {followDeclarations} from '@siskinhub/declared/follow-declarations.js';
 import type {Logger} from '@siskinhub/observe/logger.js';
-
-/** Every read is a billed call, but changes must be in force within two seconds. */
-const READ_INTERVAL_MS = 600;
+import type {HostConfig} from './host-config.js';
+import {deriveReadTimes} from './derive-read-times.js';
 
 type FollowStoreOptions = {
 	readonly view: DeclaredView;
 	readonly store: DeclarationStore;
+	readonly publisher: Pick<ReturnType<typeof createChangePublisher>, 'publish'>;
+	readonly chooseRelay: (failed: ReadonlySet<string>) => DeclarationRelay | undefined;
 	readonly listNeighbours: () => readonly DeclarationSource[];
-	/** See `HostConfig`. */
-	readonly relistMs: number;
+	readonly cfg: Pick<HostConfig, 'relistMs' | 'applyWithinMs'>;
 	readonly log: Logger;
 	readonly signal: AbortSignal;
 };
 
-/** `graceUntil` returns the time, by `Date.now()`, until which a removal may be an entry that lapsed in an outage; `lastReadAt` returns the time of the last answer, by `performance.now()`. */
-export const followStore = ({view, store, listNeighbours, relistMs, log, signal}: FollowStoreOptions): {readonly graceUntil: () => number; readonly lastReadAt: () => number} => {
+/** `graceUntil` returns the time, by `Date.now()`, until which a removal may be an entry that lapsed in an outage; `lastReadAt` returns the time of the last news, by `performance.now()`. */
+export const followStore = ({view, store, publisher, chooseRelay, listNeighbours, cfg, log, signal}: FollowStoreOptions): {readonly graceUntil: () => number; readonly lastReadAt: () => number} => {
+	const {relistMs} = cfg;
 	let isReachable = true;
 	let recoveredAt = -Infinity;
 	let lastReadAt = performance.now();
+	let relayId: string | undefined;
+	const chooseAndLog = (failed: ReadonlySet<string>): DeclarationRelay | undefined => {
+		const relay = chooseRelay(failed);
+		if (relay?.id !== relayId) {
+			relayId = relay?.id;
+			log.info('source of the declared state changed', {relay: relayId ?? 'the platform service', revision: view.revision()});
+		}
+
+		return relay;
+	};
+
 	void followDeclarations({
 		view,
-		service: {
-			async readChanges(after) {
-				const answer = await store.readChanges(after);
-				lastReadAt = answer.isOk() ? performance.now() : lastReadAt;
-				return answer;
-			},
-		},
+		service: store,
+		chooseRelay: chooseAndLog,
 		listNeighbours,
-		intervalMs: READ_INTERVAL_MS,
+		...deriveReadTimes(cfg.applyWithinMs),
+		onOwnRead: publisher.publish,
+		onFresh() {
+			lastReadAt = performance.now();
+		},
 		onReachable(next, reason) {
 			if (next && !isReachable) {
 				recoveredAt = Date.now();
--- a/packages/gateway/src/host/host-config.ts
+++ b/packages/gateway/src/host/host-config.ts
@@ -29,4 +29,6 @@
 	readonly stopWithinMs: number;
 	/** Milliseconds after an outage of the platform's service until upstreams whose entries lapsed in it are listed again. */
 	readonly relistMs: number;
+	/** Milliseconds within which an accepted change of the declared state must be in force. */
+	readonly applyWithinMs: number;
 };
--- a/packages/gateway/src/host/register-gateway-gauges.ts
+++ b/packages/gateway/src/host/register-gateway-gauges.ts
@@ -2,8 +2,8 @@
 Adds gauges for the state of a gateway to its metrics.
 */
 import type {DeclaredView} from '@siskinhub/declared/declared-view.js';
-import type {HolderList} from '@siskinhub/turns/membership/holder-list.js';
-import {listAllHolders} from '@siskinhub/turns/membership/list-all-holders.js';
+import type {HolderRegistry} from '@siskinhub/turns/holder/holder-registry.js';
+import {listGroups} from '@siskinhub/turns/membership/list-groups.js';
 import type {HolderClient} from '@siskinhub/turns/client/holder-client.js';
 import type {GatewayMetrics} from '../metrics/gateway-metrics.js';
 import type {RouteTable} from '../routes/route-table.js';
@@ -12,7 +12,7 @@
 	readonly routes: RouteTable;
 	readonly view: DeclaredView;
 	readonly holderClient: HolderClient;
-	readonly readList: () => HolderList | undefined;
+	readonly registry: Pick<HolderRegistry, 'readList' | 'listDisks'>;
 	readonly countActive: () => number;
 	/** When the platform's service last answered, by `performance.now()`. */
 	readonly lastReadAt: () => number;
@@ -21,15 +21,13 @@
 const MS_PER_S = 1000;
 
 /** The gauges read the state each time the metrics are collected. */
-export const registerGatewayGauges = ({addGauge}: GatewayMetrics, {routes, view, holderClient, readList, countActive, lastReadAt}: GatewayState): void => {
+export const registerGatewayGauges = ({addGauge}: GatewayMetrics, {routes, view, holderClient, registry, countActive, lastReadAt}: GatewayState): void => {
 	addGauge('siskinhub_routes_version', 'Version of the declared routes in force; 0 before the first.', () => routes.current()?.version ?? 0);
 	addGauge('siskinhub_declared_revision', 'Revision of the platform\'s service up to which this process knows the declared state.', view.revision);
 	addGauge('siskinhub_declared_age_seconds', 'Seconds since the platform\'s service last told the declared state.', () => (performance.now() - lastReadAt()) / MS_PER_S);
-	addGauge('siskinhub_holder_list_version', 'Version of the list of copy holders that this process goes by; 0 before the first.', () => readList()?.version ?? 0);
-	addGauge('siskinhub_holders', 'Disks on the list of copy holders, those that join or leave too.', () => {
-		const list = readList();
-		return list ? listAllHolders(list).length : 0;
-	});
+	addGauge('siskinhub_groups', 'Replica groups that have a list of copy holders.', () => listGroups().filter(group => registry.readList(group)).length);
+	addGauge('siskinhub_groups_changing', 'Replica groups whose list of copy holders is changing.', () => listGroups().filter(group => registry.readList(group)?.next).length);
+	addGauge('siskinhub_holders', 'Registered disks of copy holders.', () => registry.listDisks().length);
 	addGauge('siskinhub_holders_enough', '1 while enough holders answer for turns to be kept, else 0.', () => holderClient.isReady() ? 1 : 0);
 	addGauge('siskinhub_calls_active', 'Requests whose answers are not over.', countActive);
 };
--- a/packages/gateway/src/host/start-gateway.ts
+++ b/packages/gateway/src/host/start-gateway.ts
@@ -3,12 +3,13 @@
 upstreams. It follows the declared state and keeps links to the copy holders.
 */
 import type {DeclarationStore} from '@siskinhub/declared/declaration-store.js';
+import {createChangePublisher} from '@siskinhub/declared/create-change-publisher.js';
 import {createDeclaredView} from '@siskinhub/declared/create-declared-view.js';
 import type {Logger} from '@siskinhub/observe/logger.js';
 import {createPeerServer} from '@siskinhub/peer/create-peer-server.js';
+import type {PeerLink} from '@siskinhub/peer/peer-link.js';
 import {createHolderClient} from '@siskinhub/turns/client/create-holder-client.js';
-import type {HolderList} from '@siskinhub/turns/membership/holder-list.js';
-import {listAllHolders} from '@siskinhub/turns/membership/list-all-holders.js';
+import {createListReader} from '@siskinhub/turns/client/create-list-reader.js';
 import type {CallCodec} from '../call/call-codec.js';
 import {createCallLog} from '../forward/create-call-log.js';
 import {createCrashTracker} from '../forward/create-crash-tracker.js';
@@ -25,9 +26,11 @@
 import {createHostLinks} from './create-host-links.js';
 import {decideReadiness} from './decide-readiness.js';
 import type {DeclaredKeys} from './declared-keys.js';
+import {deriveReadTimes} from './derive-read-times.js';
 import {drainServer} from './drain-server.js';
 import {followStore} from './follow-store.js';
 import type {HostConfig} from './host-config.js';
+import {listNeighbourAddresses} from './list-neighbour-addresses.js';
 import {serveText} from './serve-text.js';
 import {registerGatewayGauges} from './register-gateway-gauges.js';
 
@@ -54,27 +57,24 @@
 	const view = createDeclaredView();
 	const routes = createRouteTable();
 	const crashes = createCrashTracker(() => performance.now());
+	const publisher = createChangePublisher<PeerLink>(view, deriveReadTimes(cfg.applyWithinMs).intervalMs);
 	const links = createHostLinks({
-		host: cfg.host, dataCentre: cfg.dataCentre, view, crashes, onPause() {
+		host: cfg.host, dataCentre: cfg.dataCentre, view, crashes, publisher, onPause() {
 			log.warn('process was paused; reconnecting the peer links', {});
 		},
 	});
-	const registry = createHolderRegistry(view, store, keys.holders);
-	// Adopted from the holder client; may be newer than the declared list.
-	let reportedList: HolderList | undefined;
-	const readList = (): HolderList | undefined => {
-		const declared = registry.read();
-		return reportedList && reportedList.version > (declared?.version ?? 0) ? reportedList : declared;
-	};
-
-	const listNeighbours = () => {
-		const list = readList();
-		const addresses = [...list ? listAllHolders(list).map(({address}) => address) : [], ...cfg.seeds].filter(address => address !== `http://${cfg.peers.ip}:${cfg.peers.port}`);
-		return links.listSources(addresses);
-	};
-
+	const registry = createHolderRegistry({view, store, keys});
+	const lists = createListReader(registry.readList);
+	const self = {address: `http://${cfg.peers.ip}:${cfg.peers.port}`, dataCentre: cfg.dataCentre};
 	const follower = followStore({
-		view, store, listNeighbours, relistMs: cfg.relistMs, log, signal: stopping.signal,
+		view,
+		store,
+		publisher,
+		cfg,
+		log,
+		signal: stopping.signal,
+		chooseRelay: failed => links.chooseRelay(registry.listDisks(), failed),
+		listNeighbours: () => links.listSources([...listNeighbourAddresses(registry.listDisks(), self), ...cfg.seeds.filter(address => address !== self.address)]),
 	});
 	const directory = createUpstreamDirectory({graceUntil: follower.graceUntil});
 	applyDeclaredState({
@@ -92,9 +92,7 @@
 		loads.forget(upstream);
 	});
 	const holderClient = createHolderClient({
-		readList, linkTo: holder => links.linkTo(holder.address), losses: cfg.losses, dataCentre: cfg.dataCentre, adoptList(list) {
-			reportedList = list;
-		},
+		readList: lists.read, adoptList: lists.adopt, linkTo: holder => links.linkTo(holder.address), losses: cfg.losses, dataCentre: cfg.dataCentre,
 	});
 	const calls = createCallLog(log);
 	const parts = {
@@ -107,7 +105,7 @@
 		earlyListener,
 		codec,
 		limits: () => routes.current()?.limits,
-		shouldKeepConnections: () => holderClient.cutOffForMs() === 0,
+		shouldKeepConnections: () => !holderClient.isCutOff(),
 		async onCall(call, body, response, arrivedAt) {
 			await runCall(parts, call, body, response, arrivedAt);
 		},
@@ -123,7 +121,7 @@
 	const startupDialTimer = setInterval(() => {
 		if (holderClient.isReady() || stopping.signal.aborted) {
 			clearInterval(startupDialTimer);
-			log.info('enough copy holders responding', {holders: readList()?.version, afterMs: Math.round(performance.now() - startedAt)});
+			log.info('enough copy holders responding', {disks: registry.listDisks().length, afterMs: Math.round(performance.now() - startedAt)});
 		}
 	}, STARTUP_DIAL_INTERVAL_MS);
 	let wasReady = false;
@@ -131,13 +129,13 @@
 		const ready = isReady();
 		if (ready !== wasReady) {
 			wasReady = ready;
-			log.info(ready ? 'gateway ready' : 'gateway not ready', {version: routes.current()?.version, holders: readList()?.version});
+			log.info(ready ? 'gateway ready' : 'gateway not ready', {version: routes.current()?.version, disks: registry.listDisks().length});
 		}
 
 		return {status: ready ? 200 : 503, text: ''};
 	});
 	registerGatewayGauges(metrics, {
-		routes, view, holderClient, readList, countActive: server.countActive, lastReadAt: follower.lastReadAt,
+		routes, view, holderClient, registry, countActive: server.countActive, lastReadAt: follower.lastReadAt,
 	});
 	const metricsServer = serveText(cfg.metrics, async () => ({status: 200, text: await metrics.render()}));
 	log.info('gateway started', {dataCentre: cfg.dataCentre, callers: cfg.callers});
--- a/packages/gateway/src/host/start-holder.ts
+++ b/packages/gateway/src/host/start-holder.ts
@@ -3,24 +3,30 @@
 on the disk of its host.
 */
 import {waitUnlessAborted} from '@siskinhub/core/time/wait-unless-aborted.js';
+import {createChangePublisher} from '@siskinhub/declared/create-change-publisher.js';
 import {createDeclaredView} from '@siskinhub/declared/create-declared-view.js';
 import type {DeclarationStore} from '@siskinhub/declared/declaration-store.js';
 import type {Logger} from '@siskinhub/observe/logger.js';
 import {createPeerServer} from '@siskinhub/peer/create-peer-server.js';
+import type {PeerLink} from '@siskinhub/peer/peer-link.js';
 import type {CopyStore} from '@siskinhub/turns/disk/copy-store.js';
 import {openCopyStore} from '@siskinhub/turns/disk/open-copy-store.js';
 import {copyFromHolders} from '@siskinhub/turns/holder/copy-from-holders.js';
 import {createCopyService} from '@siskinhub/turns/holder/create-copy-service.js';
 import {runHolder} from '@siskinhub/turns/holder/run-holder.js';
+import type {SyncCopy} from '@siskinhub/turns/holder/sync-copy.js';
 import type {Holder} from '@siskinhub/turns/membership/holder.js';
-import {listAllHolders} from '@siskinhub/turns/membership/list-all-holders.js';
 import type {GatewayMetrics} from '../metrics/gateway-metrics.js';
 import {createCrashTracker} from '../forward/create-crash-tracker.js';
 import {createHolderRegistry} from './create-holder-registry.js';
 import {createHostLinks} from './create-host-links.js';
+import {createRetireReporter} from './create-retire-reporter.js';
 import type {DeclaredKeys} from './declared-keys.js';
+import {deriveReadTimes} from './derive-read-times.js';
+import {followRetireRequests} from './follow-retire-requests.js';
 import {followStore} from './follow-store.js';
 import type {HostConfig} from './host-config.js';
+import {listNeighbourAddresses} from './list-neighbour-addresses.js';
 import {serveText} from './serve-text.js';
 
 /** Longer than a restart or a short network failure. A holder that is silent for this time is replaced if enough others are available. */
@@ -65,10 +71,11 @@
 	const copies = opened.value;
 	const stopping = new AbortController();
 	const view = createDeclaredView();
-	const registry = createHolderRegistry(view, store, keys.holders);
+	const registry = createHolderRegistry({view, store, keys});
+	const publisher = createChangePublisher<PeerLink>(view, deriveReadTimes(cfg.applyWithinMs).intervalMs);
 	const linkTo = (holder: Holder) => links.linkTo(holder.address);
-	const syncCopy = async (listVersion: number): Promise<boolean> => copyFromHolders({
-		store: copies, listVersion, losses: cfg.losses, linkTo,
+	const syncCopy: SyncCopy = async (group, listVersion) => copyFromHolders({
+		store: copies, group, listVersion, losses: cfg.losses, linkTo,
 	});
 	const crashes = createCrashTracker(() => performance.now());
 	const links = createHostLinks({
@@ -76,6 +83,7 @@
 		dataCentre: cfg.dataCentre,
 		view,
 		crashes,
+		publisher,
 		diskId: copies.diskId,
 		onMessage: createCopyService({
 			store: copies, syncCopy, onError(reason) {
@@ -86,71 +94,44 @@
 			log.warn('process was paused; reconnecting the peer links', {});
 		},
 	});
-	const self: Holder = {diskId: copies.diskId, host: cfg.host, address: `http://${cfg.peers.ip}:${cfg.peers.port}`};
+	const self: Holder = {
+		diskId: copies.diskId, host: cfg.host, address: `http://${cfg.peers.ip}:${cfg.peers.port}`, dataCentre: cfg.dataCentre,
+	};
 	await createPeerServer({ip: cfg.peers.ip, port: cfg.peers.port, settings: links.settings});
+	const retiring = followRetireRequests(view, keys);
 	followStore({
-		view, store, relistMs: cfg.relistMs, log, signal: stopping.signal, listNeighbours() {
-			const list = registry.read();
-			const others = list ? listAllHolders(list).filter(({diskId}) => diskId !== self.diskId) : [];
-			return links.listSources([...others.map(({address}) => address), ...cfg.seeds]);
-		},
+		view,
+		store,
+		publisher,
+		cfg,
+		log,
+		signal: stopping.signal,
+		chooseRelay: failed => links.chooseRelay(registry.listDisks(), failed),
+		listNeighbours: () => links.listSources([...listNeighbourAddresses(registry.listDisks(), self), ...cfg.seeds]),
 	});
-
-	const retiring = new Set<string>();
-	const emptiedHosts = new Set<string>();
-	const reportRetireStatus = async (host: string, isDone: boolean): Promise<void> => {
-		const {key, value} = keys.encodeRetireStatus(host, isDone);
-		if (view.get(key)?.value === value) {
-			return;
-		}
-
-		const written = await store.write(key, value, undefined);
-		log.info('retire status of a host sent to the platform service', {host, isDone, isWritten: written !== undefined});
-		if (written) {
-			view.apply({entries: [written], revision: 0, isWhole: false});
-		}
-	};
-
-	view.onChange(({key, value}) => {
-		const host = keys.decodeRetireRequest(key);
-		if (host === undefined) {
-			return;
-		}
-
-		if (value === undefined) {
-			retiring.delete(host);
-			emptiedHosts.delete(host);
-			return;
-		}
-
-		retiring.add(host);
-		void reportRetireStatus(host, false);
+	const reportRetireStatus = createRetireReporter({
+		view, store, keys, log,
 	});
-
 	void runHolder({
 		self,
 		store: copies,
 		registry,
 		linkTo,
 		listRetiring: () => retiring,
-		onEmptied(host) {
-			if (!emptiedHosts.has(host)) {
-				emptiedHosts.add(host);
-				void reportRetireStatus(host, true);
-			}
-		},
+		onRetiring: reportRetireStatus,
 		losses: cfg.losses,
 		lostAfterMs: LOST_AFTER_MS,
+		syncCopy,
 		log,
 		signal: stopping.signal,
-	}, syncCopy);
+	});
 	void compactWhenLarge(copies, log, stopping.signal);
 	const metricsServer = serveText(cfg.metrics, async () => ({status: 200, text: await metrics.render()}));
-	log.info('copy holder started', {diskId: copies.diskId, isNewDisk: copies.isNew, records: copies.index.size()});
+	log.info('copy holder started', {diskId: copies.diskId, isNewDisk: copies.isNew, records: copies.size()});
 
 	return {
 		async stop() {
-			log.info('copy holder stopping', {records: copies.index.size()});
+			log.info('copy holder stopping', {records: copies.size()});
 			stopping.abort();
 			metricsServer.close();
 			links.close();
--- a/packages/gateway/src/inspect/read-system-state.ts
+++ b/packages/gateway/src/inspect/read-system-state.ts
@@ -5,7 +5,7 @@
 import {createDeclaredView} from '@siskinhub/declared/create-declared-view.js';
 import type {DeclarationStore} from '@siskinhub/declared/declaration-store.js';
 import type {PeerLink} from '@siskinhub/peer/peer-link.js';
-import {listAllHolders} from '@siskinhub/turns/membership/list-all-holders.js';
+import {listGroups} from '@siskinhub/turns/membership/list-groups.js';
 import {err, ok, type Result} from 'neverthrow';
 import type {DeclaredKeys} from '../host/declared-keys.js';
 import {createHolderRegistry} from '../host/create-holder-registry.js';
@@ -62,11 +62,16 @@
 			fact.upstream?.match(upstream => upstreams.push(upstream), reason => unreadable.push({id: fact.id, reason}));
 		}
 	});
+	const registry = createHolderRegistry({view, store, keys});
 	view.apply(declared);
-	const holders = createHolderRegistry(view, store, keys.holders).read();
-	const memberAddresses = new Set([...holders ? listAllHolders(holders).map(({address}) => address) : [], ...addresses]);
+	const groups = listGroups().flatMap(group => {
+		const list = registry.readList(group);
+		return list ? [{group, ...list}] : [];
+	});
+	const disks = registry.listDisks();
+	const memberAddresses = new Set([...disks.map(({address}) => address), ...addresses]);
 	const members = await Promise.all([...memberAddresses].map(async address => queryMember(linkTo(address), address, declared.revision)));
 	return ok({
-		revision: declared.revision, routes, upstreams, unreadable, holders, retiring, members,
+		revision: declared.revision, routes, upstreams, unreadable, disks, groups, retiring, members,
 	});
 };
--- a/packages/gateway/src/inspect/system-state.ts
+++ b/packages/gateway/src/inspect/system-state.ts
@@ -1,7 +1,9 @@
 /**
 The state of a running system as it is shown to operators.
 */
+import type {GroupId} from '@siskinhub/turns/membership/group-id.js';
 import type {Holder} from '@siskinhub/turns/membership/holder.js';
+import type {HolderList} from '@siskinhub/turns/membership/holder-list.js';
 import type {Route} from '../routes/route.js';
 import type {Upstream} from '../upstreams/upstream.js';
 
@@ -24,7 +26,10 @@
 	readonly upstreams: readonly Upstream[];
 	/** Entries of upstreams that cannot be decoded, with the reason. */
 	readonly unreadable: ReadonlyArray<{readonly id: string; readonly reason: string}>;
-	readonly holders?: {readonly version: number; readonly current: readonly Holder[]; readonly next?: readonly Holder[]};
+	/** Registered disks of copy holders. */
+	readonly disks: readonly Holder[];
+	/** The lists of the replica groups that have one. */
+	readonly groups: ReadonlyArray<HolderList & {readonly group: GroupId}>;
 	/** Hosts whose copies operators have asked to move away. */
 	readonly retiring: readonly string[];
 	readonly members: readonly MemberState[];
--- a/packages/turns/src/__tests__/create-fake-cluster.ts
+++ b/packages/turns/src/__tests__/create-fake-cluster.ts
@@ -12,17 +12,20 @@
 } from '@siskinhub/proto/gen/siskinhub/peer/v1/peer_pb.js';
 import {err, ok} from 'neverthrow';
 import type {CopyStore} from '../disk/copy-store.js';
-import {createCopyIndex} from '../disk/create-copy-index.js';
+import {createGroupIndexes} from '../disk/create-group-indexes.js';
 import {copyFromHolders} from '../holder/copy-from-holders.js';
 import {createCopyService} from '../holder/create-copy-service.js';
 import {runHolder} from '../holder/run-holder.js';
+import type {SyncCopy} from '../holder/sync-copy.js';
+import {findGroup} from '../membership/find-group.js';
+import type {GroupId} from '../membership/group-id.js';
 import type {Holder} from '../membership/holder.js';
 import type {HolderList} from '../membership/holder-list.js';
+import {createListReader} from '../client/create-list-reader.js';
 import {createHolderClient} from '../client/create-holder-client.js';
 
 const LINK_DELAY_MS = 1;
 const SYNC_DELAY_MS = 5;
-const LOSSES = 1;
 const LOST_AFTER_MS = 3000;
 
 const silentLog = {
@@ -41,35 +44,49 @@
 	readonly name: string;
 	disk: Disk;
 	isUp: boolean;
+	isDiskFull: boolean;
+	readonly dataCentre: string;
 	incarnation: number;
 	handle: ReturnType<typeof createCopyService> | undefined;
 	stopping: AbortController;
 };
 
+type ClusterOptions = {
+	/** Number of disks that may be lost at the same time. */
+	readonly losses?: number;
+	/** Data centres over which the hosts are spread in turn. */
+	readonly dataCentres?: readonly string[];
+};
+
 /** Starts `count` holders on empty disks. A test sets `isPlatformUp` to `false` to stop the platform's service. */
-export const createFakeCluster = (count: number) => {
+export const createFakeCluster = (count: number, {losses = 1, dataCentres = ['']}: ClusterOptions = {}) => {
 	const hosts = new Map<string, FakeHost>();
 	const cut = new Set<string>();
-	let declared: HolderList | undefined;
+	const declared = new Map<GroupId, HolderList>();
+	const registered = new Map<string, Holder>();
 	let nextDisk = 1;
-	const cluster = {isPlatformUp: true};
+	const cluster = {isPlatformUp: true, swaps: {taken: 0, refused: 0}, requests: 0};
 
 	const isCut = (from: string, to: string): boolean => cut.has(`${from} ${to}`) || cut.has(`${to} ${from}`);
 
 	const openDisk = (host: FakeHost): CopyStore => {
 		const {disk, incarnation} = host;
-		const index = createCopyIndex();
+		const indexes = createGroupIndexes();
 		for (const record of disk.records) {
-			index.add(record);
+			indexes.add(record);
 		}
 
 		return {
 			diskId: disk.diskId,
 			isNew: disk.records.length === 0,
-			index,
-			async add(fact) {
-				const record = create(RecordSchema, {fact});
-				const isNew = index.add(record);
+			getIndex: indexes.get,
+			async add(group, fact) {
+				const record = create(RecordSchema, {group, fact});
+				const isNew = indexes.add(record);
+				if (host.isDiskFull) {
+					return err('no space left on the disk');
+				}
+
 				await wait(SYNC_DELAY_MS);
 				if (host.incarnation !== incarnation || !host.isUp) {
 					return err('the process has ended');
@@ -84,6 +101,7 @@
 			async compact() {
 				return ok();
 			},
+			size: indexes.size,
 			bytes: () => 0,
 			syncs: () => 0,
 			async close() {/* Nothing is open. */},
@@ -95,22 +113,22 @@
 		const request: PeerLink['request'] = async (init, {timeoutMs}) => {
 			const startedAt = Date.now();
 			await wait(LINK_DELAY_MS);
+			cluster.requests++;
 			const target = hosts.get(to);
 			if (target?.handle && target.isUp && !isCut(from, to)) {
 				const {incarnation} = target;
-				const answer = await Promise.race([
-					new Promise<MessageBody>(resolve => {
-						target.handle!({
-							link: undefined as never, body: toBody(init), traceparent: '', reply(body) {
-								resolve(toBody(body));
-							},
-						});
-					}),
-					wait(timeoutMs),
-				]);
+				const answer = await new Promise<MessageBody | undefined>(resolve => {
+					const timer = setTimeout(resolve, timeoutMs, undefined);
+					target.handle!({
+						link: undefined as never, body: toBody(init), traceparent: '', reply(body) {
+							clearTimeout(timer);
+							resolve(toBody(body));
+						},
+					});
+				});
 				await wait(LINK_DELAY_MS);
 				if (answer && target.incarnation === incarnation && target.isUp && !isCut(from, to)) {
-					return ok(answer as MessageBody);
+					return ok(answer);
 				}
 			}
 
@@ -131,43 +149,71 @@
 		};
 	};
 
+	const toHolder = ({name, disk, dataCentre}: FakeHost): Holder => ({
+		diskId: disk.diskId, host: name, address: name, dataCentre,
+	});
+
 	const start = (host: FakeHost): void => {
 		host.isUp = true;
 		host.incarnation++;
 		const store = openDisk(host);
 		const linkTo = linkFrom(host.name);
 		const {incarnation} = host;
-		const syncCopy = async (listVersion: number) => copyFromHolders({
-			store, listVersion, losses: LOSSES, linkTo,
+		const syncCopy: SyncCopy = async (group, listVersion) => copyFromHolders({
+			store, group, listVersion, losses, linkTo,
 		});
 		host.handle = createCopyService({store, syncCopy, onError() {/* The test sees the error at the client. */}});
 		host.stopping = new AbortController();
 		void runHolder({
-			self: {diskId: host.disk.diskId, host: host.name, address: host.name},
+			self: toHolder(host),
 			store,
 			registry: {
 				isLoaded: () => true,
-				read: () => declared,
-				async swap(list) {
+				readList: group => declared.get(group),
+				listDisks: () => [...registered.values()],
+				async swap(proposals) {
 					await wait(LINK_DELAY_MS);
-					if (!cluster.isPlatformUp || host.incarnation !== incarnation || list.version !== (declared?.version ?? 0) + 1) {
+					const isExpected = proposals.every(({group, list}) => list.version === (declared.get(group)?.version ?? 0) + 1);
+					if (!cluster.isPlatformUp || host.incarnation !== incarnation || !isExpected) {
+						cluster.swaps.refused++;
 						return false;
 					}
 
-					declared = list;
+					cluster.swaps.taken++;
+					for (const {group, list} of proposals) {
+						declared.set(group, list);
+					}
+
 					return true;
 				},
+				async register(holder) {
+					await wait(LINK_DELAY_MS);
+					if (cluster.isPlatformUp && host.incarnation === incarnation) {
+						registered.set(holder.diskId, holder);
+					}
+
+					return cluster.isPlatformUp;
+				},
+				async forget({diskId}) {
+					await wait(LINK_DELAY_MS);
+					if (cluster.isPlatformUp && host.incarnation === incarnation) {
+						registered.delete(diskId);
+					}
+				},
 			},
 			linkTo,
 			listRetiring: () => retiring,
-			onEmptied(name) {
-				emptied.add(name);
+			onRetiring(name, isEmptied) {
+				if (isEmptied) {
+					emptied.add(name);
+				}
 			},
-			losses: LOSSES,
+			losses,
 			lostAfterMs: LOST_AFTER_MS,
+			syncCopy,
 			log: silentLog,
 			signal: host.stopping.signal,
-		}, syncCopy);
+		});
 	};
 
 	const retiring = new Set<string>();
@@ -175,7 +221,7 @@
 
 	const add = (name: string): void => {
 		const host: FakeHost = {
-			name, disk: {diskId: `disk-${nextDisk++}`, records: []}, isUp: false, incarnation: 0, handle: undefined, stopping: new AbortController(),
+			name, disk: {diskId: `disk-${nextDisk++}`, records: []}, isUp: false, isDiskFull: false, dataCentre: dataCentres[hosts.size % dataCentres.length]!, incarnation: 0, handle: undefined, stopping: new AbortController(),
 		};
 		hosts.set(name, host);
 		start(host);
@@ -217,25 +263,33 @@
 		heal() {
 			cut.clear();
 		},
-		list: () => declared,
+		setDiskFull(name: string, isFull: boolean) {
+			hosts.get(name)!.isDiskFull = isFull;
+		},
+		/** The list of a program's group. */
+		list: (program = 'p') => declared.get(findGroup(program)),
+		lists: (): ReadonlyMap<GroupId, HolderList> => declared,
+		/** Names of all hosts, in the order in which they were added. */
+		names: () => [...hosts.keys()],
 		/** Names of the hosts whose disks have the turn. */
 		listCopies: (id: string) => [...hosts.values()].filter(({disk}) => disk.records.some(({fact}) => fact.case === 'turn' && fact.value.id === id)).map(({name}) => name),
 		isUp: (name: string) => hosts.get(name)?.isUp ?? false,
-		createClient(name: string) {
-			let adopted: HolderList | undefined;
-			let known = declared;
+		createClient(name: string, dataCentre = '') {
+			// A client sees a new list with a delay, or learns of it from a holder.
+			let known: ReadonlyMap<GroupId, HolderList> = new Map(declared);
+			const lists = createListReader(group => {
+				if (cluster.isPlatformUp && Math.floor(Date.now() / 600) % 2 === 0) {
+					known = new Map(declared);
+				}
+
+				return known.get(group);
+			});
 			return createHolderClient({
-				readList() {
-					// A client sees a new list with a delay, or learns of it from a holder.
-					known = cluster.isPlatformUp && Math.floor(Date.now() / 600) % 2 === 0 ? declared : known;
-					return adopted && adopted.version > (known?.version ?? 0) ? adopted : known;
-				},
-				adoptList(list) {
-					adopted = list;
-				},
+				readList: lists.read,
+				adoptList: lists.adopt,
 				linkTo: linkFrom(name),
-				losses: LOSSES,
-				dataCentre: '',
+				losses,
+				dataCentre,
 			});
 		},
 	});
--- a/packages/turns/src/client/ask-holders.ts
+++ b/packages/turns/src/client/ask-holders.ts
@@ -1,5 +1,5 @@
 /**
-Sends one request to as many holders as a quorum needs and resolves as soon as
+Sends one request to as many holders of a replica group as a quorum needs and resolves as soon as
 the answers suffice. The remaining holders are asked only if one of the first is
 slow or fails, or if the first answers do not suffice: a lost holder then costs
 one hedge delay, and the normal case does not need a message to every holder.
@@ -14,14 +14,16 @@
 import type {MessageBodyInit} from '@siskinhub/peer/message-body-init.js';
 import {askHolder} from '../membership/ask-holder.js';
 import {fromWireList} from '../membership/from-wire-list.js';
+import type {GroupId} from '../membership/group-id.js';
 import type {Holder} from '../membership/holder.js';
 import type {HolderList} from '../membership/holder-list.js';
 import {toWireList} from '../membership/to-wire-list.js';
 
 type Round = {
+	readonly group: GroupId;
 	readonly list: HolderList;
 	readonly linkTo: (holder: Holder) => PeerLink;
-	/** All holders, in the order in which to ask them. */
+	/** All holders of the group, in the order in which to ask them. */
 	readonly holders: readonly Holder[];
 	/** How many holders are asked immediately. */
 	readonly firstCount: number;
@@ -29,7 +31,7 @@
 	/** Handles one answer; returns whether the answers so far suffice. */
 	readonly onAnswer: (holder: Holder, answer: MessageBody) => boolean;
 	readonly timeoutMs: number;
-	/** Returns the newest known list; a round under an older one is abandoned. */
+	/** Returns the group's newest known list; a round under an older one is abandoned. */
 	readonly readList: () => HolderList | undefined;
 };
 
@@ -44,7 +46,7 @@
 const HEDGE_DELAY_MS = 40;
 
 /** Runs one round under one version of the list; the returned promise never rejects. */
-export const askHolders = async ({list, linkTo, holders, firstCount, buildRequest, onAnswer, timeoutMs, readList}: Round): Promise<RoundResult> => new Promise(resolve => {
+export const askHolders = async ({group, list, linkTo, holders, firstCount, buildRequest, onAnswer, timeoutMs, readList}: Round): Promise<RoundResult> => new Promise(resolve => {
 	const deadline = Date.now() + timeoutMs;
 	let isDone = false;
 	const finish = (result: RoundResult): void => {
@@ -87,7 +89,7 @@
 			return 'done';
 		}
 
-		await askHolder(linkTo(holder), holder, {case: 'adoptHolders', value: {list: toWireList(list)}}, deadline - Date.now());
+		await askHolder(linkTo(holder), holder, {case: 'adoptHolders', value: {group, list: toWireList(list)}}, deadline - Date.now());
 		return 'again';
 	};
 
--- a/packages/turns/src/client/create-holder-client.ts
+++ b/packages/turns/src/client/create-holder-client.ts
@@ -1,7 +1,11 @@
 /**
-Stores turns and token uses on the holders' disks by quorum. No owner or leader
-is needed: a turn never changes once written and a program's uses only grow, so
-the holders need not agree on an order.
+Stores turns and token uses on the disks of a program's replica group by quorum.
+No owner or leader is needed: a turn never changes once written and a program's
+uses only grow, so the holders need not agree on an order.
+
+A program may continue from a turn of another program. Such a turn is searched
+for in all groups, and its chain is stored again in the program's own group with
+the first turn that continues it.
 
 Token budgets hold under concurrency: the write quorums of two processes that
 reserve at the same time share a holder, so at least one process sees the
@@ -15,10 +19,13 @@
 import {hasQuorum} from '../membership/has-quorum.js';
 import type {Holder} from '../membership/holder.js';
 import type {HolderList} from '../membership/holder-list.js';
+import {findGroup} from '../membership/find-group.js';
+import type {GroupId} from '../membership/group-id.js';
+import {listGroups} from '../membership/list-groups.js';
 import {listAllHolders} from '../membership/list-all-holders.js';
 import {orderHolders} from '../membership/order-holders.js';
 import {askHolders} from '../client/ask-holders.js';
-import {createQuorumMonitor} from '../client/create-quorum-monitor.js';
+import {createGroupMonitors} from '../client/create-group-monitors.js';
 import {createSpentBudgetCache} from '../client/create-spent-budget-cache.js';
 import {tokenUses} from './token-uses.js';
 import type {HolderClient} from './holder-client.js';
@@ -29,10 +36,10 @@
 const FIRST_LIST_CHECK_INTERVAL_MS = 20;
 
 type ClientOptions = {
-	/** Returns the newest list that this process knows. */
-	readonly readList: () => HolderList | undefined;
+	/** Returns the newest list of the group that this process knows. */
+	readonly readList: (group: GroupId) => HolderList | undefined;
 	/** Called with a newer list that a holder sent. */
-	readonly adoptList: (list: HolderList) => void;
+	readonly adoptList: (group: GroupId, list: HolderList) => void;
 	readonly linkTo: (holder: Holder) => PeerLink;
 	/** Number of disks that may be lost at the same time. */
 	readonly losses: number;
@@ -40,6 +47,11 @@
 	readonly dataCentre: string;
 };
 
+/** Where the records of a program are; while a turn of another program is searched for, another group than its own. */
+type Place = {readonly program: string; readonly group: GroupId};
+
+type ChainRead = {readonly kind: 'found'; readonly turns: readonly KeptTurn[]} | {readonly kind: 'unknown' | 'unavailable'};
+
 type BuildRequest = Parameters<typeof askHolders>[0]['buildRequest'];
 type CreateAnswerHandler = (list: HolderList) => Parameters<typeof askHolders>[0]['onAnswer'];
 
@@ -48,28 +60,17 @@
 
 export const createHolderClient = ({readList, adoptList, linkTo, losses, dataCentre}: ClientOptions): HolderClient => {
 	const spentBudgets = createSpentBudgetCache();
-	const quorumMonitor = createQuorumMonitor(withinMs => {
-		const list = readList();
-		if (!list) {
-			return false;
-		}
-
-		const recentlyHeard = listAllHolders(list).filter(holder => {
-			const link = linkTo(holder);
-			return link.remote() && link.silentForMs() <= withinMs;
-		});
-		return hasQuorum(list, 'write', new Set(recentlyHeard.map(({diskId}) => diskId)), losses);
-	});
+	const monitors = createGroupMonitors({readList, linkTo, losses});
 
 	/** Repeats the round under each newer list until there are enough answers or the timeout has passed. `one` asks one holder first, `write` a write quorum. */
-	const askQuorum = async (program: string, buildRequest: BuildRequest, kind: 'one' | 'write', timeoutMs: number, createAnswerHandler: CreateAnswerHandler): Promise<boolean> => {
+	const askQuorum = async ({program, group}: Place, buildRequest: BuildRequest, kind: 'one' | 'write', timeoutMs: number, createAnswerHandler: CreateAnswerHandler): Promise<boolean> => {
 		const startedAt = performance.now();
 		const deadline = Date.now() + timeoutMs;
 		for (;;) {
-			const list = readList();
+			const list = readList(group);
 			const leftMs = deadline - Date.now();
 			if (leftMs <= 0) {
-				quorumMonitor.recordFailedRound(startedAt);
+				monitors.recordFailedRound(group, startedAt);
 				return false;
 			}
 
@@ -80,26 +81,28 @@
 
 			const holders = orderHolders(listAllHolders(list), {getRemote: holder => linkTo(holder).remote(), dataCentre, program});
 			const result = await askHolders({
-				list, linkTo, holders, firstCount: kind === 'one' ? 1 : chooseFirstCount(list, losses), buildRequest, onAnswer: createAnswerHandler(list), timeoutMs: leftMs, readList,
+				group, list, linkTo, holders, firstCount: kind === 'one' ? 1 : chooseFirstCount(list, losses), buildRequest, onAnswer: createAnswerHandler(list), timeoutMs: leftMs, readList: () => readList(group),
 			});
 			if (result.kind === 'too-few') {
-				quorumMonitor.recordFailedRound(startedAt);
+				monitors.recordFailedRound(group, startedAt);
 			}
 
 			if (result.kind !== 'newer') {
 				return result.kind === 'enough';
 			}
 
-			adoptList(result.list);
+			adoptList(group, result.list);
 		}
 	};
 
 	const settle: HolderClient['settle'] = async ({program, attempt, tokens, retentionMs}, turn, timeoutMs) => {
+		const group = findGroup(program);
 		const expiresAtMs = Date.now() + retentionMs + CLOCK_SLACK_MS;
-		const turnToStore = turn && {id: attempt, ...turn, expiresAtMs};
-		return askQuorum(program, listVersion => ({
+		const {ancestors = [], ...content} = turn ?? {};
+		const turnToStore = turn && {id: attempt, ...content, expiresAtMs};
+		return askQuorum({program, group}, listVersion => ({
 			case: 'settleTurn', value: {
-				listVersion, program, use: {attempt, tokens, settled: true}, expiresAtMs, turn: turnToStore,
+				group, listVersion, program, use: {attempt, tokens, settled: true}, expiresAtMs, turn: turnToStore, ancestors: ancestors.map(ancestor => ({...ancestor, expiresAtMs})),
 			},
 		}), 'write', timeoutMs, list => {
 			const stored = new Set<string>();
@@ -118,11 +121,12 @@
 			return 'spent';
 		}
 
+		const group = findGroup(program);
 		const expiresAtMs = Date.now() + retentionMs + CLOCK_SLACK_MS;
 		const uses = new Map<string, TokenUse>();
-		const isReserved = await askQuorum(program, listVersion => ({
+		const isReserved = await askQuorum({program, group}, listVersion => ({
 			case: 'reserveTokens', value: {
-				listVersion, program, use: {attempt, tokens, settled: false}, expiresAtMs,
+				group, listVersion, program, use: {attempt, tokens, settled: false}, expiresAtMs,
 			},
 		}), 'write', timeoutMs, list => {
 			const answered = new Set<string>();
@@ -148,9 +152,9 @@
 	};
 
 	/** Reads `turn` and the turns before it, newest first. The turns of a chain may be on different holders, so the result may end before the start of the chain. */
-	const readChainPart = async (program: string, turn: string, timeoutMs: number): Promise<{readonly turns: readonly KeptTurn[]; readonly isAnswered: boolean}> => {
+	const readChainPart = async (place: Place, turn: string, timeoutMs: number): Promise<{readonly turns: readonly KeptTurn[]; readonly isAnswered: boolean}> => {
 		let longest: readonly KeptTurn[] = [];
-		const isAnswered = await askQuorum(program, listVersion => ({case: 'readTurns', value: {listVersion, turn}}), 'one', timeoutMs, list => {
+		const isAnswered = await askQuorum(place, listVersion => ({case: 'readTurns', value: {group: place.group, listVersion, turn}}), 'one', timeoutMs, list => {
 			const answered = new Set<string>();
 			return ({diskId}, answer) => {
 				if (answer.case === 'turns') {
@@ -164,11 +168,11 @@
 		return {turns: longest, isAnswered};
 	};
 
-	const readTurns: HolderClient['readTurns'] = async (program, turn, timeoutMs) => {
+	const readChain = async (place: Place, turn: string, timeoutMs: number): Promise<ChainRead> => {
 		const deadline = Date.now() + timeoutMs;
 		const chain: KeptTurn[] = [];
 		for (let next = turn; next !== '';) {
-			const {turns, isAnswered} = await readChainPart(program, next, deadline - Date.now());
+			const {turns, isAnswered} = await readChainPart(place, next, deadline - Date.now());
 			if (turns.length === 0) {
 				// If later turns were found, a missing earlier one does not prove that `turn` is unknown.
 				return {kind: isAnswered && chain.length === 0 ? 'unknown' : 'unavailable'};
@@ -181,7 +185,34 @@
 		return {kind: 'found', turns: chain.toReversed()};
 	};
 
+	/** Resolves as soon as one group has the turn; `unknown` only if every group has answered that it does not. */
+	const searchOtherGroups = async (program: string, turn: string, timeoutMs: number): Promise<ChainRead> => {
+		const own = findGroup(program);
+		const reads = listGroups().filter(group => group !== own).map(async group => readChain({program, group}, turn, timeoutMs));
+		const found = Promise.any(reads.map(async read => {
+			const result = await read;
+			return result.kind === 'found' ? result : Promise.reject(new Error('The group does not have the turn.'));
+		}));
+		try {
+			return await found;
+		} catch {
+			const results = await Promise.all(reads);
+			return {kind: results.every(({kind}) => kind === 'unknown') ? 'unknown' : 'unavailable'};
+		}
+	};
+
+	const readTurns: HolderClient['readTurns'] = async (program, turn, timeoutMs) => {
+		const deadline = Date.now() + timeoutMs;
+		const read = await readChain({program, group: findGroup(program)}, turn, timeoutMs);
+		if (read.kind !== 'unknown') {
+			return read.kind === 'found' ? {...read, isFromOtherGroup: false} : read;
+		}
+
+		const searched = await searchOtherGroups(program, turn, deadline - Date.now());
+		return searched.kind === 'found' ? {...searched, isFromOtherGroup: true} : searched;
+	};
+
 	return {
-		reserve, readTurns, settle, isReady: quorumMonitor.isReachable, cutOffForMs: quorumMonitor.cutOffForMs,
+		reserve, readTurns, settle, isReady: monitors.isReady, isCutOff: monitors.isCutOff, cutOffForMs: program => monitors.cutOffForMs(findGroup(program)),
 	};
 };
--- a/packages/turns/src/client/holder-client.ts
+++ b/packages/turns/src/client/holder-client.ts
@@ -13,16 +13,29 @@
 	readonly retentionMs: number;
 };
 
+/** `isFromOtherGroup`: the chain is not in the program's own replica group yet, so it has to be passed to `settle` as `ancestors`. */
+type TurnsRead = {readonly kind: 'found'; readonly turns: readonly KeptTurn[]; readonly isFromOtherGroup: boolean} | {readonly kind: 'unknown' | 'unavailable'};
+
+type TurnContent = {
+	readonly previous: string;
+	readonly input: Uint8Array;
+	readonly output: Uint8Array;
+	/** The chain before the turn, if it was read from another replica group. */
+	readonly ancestors?: readonly KeptTurn[];
+};
+
 /** Reserves tokens before a turn runs, reads the turns that precede it and stores its result. */
 export type HolderClient = {
 	/** `spent`: settled turns have used up the budget; nothing was reserved. `over-budget`: the tokens were reserved, and the caller must settle the attempt. `unavailable`: too few holders answered, so the tokens may or may not be reserved. */
 	readonly reserve: (attempt: Attempt & {readonly budget: number}, timeoutMs: number) => Promise<'reserved' | 'spent' | 'over-budget' | 'unavailable'>;
 	/** Reads the chain that ends with `turn`, oldest first. `unknown` is returned only if no holder can have the turn. */
-	readonly readTurns: (program: string, turn: string, timeoutMs: number) => Promise<{readonly kind: 'found'; readonly turns: readonly KeptTurn[]} | {readonly kind: 'unknown' | 'unavailable'}>;
+	readonly readTurns: (program: string, turn: string, timeoutMs: number) => Promise<TurnsRead>;
 	/** Stores the tokens that the attempt used and, if given, its turn; resolves to whether a write quorum has them on disk. */
-	readonly settle: (attempt: Attempt, turn: {readonly previous: string; readonly input: Uint8Array; readonly output: Uint8Array} | undefined, timeoutMs: number) => Promise<boolean>;
-	/** Whether a write quorum of holders is reachable now. */
+	readonly settle: (attempt: Attempt, turn: TurnContent | undefined, timeoutMs: number) => Promise<boolean>;
+	/** Whether a write quorum of most replica groups is reachable now. */
 	readonly isReady: () => boolean;
-	/** For how many milliseconds waiting for a write quorum has been futile; 0 while a new turn may still get one. */
-	readonly cutOffForMs: () => number;
+	/** Whether waiting for a write quorum is futile for most replica groups. */
+	readonly isCutOff: () => boolean;
+	/** For how many milliseconds waiting for a write quorum of the program's replica group has been futile; 0 while a new turn may still get one. */
+	readonly cutOffForMs: (program: string) => number;
 };
--- a/packages/turns/src/disk/__tests__/open-copy-store.test.ts
+++ b/packages/turns/src/disk/__tests__/open-copy-store.test.ts
@@ -7,9 +7,11 @@
 import {
 	afterEach, beforeEach, describe, expect, it,
 } from 'vitest';
+import type {GroupId} from '../../membership/group-id.js';
 import type {CopyStore} from '../copy-store.js';
 import {openCopyStore} from '../open-copy-store.js';
 
+const GROUP = 7 as GroupId;
 const FAR_EXPIRY_MS = Date.now() + 3_600_000;
 
 const turn = (id: string, previous = '') => ({
@@ -41,49 +43,49 @@
 	it('has the same disk id and the same records after a restart', async () => {
 		const first = await open();
 		expect(first.isNew).toBe(true);
-		await Promise.all([first.add(turn('t1')), first.add(turn('t2', 't1')), first.add(use('t1', 90, false)), first.add(use('t1', 40, true))]);
+		await Promise.all([first.add(GROUP, turn('t1')), first.add(GROUP, turn('t2', 't1')), first.add(GROUP, use('t1', 90, false)), first.add(GROUP, use('t1', 40, true))]);
 		await first.close();
 		const second = await open();
 		expect(second.isNew).toBe(false);
 		expect(second.diskId).toBe(first.diskId);
-		expect(second.index.findTurn('t2')?.previous).toBe('t1');
-		expect(second.index.listUses('p')).toMatchObject([{attempt: 't1', tokens: 40, settled: true}]);
+		expect(second.getIndex(GROUP).findTurn('t2')?.previous).toBe('t1');
+		expect(second.getIndex(GROUP).listUses('p')).toMatchObject([{attempt: 't1', tokens: 40, settled: true}]);
 		await second.close();
 	});
 
 	it('keeps what was stored if the process is killed without closing the store', async () => {
 		const first = await open();
-		await first.add(turn('t1'));
+		await first.add(GROUP, turn('t1'));
 		const second = await open();
-		expect(second.index.findTurn('t1')).toBeDefined();
+		expect(second.getIndex(GROUP).findTurn('t1')).toBeDefined();
 		await second.close();
 		await first.close();
 	});
 
 	it('skips a torn line at the end', async () => {
 		const first = await open();
-		await first.add(turn('t1'));
-		await first.add(turn('t2'));
+		await first.add(GROUP, turn('t1'));
+		await first.add(GROUP, turn('t2'));
 		await first.close();
 		const [log] = await listLogs();
 		const {length} = await readFile(log!);
 		await truncate(log!, length - 10);
 		const second = await open();
-		expect(second.index.findTurn('t1')).toBeDefined();
-		expect(second.index.findTurn('t2')).toBeUndefined();
+		expect(second.getIndex(GROUP).findTurn('t1')).toBeDefined();
+		expect(second.getIndex(GROUP).findTurn('t2')).toBeUndefined();
 		await second.close();
 	});
 
 	it('skips a torn line in the middle and reads the lines after it', async () => {
 		const first = await open();
-		await first.add(turn('t1'));
+		await first.add(GROUP, turn('t1'));
 		await first.close();
 		const [log] = await listLogs();
 		const bytes = await readFile(log!);
 		await writeFile(log!, Buffer.concat([bytes.subarray(0, 40), Buffer.from('\n'), bytes]));
 		await appendFile(log!, 'half a li');
 		const second = await open();
-		expect(second.index.findTurn('t1')).toBeDefined();
+		expect(second.getIndex(GROUP).findTurn('t1')).toBeDefined();
 		await second.close();
 	});
 
@@ -97,38 +99,49 @@
 
 	it('keeps a chain as long as its newest turn and drops expired turns at a restart', async () => {
 		const first = await open();
-		await first.add({case: 'turn', value: {...turn('old').value, expiresAtMs: Date.now() + 10}});
-		await first.add({case: 'turn', value: {...turn('alone').value, expiresAtMs: Date.now() + 10}});
-		await first.add(turn('new', 'old'));
+		await first.add(GROUP, {case: 'turn', value: {...turn('old').value, expiresAtMs: Date.now() + 10}});
+		await first.add(GROUP, {case: 'turn', value: {...turn('alone').value, expiresAtMs: Date.now() + 10}});
+		await first.add(GROUP, turn('new', 'old'));
 		await first.close();
 		await new Promise(resolve => {
 			setTimeout(resolve, 30);
 		});
 		const second = await open();
-		expect(second.index.findTurn('old')).toBeDefined();
-		expect(second.index.findTurn('alone')).toBeUndefined();
+		expect(second.getIndex(GROUP).findTurn('old')).toBeDefined();
+		expect(second.getIndex(GROUP).findTurn('alone')).toBeUndefined();
 		await second.close();
 	});
 
 	it('compacts away what is past its retention and keeps records added during compaction', async () => {
 		const first = await open();
-		await first.add({case: 'turn', value: {...turn('gone').value, expiresAtMs: Date.now() - 1}});
-		await first.add(turn('kept'));
+		await first.add(GROUP, {case: 'turn', value: {...turn('gone').value, expiresAtMs: Date.now() - 1}});
+		await first.add(GROUP, turn('kept'));
 		const before = first.bytes();
-		const [compacted, added] = await Promise.all([first.compact(), first.add(turn('meanwhile'))]);
+		const [compacted, added] = await Promise.all([first.compact(), first.add(GROUP, turn('meanwhile'))]);
 		expect([compacted.isOk(), added.isOk()]).toEqual([true, true]);
-		await first.add(turn('after'));
+		await first.add(GROUP, turn('after'));
 		expect(first.bytes()).toBeLessThan(before * 2);
 		await first.close();
 		const second = await open();
-		expect(['gone', 'kept', 'meanwhile', 'after'].map(id => second.index.findTurn(id) !== undefined)).toEqual([false, true, true, true]);
+		expect(['gone', 'kept', 'meanwhile', 'after'].map(id => second.getIndex(GROUP).findTurn(id) !== undefined)).toEqual([false, true, true, true]);
+		await second.close();
+	});
+
+	it('keeps the records of different groups apart, also after a restart', async () => {
+		const first = await open();
+		await first.add(GROUP, turn('t1'));
+		await first.add(8 as GroupId, use('a', 5, true));
+		await first.close();
+		const second = await open();
+		expect([second.getIndex(GROUP).size(), second.getIndex(8 as GroupId).size(), second.size()]).toEqual([1, 1, 2]);
+		expect(second.getIndex(8 as GroupId).findTurn('t1')).toBeUndefined();
 		await second.close();
 	});
 
 	it('syncs records that are added at the same time together', async () => {
 		const store = await open();
 		const before = store.syncs();
-		await Promise.all(Array.from({length: 50}, async (_, index) => store.add(turn(`t${index}`))));
+		await Promise.all(Array.from({length: 50}, async (_, index) => store.add(GROUP, turn(`t${index}`))));
 		expect(store.syncs() - before).toBeLessThanOrEqual(2);
 		await store.close();
 	});
--- a/packages/turns/src/disk/create-copy-index.ts
+++ b/packages/turns/src/disk/create-copy-index.ts
@@ -1,6 +1,6 @@
 /**
-In-memory index of a holder's records. Records that concern the same thing are
-merged: of two uses of one attempt the settled one counts, otherwise the larger;
+In-memory index of a holder's records of one replica group. Records that concern
+the same thing are merged: of two uses of one attempt the settled one counts, otherwise the larger;
 of two lists the one with the higher version.
 */
 import type {
--- a/packages/turns/src/disk/open-copy-store.ts
+++ b/packages/turns/src/disk/open-copy-store.ts
@@ -16,7 +16,7 @@
 import {RecordSchema, type Record as WireRecord} from '@siskinhub/proto/gen/siskinhub/peer/v1/peer_pb.js';
 import {err, ok, type Result} from 'neverthrow';
 import type {CopyStore} from './copy-store.js';
-import {createCopyIndex} from './create-copy-index.js';
+import {createGroupIndexes} from './create-group-indexes.js';
 import {recordCodec} from './record-codec.js';
 import {readDiskId} from './read-disk-id.js';
 
@@ -44,19 +44,19 @@
 	await mkdir(folder, {recursive: true});
 	const {diskId, isNew} = await readDiskId(folder);
 	const segments = await segmentFiles.list(folder);
-	const index = createCopyIndex();
+	const indexes = createGroupIndexes();
 	let bytes = 0;
 	for (const segment of segments) {
 		const content = await readFile(segmentFiles.getPath(folder, segment));
 		bytes += content.length;
 		for (const record of decodeRecords(content)) {
-			index.add(record);
+			indexes.add(record);
 		}
 	}
 
-	index.forgetExpired(Date.now());
+	indexes.forgetExpired(Date.now());
 	return {
-		diskId, isNew, segments, index, bytes,
+		diskId, isNew, segments, indexes, bytes,
 	};
 };
 
@@ -64,7 +64,7 @@
 export const openCopyStore = async (folder: string, {segmentBytes = DEFAULT_SEGMENT_BYTES}: {readonly segmentBytes?: number} = {}): Promise<Result<CopyStore, string>> => {
 	try {
 		const recovered = await recover(folder);
-		const {diskId, isNew, index} = recovered;
+		const {diskId, isNew, indexes} = recovered;
 		let {segments: oldSegments, bytes} = recovered;
 		const openWriter = (firstSegment: number) => openLogWriter({
 			folder, firstSegment, segmentBytes, encodeSegmentHeader: () => [], onQueued(_segment, length) {
@@ -90,7 +90,7 @@
 			await closingOldWriter;
 			const segments = await segmentFiles.list(folder);
 			oldSegments = segments.filter(segment => segment <= old.segment());
-			const written = await Promise.all(index.records().map(async record => write(record)));
+			const written = await Promise.all(indexes.records().map(async record => write(record)));
 			const failed = written.find(result => result.isErr());
 			if (failed) {
 				return failed;
@@ -107,10 +107,10 @@
 		return ok({
 			diskId,
 			isNew,
-			index,
-			async add(fact) {
-				const record = create(RecordSchema, {fact});
-				if (index.add(record)) {
+			getIndex: indexes.get,
+			async add(group, fact) {
+				const record = create(RecordSchema, {group, fact});
+				if (indexes.add(record)) {
 					return write(record);
 				}
 
@@ -119,13 +119,14 @@
 				return flushed.mapErr(error => 'message' in error ? error.message : error.kind);
 			},
 			async compact() {
-				index.forgetExpired(Date.now());
+				indexes.forgetExpired(Date.now());
 				try {
 					return await rewriteLog();
 				} catch (error) {
 					return err(toMessage(error));
 				}
 			},
+			size: indexes.size,
 			bytes: () => bytes,
 			syncs: () => writer.syncs(),
 			async close() {
--- a/packages/turns/src/disk/record-codec.ts
+++ b/packages/turns/src/disk/record-codec.ts
@@ -14,16 +14,17 @@
 	KeptTurnSchema, RecordSchema, type KeptTurn, type ProgramUse, type Record as WireRecord,
 } from '@siskinhub/proto/gen/siskinhub/peer/v1/peer_pb.js';
 
-type UseMeta = {readonly kind: 'use'; readonly program: string; readonly attempt: string; readonly tokens: number; readonly settled: boolean; readonly expiresAtMs: number};
+type UseMeta = {readonly kind: 'use'; readonly group?: number; readonly program: string; readonly attempt: string; readonly tokens: number; readonly settled: boolean; readonly expiresAtMs: number};
 /** The body of the line is the whole `KeptTurn` message. */
-type TurnMeta = {readonly kind: 'turn'; readonly id: string; readonly previous: string; readonly expiresAtMs: number};
+type TurnMeta = {readonly kind: 'turn'; readonly group?: number; readonly id: string; readonly previous: string; readonly expiresAtMs: number};
 /** With `fact` the body of the line is a whole `Record` message. */
 type LineMeta = {readonly kind: 'fact'} | UseMeta | TurnMeta;
 
 const toBase64 = (bytes: Uint8Array): string => Buffer.from(bytes.buffer, bytes.byteOffset, bytes.byteLength).toString('base64');
 const fromBase64 = (text: unknown): Uint8Array => Buffer.from(text as string, 'base64');
 
-const toRecord = (fact: WireRecord['fact']): WireRecord => ({$typeName: 'siskinhub.peer.v1.Record', fact});
+/** Lines without a group were written before there were groups. */
+const toRecord = (fact: WireRecord['fact'], group = 0): WireRecord => ({$typeName: 'siskinhub.peer.v1.Record', fact, group});
 
 const toUse = ({program, attempt, tokens, settled, expiresAtMs}: UseMeta): ProgramUse => ({
 	$typeName: 'siskinhub.peer.v1.ProgramUse',
@@ -58,18 +59,18 @@
 /** Each record is one line. */
 export const recordCodec = {
 	encode(record: WireRecord): Uint8Array {
-		const {fact} = record;
+		const {fact, group} = record;
 		if (fact.case === 'use' && fact.value.use) {
 			const {program, use: {attempt, tokens, settled}, expiresAtMs} = fact.value;
 			return encodeEntry({
-				kind: 'use', program, attempt, tokens, settled, expiresAtMs,
+				kind: 'use', group, program, attempt, tokens, settled, expiresAtMs,
 			} satisfies LineMeta);
 		}
 
 		if (fact.case === 'turn') {
 			const {id, previous, expiresAtMs} = fact.value;
 			return encodeEntry({
-				kind: 'turn', id, previous, expiresAtMs,
+				kind: 'turn', group, id, previous, expiresAtMs,
 			} satisfies LineMeta, toBase64(toBinary(KeptTurnSchema, fact.value)));
 		}
 
@@ -85,11 +86,11 @@
 		const {meta, readBody} = entry;
 		switch (meta.kind) {
 			case 'use': {
-				return toRecord({case: 'use', value: toUse(meta)});
+				return toRecord({case: 'use', value: toUse(meta)}, meta.group);
 			}
 
 			case 'turn': {
-				return toRecord({case: 'turn', value: toTurn(meta, readBody)});
+				return toRecord({case: 'turn', value: toTurn(meta, readBody)}, meta.group);
 			}
 
 			case 'fact': {
--- a/packages/turns/src/holder/copy-from-holders.ts
+++ b/packages/turns/src/holder/copy-from-holders.ts
@@ -1,17 +1,21 @@
 /**
-Copies the records of the current holders to this host's disk.
+Copies the records of one replica group from its current holders to this host's
+disk.
 */
 import type {PeerLink} from '@siskinhub/peer/peer-link.js';
 import type {CopyStore} from '../disk/copy-store.js';
 import {askHolder} from '../membership/ask-holder.js';
 import {fromWireList} from '../membership/from-wire-list.js';
 import {hasQuorum} from '../membership/has-quorum.js';
+import type {GroupId} from '../membership/group-id.js';
 import type {Holder} from '../membership/holder.js';
+import {askUntil} from './ask-until.js';
 
 const PULL_TIMEOUT_MS = 1500;
 
 type CopyOptions = {
 	readonly store: CopyStore;
+	readonly group: GroupId;
 	/** Version of the list to copy under; nothing is copied if the store has another one. */
 	readonly listVersion: number;
 	/** Number of disks that may be lost at the same time. */
@@ -19,11 +23,15 @@
 	readonly linkTo: (holder: Holder) => PeerLink;
 };
 
-const pullFromHolder = async ({store, listVersion, linkTo}: CopyOptions, holder: Holder): Promise<boolean> => {
+const pullFromHolder = async ({store, group, listVersion, linkTo}: CopyOptions, holder: Holder): Promise<boolean> => {
 	let offset = 0;
 	let generation = 0;
 	for (;;) {
-		const answer = await askHolder(linkTo(holder), holder, {case: 'pullRecords', value: {listVersion, offset, generation}}, PULL_TIMEOUT_MS);
+		const answer = await askHolder(linkTo(holder), holder, {
+			case: 'pullRecords', value: {
+				group, listVersion, offset, generation,
+			},
+		}, PULL_TIMEOUT_MS);
 		if (answer.isErr() || answer.value.case !== 'records') {
 			return false;
 		}
@@ -31,7 +39,7 @@
 		const {records, nextOffset, done} = answer.value.value;
 		({generation} = answer.value.value);
 		const facts = records.map(({fact}) => fact).filter(fact => fact.case !== undefined && fact.case !== 'list');
-		const stored = await Promise.all(facts.map(async fact => store.add(fact)));
+		const stored = await Promise.all(facts.map(async fact => store.add(group, fact)));
 		if (stored.some(result => result.isErr())) {
 			return false;
 		}
@@ -46,17 +54,15 @@
 
 /** Resolves to whether everything was copied from a read quorum of the current holders; this disk counts if it is one of them. */
 export const copyFromHolders = async (options: CopyOptions): Promise<boolean> => {
-	const {store, listVersion, losses} = options;
-	const list = fromWireList(store.index.list());
+	const {store, group, listVersion, losses, linkTo} = options;
+	const list = fromWireList(store.getIndex(group).list());
 	if (list?.version !== listVersion) {
 		return false;
 	}
 
-	const copied = new Set<string>();
-	await Promise.all(list.current.map(async holder => {
-		if (holder.diskId === store.diskId || await pullFromHolder(options, holder)) {
-			copied.add(holder.diskId);
-		}
-	}));
-	return hasQuorum({version: list.version, current: list.current}, 'read', copied, losses);
+	const {version, current} = list;
+	const isEnough = (copied: ReadonlySet<string>): boolean => hasQuorum({version, current}, 'read', copied, losses);
+	const reachable = current.filter(holder => holder.diskId === store.diskId || linkTo(holder).remote()?.dataFolderId === holder.diskId);
+	const sources = isEnough(new Set(reachable.map(({diskId}) => diskId))) ? reachable : current;
+	return askUntil(sources, async holder => holder.diskId === store.diskId || pullFromHolder(options, holder), isEnough);
 };
--- a/packages/turns/src/holder/create-copy-service.ts
+++ b/packages/turns/src/holder/create-copy-service.ts
@@ -1,21 +1,24 @@
 /**
 Answers the requests of other processes for the copies on this host's disk.
 
-A request contains the version of the list of holders that its sender uses. The
-holder rejects any version but its own, and the side with the older list must
-adopt the newer one first, so that no write is counted under an outdated list.
+A request contains its replica group and the version of the group's list that its
+sender uses. The holder rejects any version but its own, and the side with the
+older list must adopt the newer one first, so that no write is counted under an
+outdated list.
 */
 import type {HolderList as WireHolderList, Record as WireRecord} from '@siskinhub/proto/gen/siskinhub/peer/v1/peer_pb.js';
 import type {MessageBody} from '@siskinhub/peer/message-body.js';
 import type {MessageBodyInit} from '@siskinhub/peer/message-body-init.js';
 import type {IncomingMessage} from '@siskinhub/peer/incoming-message.js';
+import type {CopyRecord} from '../disk/copy-record.js';
 import type {CopyStore} from '../disk/copy-store.js';
+import type {GroupId} from '../membership/group-id.js';
 import {readChain} from './read-chain.js';
+import type {SyncCopy} from './sync-copy.js';
 
 type CopyServiceOptions = {
 	readonly store: CopyStore;
-	/** Copies what the current holders have under that version of the list; resolves to whether all of it is on this disk. */
-	readonly syncCopy: (listVersion: number) => Promise<boolean>;
+	readonly syncCopy: SyncCopy;
 	readonly onError: (message: string) => void;
 };
 
@@ -25,24 +28,27 @@
 
 const estimateSize = ({fact}: WireRecord): number => RECORD_OVERHEAD_BYTES + (fact.case === 'turn' ? fact.value.input.length + fact.value.output.length : 0);
 
+type GroupRequest = {readonly group: number; readonly listVersion: number};
+
 const REFUSED: MessageBodyInit = {case: 'refused', value: {}};
 
 /** The returned function handles one message; it returns `false` if the message is not a request for copies. */
 export const createCopyService = ({store, syncCopy, onError}: CopyServiceOptions): (message: IncomingMessage) => boolean => {
-	const {index} = store;
+	const getIndex = (group: number) => store.getIndex(group as GroupId);
 
-	/** Returns the answer to a request under another version of the list, or `undefined` if the version is the holder's. */
-	const checkListVersion = (version: number): MessageBodyInit | undefined => {
-		const list = index.list();
-		return list?.version === version ? undefined : {case: 'wrongHolders', value: {list: list ?? {}}};
+	/** Returns the answer to a request under another version of the group's list, or `undefined` if the version is the holder's. */
+	const checkListVersion = ({group, listVersion}: GroupRequest): MessageBodyInit | undefined => {
+		const list = getIndex(group).list();
+		return list?.version === listVersion ? undefined : {case: 'wrongHolders', value: {list: list ?? {}}};
 	};
 
-	const adopt = async (list: WireHolderList | undefined): Promise<MessageBodyInit> => {
-		if (!list || list.version < (index.list()?.version ?? 0)) {
-			return {case: 'wrongHolders', value: {list: index.list() ?? {}}};
+	const adopt = async (group: number, list: WireHolderList | undefined): Promise<MessageBodyInit> => {
+		const held = getIndex(group).list();
+		if (!list || list.version < (held?.version ?? 0)) {
+			return {case: 'wrongHolders', value: {list: held ?? {}}};
 		}
 
-		return answerWhenStored(store.add({case: 'list', value: list}), {case: 'acknowledged', value: {}});
+		return answerWhenStored(store.add(group as GroupId, {case: 'list', value: list}), {case: 'acknowledged', value: {}});
 	};
 
 	const answerWhenStored = async (stored: ReturnType<CopyStore['add']>, answer: MessageBodyInit): Promise<MessageBodyInit> => {
@@ -56,7 +62,8 @@
 	};
 
 	/** Starts from the beginning if the offset is from another generation of the index. */
-	const readRecordPage = (position: {readonly offset: number; readonly generation: number}): MessageBodyInit => {
+	const readRecordPage = (position: {readonly group: number; readonly offset: number; readonly generation: number}): MessageBodyInit => {
+		const index = getIndex(position.group);
 		const generation = index.generation();
 		const offset = position.generation === generation ? position.offset : 0;
 		const all = index.listRecordsFrom(offset);
@@ -78,28 +85,28 @@
 	const answer = (body: MessageBody): Promise<MessageBodyInit> | MessageBodyInit | undefined => {
 		switch (body.case) {
 			case 'reserveTokens': {
-				const {listVersion, program, use, expiresAtMs} = body.value;
-				return checkListVersion(listVersion) ?? answerReservation(program, store.add({case: 'use', value: {program, use, expiresAtMs}}));
+				return checkListVersion(body.value) ?? reserve(body.value);
 			}
 
 			case 'settleTurn': {
-				return checkListVersion(body.value.listVersion) ?? settle(body.value);
+				return checkListVersion(body.value) ?? settle(body.value);
 			}
 
 			case 'readTurns': {
-				return checkListVersion(body.value.listVersion) ?? {case: 'turns', value: readChain(index.findTurn, body.value.turn)};
+				const {group, turn} = body.value;
+				return checkListVersion(body.value) ?? {case: 'turns', value: readChain(getIndex(group).findTurn, turn)};
 			}
 
 			case 'adoptHolders': {
-				return adopt(body.value.list);
+				return adopt(body.value.group, body.value.list);
 			}
 
 			case 'syncCopy': {
-				return checkListVersion(body.value.listVersion) ?? answerSync(body.value.listVersion);
+				return checkListVersion(body.value) ?? answerSync(body.value);
 			}
 
 			case 'pullRecords': {
-				return checkListVersion(body.value.listVersion) ?? readRecordPage(body.value);
+				return checkListVersion(body.value) ?? readRecordPage(body.value);
 			}
 
 			default: {
@@ -108,22 +115,19 @@
 		}
 	};
 
-	const answerReservation = async (program: string, stored: ReturnType<CopyStore['add']>): Promise<MessageBodyInit> => {
+	const reserve = async ({group, program, use, expiresAtMs}: Extract<MessageBody, {case: 'reserveTokens'}>['value']): Promise<MessageBodyInit> => {
+		const stored = store.add(group as GroupId, {case: 'use', value: {program, use, expiresAtMs}});
 		const failed = await answerWhenStored(stored, {case: 'acknowledged', value: {}});
-		return failed.case === 'refused' ? failed : {case: 'tokensReserved', value: {uses: [...index.listUses(program)]}};
+		return failed.case === 'refused' ? failed : {case: 'tokensReserved', value: {uses: [...getIndex(group).listUses(program)]}};
 	};
 
-	const settle = async ({program, use, expiresAtMs, turn}: Extract<MessageBody, {case: 'settleTurn'}>['value']): Promise<MessageBodyInit> => {
-		const stored = [store.add({case: 'use', value: {program, use, expiresAtMs}})];
-		if (turn) {
-			stored.push(store.add({case: 'turn', value: turn}));
-		}
-
-		const answers = await Promise.all(stored.map(async each => answerWhenStored(each, {case: 'acknowledged', value: {}})));
+	const settle = async ({group, program, use, expiresAtMs, turn, ancestors}: Extract<MessageBody, {case: 'settleTurn'}>['value']): Promise<MessageBodyInit> => {
+		const facts: CopyRecord[] = [{case: 'use', value: {program, use, expiresAtMs}}, ...[...ancestors, ...(turn ? [turn] : [])].map(value => ({case: 'turn' as const, value}))];
+		const answers = await Promise.all(facts.map(async fact => answerWhenStored(store.add(group as GroupId, fact), {case: 'acknowledged', value: {}})));
 		return answers.find(each => each.case === 'refused') ?? {case: 'acknowledged', value: {}};
 	};
 
-	const answerSync = async (listVersion: number): Promise<MessageBodyInit> => await syncCopy(listVersion) ? {case: 'acknowledged', value: {}} : REFUSED;
+	const answerSync = async ({group, listVersion}: GroupRequest): Promise<MessageBodyInit> => await syncCopy(group as GroupId, listVersion) ? {case: 'acknowledged', value: {}} : REFUSED;
 
 	return ({body, reply}) => {
 		const answered = answer(body);
--- a/packages/turns/src/membership/__tests__/has-quorum.test.ts
+++ b/packages/turns/src/membership/__tests__/has-quorum.test.ts
@@ -4,7 +4,9 @@
 import {hasQuorum} from '../has-quorum.js';
 import type {HolderList} from '../holder-list.js';
 
-const createHolders = (ids: readonly string[]) => ids.map(diskId => ({diskId, host: `host-${diskId}`, address: ''}));
+const createHolders = (ids: readonly string[]) => ids.map(diskId => ({
+	diskId, host: `host-${diskId}`, address: '', dataCentre: '',
+}));
 const createIds = (count: number) => Array.from({length: count}, (_, index) => String.fromCodePoint(97 + index));
 
 describe('countQuorum', () => {
--- a/packages/turns/src/membership/from-wire-list.ts
+++ b/packages/turns/src/membership/from-wire-list.ts
@@ -5,7 +5,9 @@
 import type {Holder} from './holder.js';
 import type {HolderList} from './holder-list.js';
 
-const toHolder = ({diskId, host, address}: Holder): Holder => ({diskId, host, address});
+const toHolder = ({diskId, host, address, dataCentre}: Holder): Holder => ({
+	diskId, host, address, dataCentre,
+});
 
 /** Returns `undefined` for a missing list and for version 0, which stands for no list. */
 export const fromWireList = (list: WireHolderList | undefined): HolderList | undefined => {
--- a/packages/turns/src/membership/holder.ts
+++ b/packages/turns/src/membership/holder.ts
@@ -9,4 +9,5 @@
 	readonly host: string;
 	/** `http://IP:PORT` on which the holder listens for its peers. */
 	readonly address: string;
+	readonly dataCentre: string;
 };
--- a/packages/turns/src/membership/parse-holder-list.ts
+++ b/packages/turns/src/membership/parse-holder-list.ts
@@ -1,13 +1,13 @@
 /**
-Parses and validates the list of holders as the platform's service stores it.
+Parses and validates the list of a group's holders as the platform's service
+stores it.
 */
-import {
-	err, fromThrowable, ok, type Result,
-} from 'neverthrow';
+import type {Result} from 'neverthrow';
 import * as z from 'zod';
 import type {HolderList} from '../membership/holder-list.js';
+import {HolderSchema} from './holder-schema.js';
+import {parseJsonAs} from './parse-json-as.js';
 
-const HolderSchema = z.object({diskId: z.string().min(1), host: z.string(), address: z.string()});
 const HolderListSchema = z.object({
 	version: z.int().positive(),
 	current: z.array(HolderSchema).min(1),
@@ -15,12 +15,4 @@
 });
 
 /** `text` is JSON; the error says what is wrong with it. */
-export const parseHolderList = (text: string): Result<HolderList, string> => {
-	const value = fromThrowable((): unknown => JSON.parse(text), String)();
-	if (value.isErr()) {
-		return err(value.error);
-	}
-
-	const parsed = HolderListSchema.safeParse(value.value);
-	return parsed.success ? ok(parsed.data) : err(parsed.error.message);
-};
+export const parseHolderList = (text: string): Result<HolderList, string> => parseJsonAs(text, HolderListSchema);
