feat(gateway): admission of programs by the event loop's utilization, bytes without end

A request's clock started only when it was read, so that requests were held past their route's time-out.

Change: - The first call of a program is refused (503, not run, another gateway at once) while the event loop is over 80% busy and arrived data waits; less urgent programs first. Calls of programs under way are always accepted. Nothing is measured while there are no requests. - A request's clock starts earlier by the time that arrived data waits. - An event of over 256 KB ends the stream; the rest of a refusal is read for at most 64 KB and 1 s; a head over the declared maxHeaderBytes is answered 431.

--- /dev/null
+++ b/packages/gateway/src/admission/__tests__/admission.test.ts
@@ -0,0 +1,142 @@
+/**
+Load: a gateway whose processor handles 45 calls a second gets programs of twenty
+calls each, at twice that rate.
+*/
+import type {ProgramId} from '@siskinhub/core/ids/program-id.js';
+import type {RequestId} from '@siskinhub/core/ids/request-id.js';
+import {
+	afterEach, beforeEach, describe, expect, it, vi,
+} from 'vitest';
+import type {CallHead} from '../../call/call-head.js';
+import type {Route} from '../../routes/route.js';
+import {createAdmission} from '../create-admission.js';
+import {createLoopMonitor} from '../create-loop-monitor.js';
+import {decideAdmission} from '../decide-admission.js';
+
+const createCall = (program: string | undefined, previousTurn?: string): CallHead => ({
+	id: 'r' as RequestId, method: 'POST', path: '/', host: 'h', headers: [], ...(program !== undefined && {program: {id: program as ProgramId, ...(previousTurn && {previousTurn: previousTurn as RequestId})}}),
+});
+
+const createGate = (read: () => {queueMs: number; utilization: number}, rank = 1) => {
+	let state = 1;
+	return createAdmission({
+		routes: {match: () => ({rank}) as Route},
+		loop: {read},
+		random() {
+			state = (state * 16_807) % 2_147_483_647;
+			return state / 2_147_483_647;
+		},
+	});
+};
+
+describe('decideAdmission', () => {
+	const decide = (utilization: number, rank: number, queueMs = 30) => decideAdmission({
+		queueMs, utilization, rank, isFirstCall: true,
+	}, 0.5);
+
+	it('accepts everything while there is time left, and refuses less urgent programs first', () => {
+		expect([decide(0.7, 0), decide(0.7, 2)]).toEqual(['accept', 'accept']);
+		expect([decide(0.9, 0), decide(0.9, 2)]).toEqual(['accept', 'refuse']);
+		expect([decide(1, 0), decide(1, 2)]).toEqual(['refuse', 'refuse']);
+	});
+
+	it('accepts everything while nothing waits, however busy the loop is', () => {
+		expect(decide(1, 2, 1)).toBe('accept');
+	});
+
+	it('never refuses a call of a program under way', () => {
+		expect(decideAdmission({
+			queueMs: 1000, utilization: 1, rank: 2, isFirstCall: false,
+		}, 0)).toBe('accept');
+	});
+});
+
+describe('createAdmission', () => {
+	it('refuses first calls only, and keeps a program that it has accepted', () => {
+		const state = {queueMs: 0, utilization: 0};
+		const isAdmitted = createGate(() => state);
+		expect(isAdmitted(createCall('known'))).toBe(true);
+		Object.assign(state, {queueMs: 1000, utilization: 1});
+		expect([createCall('known'), createCall('moved here', 'earlier turn'), createCall(undefined)].map(call => isAdmitted(call))).toEqual([true, true, true]);
+		expect(isAdmitted(createCall('new'))).toBe(false);
+	});
+
+	it('serves as many whole programs as the processor can under twice the load, nearly all without waiting', () => {
+		const CALL_MS = 22;
+		const CALLS = 20;
+		const PAUSE_MS = 250;
+		const SECONDS = 120;
+		const INTERVAL_MS = CALL_MS * CALLS / 2;
+		let queue: Array<{program: number; call: number}> = [];
+		const paused: Array<{program: number; call: number; until: number}> = [];
+		const state = {queueMs: 0, utilization: 0};
+		const isAdmitted = createGate(() => state);
+		const waits: number[] = [];
+		let programs = 0;
+		let finished = 0;
+		for (let now = 0; now < SECONDS * 1000; now += CALL_MS) {
+			while (programs * INTERVAL_MS <= now) {
+				if (isAdmitted(createCall(`p${programs}`))) {
+					queue.push({program: programs, call: 1});
+				}
+
+				programs++;
+			}
+
+			queue = [...queue, ...paused.filter(({until}) => until <= now)];
+			paused.splice(0, paused.length, ...paused.filter(({until}) => until > now));
+			const next = queue.shift();
+			state.utilization += 0.05 * ((next ? 1 : 0) - state.utilization);
+			state.queueMs = CALL_MS * (queue.length + 1);
+			waits.push(state.queueMs);
+			if (next?.call === CALLS) {
+				finished++;
+			} else if (next) {
+				paused.push({...next, call: next.call + 1, until: now + PAUSE_MS});
+			}
+		}
+
+		const capacity = SECONDS * 1000 / CALL_MS / CALLS;
+		expect(programs).toBeGreaterThan(1.9 * capacity);
+		expect(finished).toBeGreaterThan(0.75 * capacity);
+		expect(waits.toSorted((a, b) => a - b)[Math.floor(waits.length * 0.95)]).toBeLessThanOrEqual(10 * CALL_MS);
+	});
+});
+
+describe('createLoopMonitor', () => {
+	beforeEach(() => {
+		vi.useFakeTimers();
+	});
+	afterEach(() => {
+		vi.useRealTimers();
+	});
+
+	/** Runs iterations that take `ms` each and in which one request arrives. */
+	const runIterations = (monitor: ReturnType<typeof createLoopMonitor>, listeners: Array<() => void>, count: number, ms: number): void => {
+		for (let iteration = 0; iteration < count; iteration++) {
+			monitor.recordArrival();
+			monitor.recordArrival();
+			vi.advanceTimersByTime(ms);
+			for (const listener of listeners.splice(0)) {
+				listener();
+			}
+		}
+	};
+
+	it('follows the duration of iterations, without being misled by a single pause', () => {
+		const listeners: Array<() => void> = [];
+		const monitor = createLoopMonitor({schedule: listener => listeners.push(listener), now: () => performance.now(), measureUtilization: () => ({idle: 0, active: 0, utilization: 0.9})});
+		runIterations(monitor, listeners, 20, 2);
+		expect(monitor.read().queueMs).toBeLessThan(3);
+		runIterations(monitor, listeners, 1, 40);
+		expect(monitor.read().queueMs).toBeLessThan(12);
+		runIterations(monitor, listeners, 20, 50);
+		expect(monitor.read().queueMs).toBeGreaterThan(45);
+		runIterations(monitor, listeners, 20, 1);
+		expect(monitor.read().queueMs).toBeLessThan(5);
+		runIterations(monitor, listeners, 20, 50);
+		expect(monitor.read().utilization).toBeGreaterThan(0.8);
+		vi.advanceTimersByTime(1000);
+		expect(monitor.read()).toEqual({queueMs: 0, utilization: 0});
+	});
+});
--- /dev/null
+++ b/packages/gateway/src/admission/refuse-overloaded.ts
@@ -0,0 +1,29 @@
+/**
+Refuses a request because this gateway has too much to do.
+*/
+import type {CallHead} from '../call/call-head.js';
+import type {CallLog} from '../forward/call-log.js';
+import type {CallerResponse} from '../forward/caller-response.js';
+import type {GatewayMetrics} from '../metrics/gateway-metrics.js';
+import type {createLoopMonitor} from './create-loop-monitor.js';
+
+/** Another gateway may serve the caller at once. */
+const RETRY_OTHER_PROCESS_MS = 100;
+const STATUS = 503;
+const OUTCOME = 'overloaded';
+
+type RefusalOptions = {
+	readonly metrics: Pick<GatewayMetrics, 'countCall'>;
+	readonly calls: CallLog;
+	readonly loop: Pick<ReturnType<typeof createLoopMonitor>, 'read'>;
+};
+
+/** The request has not run. */
+export const refuseOverloaded = (call: CallHead, response: CallerResponse, {metrics, calls, loop}: RefusalOptions): void => {
+	const {queueMs, utilization} = loop.read();
+	response.refuse(STATUS, RETRY_OTHER_PROCESS_MS);
+	metrics.countCall(OUTCOME, STATUS, 0);
+	calls.write({
+		requestId: call.id, programId: call.program?.id, outcome: OUTCOME, status: STATUS, queueMs: Math.round(queueMs), utilization: Number(utilization.toFixed(2)),
+	}, false);
+};
--- a/packages/gateway/src/forward/run-attempt.ts
+++ b/packages/gateway/src/forward/run-attempt.ts
@@ -32,6 +32,9 @@
 
 /** A larger plain response is forwarded in chunks, and its request can no longer be retried. */
 const MAX_BUFFERED_BYTES = 1024 * 1024;
+/** Bounds of the rest of a refusal, after which its connection is closed. */
+const MAX_IGNORED_BYTES = 64 * 1024;
+const MAX_IGNORED_MS = 1000;
 
 /** Resolves once the attempt has ended. The caller's response has ended too if the result says so. */
 export const runAttempt = async (options: AttemptOptions): Promise<AttemptResult> => new Promise(resolve => {
@@ -44,6 +47,8 @@
 	let head: ResponseHead | undefined;
 	let responseClass: ReturnType<typeof classifyResponseHead> | undefined;
 	let isSettled = false;
+	let ignoredBytes = 0;
+	let ignoreTimer: NodeJS.Timeout | undefined;
 
 	const settle = (result: AttemptResult): void => {
 		if (!isSettled) {
@@ -60,6 +65,21 @@
 
 	const buildBreakResult = (message: string, isConnectionLost: boolean): AttemptResult => ({kind: response.isStarted() ? 'broken' : 'unknown', message, isConnectionLost});
 
+	/** The rest of a refusal is read rather than aborted, to keep the connection usable, but not without end. */
+	const ignoreRest = (): void => {
+		ignoreTimer = setTimeout(() => {
+			exchange.abort();
+		}, MAX_IGNORED_MS).unref();
+	};
+
+	const countIgnored = (chunk: Uint8Array): void => {
+		ignoredBytes += chunk.length;
+		if (ignoredBytes > MAX_IGNORED_BYTES) {
+			clearTimeout(ignoreTimer);
+			exchange.abort();
+		}
+	};
+
 	const startResponse = (): void => {
 		if (!response.isStarted()) {
 			response.start(head!.status, head!.headers, head!.isFramed);
@@ -68,6 +88,11 @@
 
 	const forwardEvents = (chunk: Uint8Array): void => {
 		const {bytes, events} = splitter.push(chunk);
+		if (splitter.isOversized()) {
+			abortWith(buildBreakResult('the upstream sent bytes without the end of an event', false));
+			return;
+		}
+
 		if (bytes.length === 0) {
 			return;
 		}
@@ -147,7 +172,7 @@
 
 			case 'full':
 			case 'not-run': {
-				// The rest of the response is ignored rather than aborted, to keep the connection usable.
+				ignoreRest();
 				settle({kind: 'not-run', isFull: responseClass === 'full', message: `refused with status ${status}`});
 				break;
 			}
@@ -181,6 +206,7 @@
 		onHead: handleHead,
 		onData(chunk) {
 			if (isSettled) {
+				countIgnored(chunk);
 				return;
 			}
 
@@ -191,6 +217,7 @@
 			}
 		},
 		onEnd() {
+			clearTimeout(ignoreTimer);
 			if (isSettled) {
 				return;
 			}
--- a/packages/gateway/src/host/start-gateway.ts
+++ b/packages/gateway/src/host/start-gateway.ts
@@ -10,6 +10,9 @@
 import type {PeerLink} from '@siskinhub/peer/peer-link.js';
 import {createHolderClient} from '@siskinhub/turns/client/create-holder-client.js';
 import {createListReader} from '@siskinhub/turns/client/create-list-reader.js';
+import {createAdmission} from '../admission/create-admission.js';
+import {createLoopMonitor} from '../admission/create-loop-monitor.js';
+import {refuseOverloaded} from '../admission/refuse-overloaded.js';
 import type {CallCodec} from '../call/call-codec.js';
 import {createCallLog} from '../forward/create-call-log.js';
 import {createCrashTracker} from '../forward/create-crash-tracker.js';
@@ -95,6 +98,7 @@
 		readList: lists.read, adoptList: lists.adopt, linkTo: holder => links.linkTo(holder.address), losses: cfg.losses, dataCentre: cfg.dataCentre,
 	});
 	const calls = createCallLog(log);
+	const loop = createLoopMonitor({schedule: setImmediate, now: () => performance.now(), measureUtilization: performance.eventLoopUtilization.bind(performance)});
 	const parts = {
 		codec, routes, directory, loads, pools, holderClient, crashes, metrics, calls, random: Math.random,
 	};
@@ -106,6 +110,14 @@
 		codec,
 		limits: () => routes.current()?.limits,
 		shouldKeepConnections: () => !holderClient.isCutOff(),
+		onArrival() {
+			loop.recordArrival();
+			return loop.read().queueMs;
+		},
+		isAdmitted: createAdmission({routes, loop, random: Math.random}),
+		onRefused(call, response) {
+			refuseOverloaded(call, response, {metrics, calls, loop});
+		},
 		async onCall(call, body, response, arrivedAt) {
 			await runCall(parts, call, body, response, arrivedAt);
 		},
@@ -135,7 +147,7 @@
 		return {status: ready ? 200 : 503, text: ''};
 	});
 	registerGatewayGauges(metrics, {
-		routes, view, holderClient, registry, countActive: server.countActive, lastReadAt: follower.lastReadAt,
+		routes, view, holderClient, registry, loop, countActive: server.countActive, lastReadAt: follower.lastReadAt,
 	});
 	const metricsServer = serveText(cfg.metrics, async () => ({status: 200, text: await metrics.render()}));
 	log.info('gateway started', {dataCentre: cfg.dataCentre, callers: cfg.callers});
--- a/packages/gateway/src/http/__tests__/listen-early.test.ts
+++ b/packages/gateway/src/http/__tests__/listen-early.test.ts
@@ -45,7 +45,7 @@
 		earlyListener,
 		codec: codec as CallCodec,
 		limits: () => undefined,
-		shouldKeepConnections: () => true,
+		shouldKeepConnections: () => true, onArrival: () => 0, isAdmitted: () => true, onRefused() {/* Nothing is refused. */},
 		async onCall({path}, body, response) {
 			response.start(200, ['x-path', path, 'content-length', String(body.length)], true);
 			response.finish(body);
--- a/packages/gateway/src/http/create-gateway-server.ts
+++ b/packages/gateway/src/http/create-gateway-server.ts
@@ -11,6 +11,7 @@
 import type {CallerResponse} from '../forward/caller-response.js';
 import type {DeclaredRoutes} from '../routes/declared-routes.js';
 import {createCallerResponse} from './create-caller-response.js';
+import {countHeadBytes} from './count-head-bytes.js';
 import type {EarlyListener} from './early-listener.js';
 import {readBody} from './read-body.js';
 
@@ -23,7 +24,12 @@
 	readonly limits: () => DeclaredRoutes['limits'] | undefined;
 	/** Returns `false` while other processes serve callers better: each connection is then closed after its current response. */
 	readonly shouldKeepConnections: () => boolean;
-	/** `arrivedAt`: by `Date.now()`, before the body is read. */
+	/** Called when a request arrives; returns for how many milliseconds it has probably waited to be read. */
+	readonly onArrival: () => number;
+	/** Called before the body is read; a request that is not admitted must be refused with `onRefused`. */
+	readonly isAdmitted: (call: CallHead) => boolean;
+	readonly onRefused: (call: CallHead, response: CallerResponse) => void;
+	/** `arrivedAt`: by `Date.now()`, when the request reached this host, as far as can be told. */
 	readonly onCall: (call: CallHead, body: Uint8Array, response: CallerResponse, arrivedAt: number) => Promise<void>;
 	/** Called with each request that is answered with `status` because it is malformed or too large. */
 	readonly onRejected: (reason: string, status: number) => void;
@@ -38,8 +44,9 @@
 	readonly stopListening: () => void;
 };
 
-/** Higher than any limit that is declared. */
+/** Higher than any limit that is declared; the declared one is checked for each request. */
 const MAX_HEADER_BYTES = 64 * 1024;
+const STATUS_HEAD_TOO_LARGE = 431;
 const DEFAULT_MAX_BODY_BYTES = 4 * 1024 * 1024;
 const TIMEOUT_CHECK_INTERVAL_MS = 1000;
 const DEFAULT_IDLE_TIMEOUT_MS = 15_000;
@@ -67,13 +74,13 @@
 
 /** Resolves once the server listens; rejects only if the address cannot be bound. */
 export const createGatewayServer = async ({
-	codec, limits, shouldKeepConnections, onCall, onRejected, ...address
+	codec, limits, shouldKeepConnections, onArrival, isAdmitted, onRefused, onCall, onRejected, ...address
 }: GatewayServerOptions): Promise<GatewayServer> => {
 	let active = 0;
 	let isDraining = false;
 
 	const handle = async (req: IncomingMessage, res: ServerResponse): Promise<void> => {
-		const arrivedAt = Date.now();
+		const arrivedAt = Date.now() - onArrival();
 		applyLimits(server, limits());
 		if (isDraining || !shouldKeepConnections()) {
 			res.shouldKeepAlive = false;
@@ -87,6 +94,18 @@
 			return;
 		}
 
+		if (countHeadBytes(req) > (limits()?.maxHeaderBytes ?? MAX_HEADER_BYTES)) {
+			res.shouldKeepAlive = false;
+			onRejected('the head of the request exceeds the limit maxHeaderBytes', STATUS_HEAD_TOO_LARGE);
+			response.refuse(STATUS_HEAD_TOO_LARGE);
+			return;
+		}
+
+		if (!isAdmitted(call.value)) {
+			onRefused(call.value, response);
+			return;
+		}
+
 		const body = await readBody(req, limits()?.maxBodyBytes ?? DEFAULT_MAX_BODY_BYTES);
 		if (body.kind === 'whole') {
 			await onCall(call.value, body.bytes, response, arrivedAt);
