fix(gateway): hedge by the usual duration, crash notes once, errors end one request

Each note now goes once over each link. - An unexpected error in the handling of a request, or of a message to a holder, was an unhandled rejection, which ends the process. It ends that request.

--- a/packages/entry/src/create-entry.ts
+++ b/packages/entry/src/create-entry.ts
@@ -283,7 +283,7 @@
 	// A new revision is sent at once rather than with the next heartbeat, so that it spreads along a chain of neighbours within milliseconds per hop.
 	table.subscribe(() => {
 		for (const link of [...inbound, ...pool().links()]) {
-			link.send({case: 'heartbeat', value: settings.createHeartbeat()});
+			link.send({case: 'heartbeat', value: settings.createHeartbeat(link)});
 		}
 	});
 	await hosts.refresh();
--- a/packages/gateway/src/admission/__tests__/admission.test.ts
+++ b/packages/gateway/src/admission/__tests__/admission.test.ts
@@ -13,14 +13,21 @@
 import {createLoopMonitor} from '../create-loop-monitor.js';
 import {decideAdmission} from '../decide-admission.js';
 
-const createCall = (program: string | undefined, previousTurn?: string): CallHead => ({
-	id: 'r' as RequestId, method: 'POST', path: '/', host: 'h', headers: [], ...(program !== undefined && {program: {id: program as ProgramId, ...(previousTurn && {previousTurn: previousTurn as RequestId})}}),
-});
+const createCall = (program: string | undefined, previousTurn?: string): CallHead => {
+	const call: CallHead = {
+		id: 'r' as RequestId, method: 'POST', path: '/', host: 'h', headers: [],
+	};
+	return program === undefined ? call : {...call, program: {id: program as ProgramId, ...(previousTurn && {previousTurn: previousTurn as RequestId})}};
+};
+
+const route: Route = {
+	name: 'r', host: 'h', prefix: '/', kind: 'stream', targets: [], timeoutMs: 3000, objectiveMs: 200, maxRuns: 1, rank: 1, isResumable: false, keepsTurns: true, retentionMs: 60_000, isSticky: true,
+};
 
-const createGate = (read: () => {queueMs: number; utilization: number}, rank = 1) => {
+const createGate = (read: () => {queueMs: number; utilization: number}) => {
 	let state = 1;
 	return createAdmission({
-		routes: {match: () => ({rank}) as Route},
+		routes: {match: () => route},
 		loop: {read},
 		random() {
 			state = (state * 16_807) % 2_147_483_647;
--- a/packages/gateway/src/forward/__tests__/create-crash-tracker.test.ts
+++ b/packages/gateway/src/forward/__tests__/create-crash-tracker.test.ts
@@ -70,6 +70,24 @@
 		expect(trackers.map(tracker => tracker.list())).toEqual([[], []]);
 	});
 
+	it('tells each crash once, however many heartbeats follow', () => {
+		const tracker = createCrashTracker(createClock().now);
+		let told = 0;
+		let sequence = 0;
+		for (let heartbeat = 0; heartbeat < 100; heartbeat++) {
+			if (heartbeat < 30) {
+				tracker.record(`r${heartbeat}`, 'a');
+			}
+
+			const next = tracker.listAfter(sequence);
+			told += next.crashes.length;
+			({sequence} = next);
+		}
+
+		expect(told).toBe(30);
+		expect(tracker.listAfter(0).crashes.length).toBe(30);
+	});
+
 	it('bounds its list and returns the latest crashes first', () => {
 		const tracker = createCrashTracker(createClock().now);
 		for (let index = 0; index < 5000; index++) {
--- a/packages/gateway/src/forward/create-crash-tracker.ts
+++ b/packages/gateway/src/forward/create-crash-tracker.ts
@@ -19,22 +19,27 @@
 const MAX_LISTED_CRASHES = 64;
 const MAX_TRACKED_REQUESTS = 2000;
 
+/** `sequence` numbers the crashes in the order in which this process learnt of them. */
+type KnownCrash = {readonly at: number; readonly sequence: number};
+
 /** `now` reads a monotonic clock, in milliseconds. */
 export const createCrashTracker = (now: () => number): CrashTracker => {
-	// Ordered by the latest crash; each value maps upstreams to the time of their crash.
-	const crashesByFingerprint = new Map<string, Map<string, number>>();
+	// Ordered by the latest crash; each value maps upstreams to their crash.
+	const crashesByFingerprint = new Map<string, Map<string, KnownCrash>>();
+	let newestSequence = 0;
 
 	const addCrash = (fingerprint: string, upstream: string, at: number): void => {
-		const crashTimes = crashesByFingerprint.get(fingerprint) ?? new Map<string, number>();
-		if (crashTimes.has(upstream) || now() - at >= CRASH_TTL_MS) {
+		const crashes = crashesByFingerprint.get(fingerprint) ?? new Map<string, KnownCrash>();
+		if (crashes.has(upstream) || now() - at >= CRASH_TTL_MS) {
 			return;
 		}
 
-		crashTimes.set(upstream, at);
+		newestSequence++;
+		crashes.set(upstream, {at, sequence: newestSequence});
 		crashesByFingerprint.delete(fingerprint);
-		crashesByFingerprint.set(fingerprint, crashTimes);
+		crashesByFingerprint.set(fingerprint, crashes);
 		for (const [oldest, times] of crashesByFingerprint) {
-			if (crashesByFingerprint.size <= MAX_TRACKED_REQUESTS && [...times.values()].some(each => now() - each < CRASH_TTL_MS)) {
+			if (crashesByFingerprint.size <= MAX_TRACKED_REQUESTS && [...times.values()].some(each => now() - each.at < CRASH_TTL_MS)) {
 				return;
 			}
 
@@ -42,6 +47,19 @@
 		}
 	};
 
+	const listAfter = (sequence: number): readonly Crash[] => {
+		const crashes: Crash[] = [];
+		for (const [fingerprint, upstreams] of [...crashesByFingerprint].toReversed()) {
+			for (const [upstream, {at, sequence: known}] of upstreams) {
+				if (known > sequence && now() - at < CRASH_TTL_MS && crashes.length < MAX_LISTED_CRASHES) {
+					crashes.push({fingerprint, upstream, ageMs: now() - at});
+				}
+			}
+		}
+
+		return crashes;
+	};
+
 	return {
 		record(fingerprint, upstream) {
 			addCrash(fingerprint, upstream, now());
@@ -51,19 +69,9 @@
 				addCrash(fingerprint, upstream, now() - ageMs);
 			}
 		},
-		list() {
-			const crashes: Crash[] = [];
-			for (const [fingerprint, upstreams] of [...crashesByFingerprint].toReversed()) {
-				for (const [upstream, at] of upstreams) {
-					if (now() - at < CRASH_TTL_MS && crashes.length < MAX_LISTED_CRASHES) {
-						crashes.push({fingerprint, upstream, ageMs: now() - at});
-					}
-				}
-			}
-
-			return crashes;
-		},
-		isDangerous: fingerprint => [...crashesByFingerprint.get(fingerprint)?.values() ?? []].filter(at => now() - at < CRASH_TTL_MS).length >= MIN_CRASHED_UPSTREAMS,
+		list: () => listAfter(0),
+		listAfter: sequence => ({crashes: sequence === newestSequence ? [] : listAfter(sequence), sequence: newestSequence}),
+		isDangerous: fingerprint => [...crashesByFingerprint.get(fingerprint)?.values() ?? []].filter(({at}) => now() - at < CRASH_TTL_MS).length >= MIN_CRASHED_UPSTREAMS,
 		isEmpty: () => crashesByFingerprint.size === 0,
 	};
 };
--- a/packages/gateway/src/host/create-host-links.ts
+++ b/packages/gateway/src/host/create-host-links.ts
@@ -42,15 +42,21 @@
 	readonly onPause: () => void;
 };
 
-/** The links answer neighbours that ask for changes of the declared state, and exchange the known upstream crashes with each heartbeat. */
+/** The links answer neighbours that ask for changes of the declared state, and tell each other new upstream crashes with each heartbeat. */
 export const createHostLinks = ({host, dataCentre, view, crashes, publisher, diskId = '', onMessage = () => false, onPause}: HostLinksOptions) => {
+	// The newest crash that was sent on each link; a new link gets all of them.
+	const sentSequences = new WeakMap<PeerLink, number>();
 	const settings: LinkSettings = {
 		hello: {
 			host, instance: randomUUID(), role: Role.ENTRY, dataCentre, dataFolderId: diskId,
 		},
 		heartbeatIntervalMs: HEARTBEAT_INTERVAL_MS,
 		silenceMs: SILENCE_MS,
-		createHeartbeat: () => ({crashes: crashes.list().map(({fingerprint, upstream, ageMs}) => ({fingerprint, upstream, ageMs: Math.round(ageMs)}))}),
+		createHeartbeat(link) {
+			const unsent = crashes.listAfter(sentSequences.get(link) ?? 0);
+			sentSequences.set(link, unsent.sequence);
+			return {crashes: unsent.crashes.map(({fingerprint, upstream, ageMs}) => ({fingerprint, upstream, ageMs: Math.round(ageMs)}))};
+		},
 		onHeartbeat(_link, heartbeat) {
 			crashes.merge(heartbeat.crashes);
 		},
--- a/packages/gateway/src/host/start-gateway.ts
+++ b/packages/gateway/src/host/start-gateway.ts
@@ -121,6 +121,9 @@
 		async onCall(call, body, response, arrivedAt) {
 			await runCall(parts, call, body, response, arrivedAt);
 		},
+		onFailed(reason) {
+			log.error('failed to handle a request because of an unexpected error', {reason});
+		},
 		onRejected(reason, status) {
 			log.warn('request rejected', {reason, status});
 		},
--- a/packages/gateway/src/http/__tests__/listen-early.test.ts
+++ b/packages/gateway/src/http/__tests__/listen-early.test.ts
@@ -50,6 +50,7 @@
 			response.start(200, ['x-path', path, 'content-length', String(body.length)], true);
 			response.finish(body);
 		},
+		onFailed() {/* Nothing fails. */},
 		onRejected() {/* Every request here is well formed. */},
 	});
 	closers.push(server.stopListening);
--- a/packages/gateway/src/http/create-gateway-server.ts
+++ b/packages/gateway/src/http/create-gateway-server.ts
@@ -31,6 +31,8 @@
 	readonly onRefused: (call: CallHead, response: CallerResponse) => void;
 	/** `arrivedAt`: by `Date.now()`, when the request reached this host, as far as can be told. */
 	readonly onCall: (call: CallHead, body: Uint8Array, response: CallerResponse, arrivedAt: number) => Promise<void>;
+	/** Called with the reason after an unexpected error, which ends only the one request. */
+	readonly onFailed: (reason: string) => void;
 	/** Called with each request that is answered with `status` because it is malformed or too large. */
 	readonly onRejected: (reason: string, status: number) => void;
 };
@@ -47,6 +49,7 @@
 /** Higher than any limit that is declared; the declared one is checked for each request. */
 const MAX_HEADER_BYTES = 64 * 1024;
 const STATUS_HEAD_TOO_LARGE = 431;
+const STATUS_BAD_GATEWAY = 502;
 const DEFAULT_MAX_BODY_BYTES = 4 * 1024 * 1024;
 const TIMEOUT_CHECK_INTERVAL_MS = 1000;
 const DEFAULT_IDLE_TIMEOUT_MS = 15_000;
@@ -72,9 +75,20 @@
 	});
 };
 
+/** The request may have run, so the caller is promised nothing. */
+const endAfterFailure = (res: ServerResponse): void => {
+	if (res.headersSent) {
+		res.destroy();
+		return;
+	}
+
+	res.writeHead(STATUS_BAD_GATEWAY, {connection: 'close', 'content-length': 0});
+	res.end();
+};
+
 /** Resolves once the server listens; rejects only if the address cannot be bound. */
 export const createGatewayServer = async ({
-	codec, limits, shouldKeepConnections, onArrival, isAdmitted, onRefused, onCall, onRejected, ...address
+	codec, limits, shouldKeepConnections, onArrival, isAdmitted, onRefused, onCall, onFailed, onRejected, ...address
 }: GatewayServerOptions): Promise<GatewayServer> => {
 	let active = 0;
 	let isDraining = false;
@@ -126,7 +140,12 @@
 		res.on('close', () => {
 			active--;
 		});
-		await handle(req, res);
+		try {
+			await handle(req, res);
+		} catch (error) {
+			onFailed(error instanceof Error ? error.message : String(error));
+			endAfterFailure(res);
+		}
 	});
 	applyLimits(server, undefined);
 	await listen(server, address);
--- a/packages/peer/src/create-link.ts
+++ b/packages/peer/src/create-link.ts
@@ -80,7 +80,7 @@
 			return;
 		}
 
-		outbound.push({body: {case: 'heartbeat', value: settings.createHeartbeat()}});
+		outbound.push({body: {case: 'heartbeat', value: settings.createHeartbeat(link)}});
 	}, settings.heartbeatIntervalMs);
 	heartbeatTimer.unref();
 
--- a/packages/peer/src/link-settings.ts
+++ b/packages/peer/src/link-settings.ts
@@ -13,8 +13,8 @@
 	readonly heartbeatIntervalMs: number;
 	/** A link that receives nothing for this long is closed. */
 	readonly silenceMs: number;
-	/** Returns the heartbeat to send. */
-	readonly createHeartbeat: () => MessageInitShape<typeof HeartbeatSchema>;
+	/** Returns the heartbeat to send on `link`. */
+	readonly createHeartbeat: (link: PeerLink) => MessageInitShape<typeof HeartbeatSchema>;
 	readonly onMessage: (message: IncomingMessage) => void;
 	readonly onHeartbeat?: (link: PeerLink, heartbeat: Heartbeat) => void;
 	readonly pauseDetector: PauseDetector;
--- a/packages/turns/src/client/ask-holders.ts
+++ b/packages/turns/src/client/ask-holders.ts
@@ -31,6 +31,8 @@
 	/** Handles one answer; returns whether the answers so far suffice. */
 	readonly onAnswer: (holder: Holder, answer: MessageBody) => boolean;
 	readonly timeoutMs: number;
+	/** Delay after which the remaining holders are asked too. */
+	readonly hedgeDelayMs: number;
 	/** Returns the group's newest known list; a round under an older one is abandoned. */
 	readonly readList: () => HolderList | undefined;
 };
@@ -42,11 +44,9 @@
 const RETRY_DELAY_MS = 100;
 /** How often a waiting round checks for a newer list. */
 const LIST_CHECK_INTERVAL_MS = 150;
-/** Several times the duration of a disk sync plus a network round trip. */
-const HEDGE_DELAY_MS = 40;
 
 /** Runs one round under one version of the list; the returned promise never rejects. */
-export const askHolders = async ({group, list, linkTo, holders, firstCount, buildRequest, onAnswer, timeoutMs, readList}: Round): Promise<RoundResult> => new Promise(resolve => {
+export const askHolders = async ({group, list, linkTo, holders, firstCount, buildRequest, onAnswer, timeoutMs, hedgeDelayMs, readList}: Round): Promise<RoundResult> => new Promise(resolve => {
 	const deadline = Date.now() + timeoutMs;
 	let isDone = false;
 	const finish = (result: RoundResult): void => {
@@ -119,7 +119,7 @@
 		}
 	};
 
-	const hedgeTimer = setTimeout(askRest, HEDGE_DELAY_MS);
+	const hedgeTimer = setTimeout(askRest, hedgeDelayMs);
 	let pending = Math.min(firstCount, holders.length);
 	for (const holder of holders.slice(0, firstCount)) {
 		void askOne(holder);
--- a/packages/turns/src/client/create-holder-client.ts
+++ b/packages/turns/src/client/create-holder-client.ts
@@ -26,6 +26,7 @@
 import {orderHolders} from '../membership/order-holders.js';
 import {askHolders} from '../client/ask-holders.js';
 import {createGroupMonitors} from '../client/create-group-monitors.js';
+import {createHedgeDelay} from '../client/create-hedge-delay.js';
 import {createSpentBudgetCache} from '../client/create-spent-budget-cache.js';
 import {tokenUses} from './token-uses.js';
 import type {HolderClient} from './holder-client.js';
@@ -60,6 +61,7 @@
 
 export const createHolderClient = ({readList, adoptList, linkTo, losses, dataCentre}: ClientOptions): HolderClient => {
 	const spentBudgets = createSpentBudgetCache();
+	const hedge = createHedgeDelay();
 	const monitors = createGroupMonitors({readList, linkTo, losses});
 
 	/** Repeats the round under each newer list until there are enough answers or the timeout has passed. `one` asks one holder first, `write` a write quorum. */
@@ -80,10 +82,13 @@
 			}
 
 			const holders = orderHolders(listAllHolders(list), {getRemote: holder => linkTo(holder).remote(), dataCentre, program});
+			const roundStartedAt = performance.now();
 			const result = await askHolders({
-				group, list, linkTo, holders, firstCount: kind === 'one' ? 1 : chooseFirstCount(list, losses), buildRequest, onAnswer: createAnswerHandler(list), timeoutMs: leftMs, readList: () => readList(group),
+				group, list, linkTo, holders, firstCount: kind === 'one' ? 1 : chooseFirstCount(list, losses), buildRequest, onAnswer: createAnswerHandler(list), timeoutMs: leftMs, hedgeDelayMs: hedge.delayMs(), readList: () => readList(group),
 			});
-			if (result.kind === 'too-few') {
+			if (result.kind === 'enough') {
+				hedge.record(performance.now() - roundStartedAt);
+			} else if (result.kind === 'too-few') {
 				monitors.recordFailedRound(group, startedAt);
 			}
 
--- a/packages/turns/src/holder/create-copy-service.ts
+++ b/packages/turns/src/holder/create-copy-service.ts
@@ -136,7 +136,12 @@
 		}
 
 		void (async () => {
-			reply(await answered);
+			try {
+				reply(await answered);
+			} catch (error) {
+				onError(String(error));
+				reply(REFUSED);
+			}
 		})();
 
 		return true;
