fix(sidecar): refuse every queued call when the queue is dropped

Cause: the loop removed entries from the list that it went over, so every second queued call stayed and could run after its entry had given it up. The test with six queued calls failed before (three of six were refused).

Also: the scheduler's load report and queue view are functions of their own, and the tests of turns share the function that advances their timers.

--- a/packages/sidecar/src/__tests__/run-scheduler.test.ts
+++ b/packages/sidecar/src/__tests__/run-scheduler.test.ts
@@ -160,6 +160,19 @@
 	expect(third.seen.fate).toBe(Fate.NOT_RUN);
 });
 
+test('every queued call is refused when the queue is dropped, however many wait', async () => {
+	const {scheduler, upstream} = createScheduler(() => false);
+	const calls = Array.from({length: 6}, (_, index) => {
+		const call = observe();
+		scheduler.submit(createDispatch(index + 1), call.observer, '');
+		return call;
+	});
+	scheduler.dropQueued('the sidecar was paused');
+	expect(calls.map(({seen}) => seen.fate)).toEqual(calls.map(() => Fate.NOT_RUN));
+	expect(scheduler.openRuns()).toBe(0);
+	expect(upstream.started).toEqual([]);
+});
+
 test('a lost run is failed if its call is idempotent and unknown otherwise', async () => {
 	const {scheduler, upstream} = createScheduler();
 	const repeatable = observe();
--- a/packages/sidecar/src/create-run-scheduler.ts
+++ b/packages/sidecar/src/create-run-scheduler.ts
@@ -21,6 +21,8 @@
 import {
 	type DoneSchema, Fate, type Grant,
 } from '@siskinhub/proto/gen/siskinhub/peer/v1/peer_pb.js';
+import {buildLoad} from './build-load.js';
+import {buildQueueView} from './build-queue-view.js';
 import {buildRunRequest} from './build-run-request.js';
 import {createRun} from './create-run.js';
 import {createRunStore} from './create-run-store.js';
@@ -100,17 +102,9 @@
 		return run.dispatch.grant;
 	};
 
-	const buildQueueView = (): QueueView => {
-		const {memoryTokens, heldTokens} = getMemory();
-		let usedTokens = heldTokens;
-		for (const run of running) {
-			usedTokens += run.queued.missingTokens;
-		}
-
-		return {
-			rows, slots, running: running.size, memoryTokens, freeTokens: Math.max(0, memoryTokens - usedTokens),
-		};
-	};
+	const readQueue = (): QueueView => buildQueueView({
+		rows, slots, running, ...getMemory(),
+	});
 
 	const isExpired = ({queued: {startBy = Infinity}}: Run): boolean => Date.now() > startBy;
 
@@ -120,7 +114,7 @@
 			return undefined;
 		}
 
-		const index = order(waiting.map(run => run.queued), buildQueueView(), Date.now());
+		const index = order(waiting.map(run => run.queued), readQueue(), Date.now());
 		const run = waiting[index];
 		if (!run || (getGrant(run).runAlone && running.size > 0)) {
 			return undefined;
@@ -326,21 +320,13 @@
 			}
 		},
 		dropQueued(reason) {
-			for (const run of waiting) {
+			// Refusing a call removes it from the queue.
+			for (let [run] = waiting; run; [run] = waiting) {
 				refuseQueued(run, reason);
 			}
 		},
 		openRuns: () => waiting.length + running.size,
-		describeLoad: () => ({
-			slots,
-			running: running.size,
-			queued: waiting.length,
-			queuedStarts: waiting.filter(run => run.queued.startsProgram).length,
-			memoryTokens: BigInt(buildQueueView().memoryTokens),
-			usedTokens: BigInt(buildQueueView().memoryTokens - buildQueueView().freeTokens),
-			callMs: statistics.callMs(),
-			tokenMs: statistics.tokenMs(),
-		}),
+		describeLoad: () => buildLoad(readQueue(), waiting, statistics),
 		activePrograms: () => new Set([...waiting, ...running].map(run => run.program)),
 		onChange(listener) {
 			changeListeners.push(listener);
--- a/packages/turns/src/__tests__/copies.test.ts
+++ b/packages/turns/src/__tests__/copies.test.ts
@@ -2,6 +2,7 @@
 import {
 	afterEach, beforeEach, describe, expect, it, vi,
 } from 'vitest';
+import {advanceUntilSettled} from './advance-until-settled.js';
 import {createFakeCluster} from './create-fake-cluster.js';
 
 const RETENTION_MS = 600_000;
@@ -13,22 +14,6 @@
 type Cluster = ReturnType<typeof createFakeCluster>;
 type Client = ReturnType<Cluster['createClient']>;
 
-/** Advances the fake timers until the promise is settled. */
-const advanceUntilSettled = async <Value>(promise: Promise<Value>): Promise<Value> => {
-	const state = {isDone: false};
-	const finish = async () => {
-		await promise;
-		state.isDone = true;
-	};
-
-	void finish();
-	while (!state.isDone) {
-		await vi.advanceTimersByTimeAsync(5);
-	}
-
-	return promise;
-};
-
 const store = async (client: Client, attempt: string, previous = '') => advanceUntilSettled(client.settle({
 	program: 'p', attempt, tokens: 10, retentionMs: RETENTION_MS,
 }, {previous, input: bytes(`in ${attempt};`), output: bytes(`out ${attempt};`)}, TIMEOUT_MS));
--- a/packages/turns/src/__tests__/groups.test.ts
+++ b/packages/turns/src/__tests__/groups.test.ts
@@ -7,6 +7,7 @@
 } from 'vitest';
 import {findGroup} from '../membership/find-group.js';
 import {GROUP_COUNT} from '../membership/group-count.js';
+import {advanceUntilSettled} from './advance-until-settled.js';
 import {createFakeCluster} from './create-fake-cluster.js';
 
 const HOLDERS = 24;
@@ -17,25 +18,11 @@
 const PROGRAMS = Array.from({length: 40}, (_, index) => `program-${index}`);
 
 type Client = ReturnType<ReturnType<typeof createFakeCluster>['createClient']>;
-
-const advanceUntilSettled = async <Value>(promise: Promise<Value>): Promise<Value> => {
-	const state = {isDone: false};
-	const finish = async () => {
-		await promise;
-		state.isDone = true;
-	};
-
-	void finish();
-	while (!state.isDone) {
-		await vi.advanceTimersByTimeAsync(5);
-	}
-
-	return promise;
-};
+type TurnContent = NonNullable<Parameters<Client['settle']>[1]>;
 
 const bytes = (text: string) => new TextEncoder().encode(text);
 
-const settle = async (client: Client, program: string, attempt: string, turn: {previous?: string; ancestors?: Parameters<Client['settle']>[1] extends infer Turn ? (Turn extends {ancestors?: infer Ancestors} ? Ancestors : never) : never} = {}) => client.settle({
+const settle = async (client: Client, program: string, attempt: string, turn: Partial<Pick<TurnContent, 'previous' | 'ancestors'>> = {}) => client.settle({
 	program, attempt, tokens: 10, retentionMs: RETENTION_MS,
 }, {
 	previous: turn.previous ?? '', input: bytes(`in ${attempt};`), output: bytes(`out ${attempt};`), ...(turn.ancestors && {ancestors: turn.ancestors}),
