fix(turns): a disk that was full takes writes again

Cause: after its first failed write the log's writer writes nothing more, and nobody opened another.

Change: half a second after a failure a new segment is opened and what had failed is written again first; until then writes are refused at once and do not enter the index. The holder's error line is written once a second.

--- a/packages/gateway/src/host/start-holder.ts
+++ b/packages/gateway/src/host/start-holder.ts
@@ -6,6 +6,7 @@
 import {createChangePublisher} from '@siskinhub/declared/create-change-publisher.js';
 import {createDeclaredView} from '@siskinhub/declared/create-declared-view.js';
 import type {DeclarationStore} from '@siskinhub/declared/declaration-store.js';
+import {createRepeatedErrorLog} from '@siskinhub/observe/create-repeated-error-log.js';
 import type {Logger} from '@siskinhub/observe/logger.js';
 import {createPeerServer} from '@siskinhub/peer/create-peer-server.js';
 import type {PeerLink} from '@siskinhub/peer/peer-link.js';
@@ -63,7 +64,11 @@
 
 /** Resolves once the process serves requests; rejects if its data folder cannot be used. */
 export const startHolder = async (cfg: HostConfig, {keys, store, metrics, log}: HolderOptions): Promise<{readonly stop: () => Promise<void>}> => {
-	const opened = await openCopyStore(cfg.dataFolder!);
+	const opened = await openCopyStore(cfg.dataFolder!, {
+		onRecovering(reason) {
+			log.warn('the disk did not take a write; trying it again', {reason});
+		},
+	});
 	if (opened.isErr()) {
 		throw new Error(`The data folder ${cfg.dataFolder} cannot be used: ${opened.error}`);
 	}
@@ -86,9 +91,7 @@
 		publisher,
 		diskId: copies.diskId,
 		onMessage: createCopyService({
-			store: copies, syncCopy, onError(reason) {
-				log.error('failed to write a record to the disk', {reason});
-			},
+			store: copies, syncCopy, onError: createRepeatedErrorLog(log, 'failed to write a record to the disk'),
 		}),
 		onPause() {
 			log.warn('process was paused; reconnecting the peer links', {});
--- a/packages/turns/src/disk/open-copy-store.ts
+++ b/packages/turns/src/disk/open-copy-store.ts
@@ -10,12 +10,14 @@
 */
 import {mkdir, readFile, unlink} from 'node:fs/promises';
 import {create} from '@bufbuild/protobuf';
+import type {HistoryError} from '@siskinhub/history/history-error.js';
 import {openLogWriter} from '@siskinhub/history/log/open-log-writer.js';
 import {segmentFiles} from '@siskinhub/history/log/segment-files.js';
 import {syncFolder} from '@siskinhub/history/log/sync-folder.js';
 import {RecordSchema, type Record as WireRecord} from '@siskinhub/proto/gen/siskinhub/peer/v1/peer_pb.js';
 import {err, ok, type Result} from 'neverthrow';
 import type {CopyStore} from './copy-store.js';
+import {createRecoveringWriter} from './create-recovering-writer.js';
 import {createGroupIndexes} from './create-group-indexes.js';
 import {recordCodec} from './record-codec.js';
 import {readDiskId} from './read-disk-id.js';
@@ -23,6 +25,14 @@
 const DEFAULT_SEGMENT_BYTES = 16 * 1024 * 1024;
 const LINE_BREAK = 0x0A;
 
+type CopyStoreOptions = {
+	readonly segmentBytes?: number;
+	/** Called with the reason when the disk did not take a write and is tried again. */
+	readonly onRecovering?: (reason: string) => void;
+};
+
+const describeError = (error: HistoryError): string => 'message' in error ? error.message : error.kind;
+
 const toMessage = (error: unknown): string => error instanceof Error ? error.message : String(error);
 
 /** Decodes every intact line and skips what torn writes left in between. */
@@ -61,23 +71,25 @@
 };
 
 /** No other process may have `folder` open. Fails if the disk cannot be read or written. */
-export const openCopyStore = async (folder: string, {segmentBytes = DEFAULT_SEGMENT_BYTES}: {readonly segmentBytes?: number} = {}): Promise<Result<CopyStore, string>> => {
+export const openCopyStore = async (folder: string, {segmentBytes = DEFAULT_SEGMENT_BYTES, onRecovering}: CopyStoreOptions = {}): Promise<Result<CopyStore, string>> => {
 	try {
 		const recovered = await recover(folder);
 		const {diskId, isNew, indexes} = recovered;
 		let {segments: oldSegments, bytes} = recovered;
-		const openWriter = (firstSegment: number) => openLogWriter({
-			folder, firstSegment, segmentBytes, encodeSegmentHeader: () => [], onQueued(_segment, length) {
-				bytes += length;
-			},
+		const openWriter = (start: number) => createRecoveringWriter({
+			firstSegment: start, onRecovering, openWriter: firstSegment => openLogWriter({
+				folder, firstSegment, segmentBytes, encodeSegmentHeader: () => [], onQueued(_segment, length) {
+					bytes += length;
+				},
+			}),
 		});
 		// Resolves once the records that were queued before the last compaction are on the disk.
 		let closingOldWriter: Promise<void> = Promise.resolve();
 		let writer = openWriter((oldSegments.at(-1) ?? 0) + 1);
 
 		const write = async (record: WireRecord): Promise<Result<void, string>> => {
-			const done = await writer.append(recordCodec.encode(record)).done;
-			return done.mapErr(error => 'message' in error ? error.message : error.kind);
+			const done = await writer.append(recordCodec.encode(record));
+			return done.mapErr(describeError);
 		};
 
 		/** Switches to a new writer first, so that records added during the rewrite go to new segments and none is missed. */
@@ -109,6 +121,11 @@
 			isNew,
 			getIndex: indexes.get,
 			async add(group, fact) {
+				const failure = writer.findFailure();
+				if (failure) {
+					return err(describeError(failure));
+				}
+
 				const record = create(RecordSchema, {group, fact});
 				if (indexes.add(record)) {
 					return write(record);
@@ -116,7 +133,7 @@
 
 				await closingOldWriter;
 				const flushed = await writer.flush();
-				return flushed.mapErr(error => 'message' in error ? error.message : error.kind);
+				return flushed.mapErr(describeError);
 			},
 			async compact() {
 				indexes.forgetExpired(Date.now());
