fix(gateway): no removal is deferred after a refusal that hit one process only

Cause: after the platform's service has been away, removals of upstreams are deferred by 2.6 s, since entries lapse in an outage and come back.

Change: a relay tells with each read for how long entries may still be missing, as it saw it; a process that returns through a relay takes over that time.

Test: follow-store.test.ts (turned away alone: nothing is deferred once a relay tells; after an outage as before). Before, such a process deferred in any case.

--- a/packages/declared/src/__tests__/relays.test.ts
+++ b/packages/declared/src/__tests__/relays.test.ts
@@ -40,7 +40,7 @@
 
 const startProcess = (service: DeclarationSource, listRelays: () => readonly DeclarationRelay[]) => {
 	const view = createDeclaredView();
-	const publisher = createChangePublisher<symbol>(view, INTERVAL_MS);
+	const publisher = createChangePublisher<symbol>(view, INTERVAL_MS, () => 0);
 	const stopping = new AbortController();
 	const state = {isFrozen: false, isCutFromService: false, reachability: [] as boolean[]};
 	void followDeclarations({
@@ -61,7 +61,7 @@
 		intervalMs: INTERVAL_MS,
 		relaySilenceMs: SILENCE_MS,
 		onOwnRead: publisher.publish,
-		onFresh() {/* Not observed. */},
+		onNews() {/* Not observed. */},
 		onReachable(isReachable) {
 			state.reachability.push(isReachable);
 		},
--- a/packages/declared/src/create-change-publisher.ts
+++ b/packages/declared/src/create-change-publisher.ts
@@ -20,8 +20,8 @@
 /** A follower that does not ask again within this time is dropped. */
 const FOLLOWER_TTL_MS = 10_000;
 
-/** `Key` identifies a follower, such as its link; `freshMs` is how long a read counts as up to date. */
-export const createChangePublisher = <Key>(view: DeclaredView, freshMs: number) => {
+/** `Key` identifies a follower, such as its link; `freshMs` is how long a read counts as up to date, and `readLapseGraceMs` returns for how long entries may still be missing after an outage. */
+export const createChangePublisher = <Key>(view: DeclaredView, freshMs: number, readLapseGraceMs: () => number) => {
 	const followers = new Map<Key, Follower>();
 	let lastReadAt = -Infinity;
 
@@ -34,7 +34,7 @@
 	};
 
 	const sendChanges = (follower: Follower, cache: Map<number, DeclaredChanges>): void => {
-		const changes = cache.get(follower.revision) ?? view.changesSince(follower.revision);
+		const changes = cache.get(follower.revision) ?? {...view.changesSince(follower.revision), lapseGraceMs: readLapseGraceMs()};
 		cache.set(follower.revision, changes);
 		follower.revision = changes.revision;
 		follower.send(changes);
--- a/packages/declared/src/follow-declarations.ts
+++ b/packages/declared/src/follow-declarations.ts
@@ -29,8 +29,8 @@
 	readonly relaySilenceMs: number;
 	/** Called after each successful own read of the service. */
 	readonly onOwnRead: () => void;
-	/** Called after each change that a relay or the service told. */
-	readonly onFresh: () => void;
+	/** Called before the changes that a relay or the service told are applied, and after `onReachable`. */
+	readonly onNews: (changes: DeclaredChanges) => void;
 	/** Called after the first read, and whenever the service stops or resumes answering. */
 	readonly onReachable: (isReachable: boolean, reason: string) => void;
 	readonly signal: AbortSignal;
@@ -86,7 +86,7 @@
 
 /** Runs until the signal aborts. */
 export const followDeclarations = async (options: FollowOptions): Promise<void> => {
-	const {view, chooseRelay, intervalMs, relaySilenceMs, onReachable, onOwnRead, onFresh, signal} = options;
+	const {view, chooseRelay, intervalMs, relaySilenceMs, onReachable, onOwnRead, onNews, signal} = options;
 	const failedRelays = createFailedRelays();
 	let isReachable: boolean | undefined;
 	const reportReachability = (next: boolean, reason: string): void => {
@@ -98,8 +98,8 @@
 
 	const takeOver = (changes: DeclaredChanges): void => {
 		reportReachability(true, '');
+		onNews(changes);
 		view.apply(changes);
-		onFresh();
 	};
 
 	const readOnce = async (): Promise<void> => {
--- /dev/null
+++ b/packages/gateway/src/host/__tests__/follow-store.test.ts
@@ -0,0 +1,93 @@
+/**
+Load: the platform's service turns one process away for some seconds and serves
+all others, and an upstream is removed at that time.
+*/
+import {createDeclaredView} from '@siskinhub/declared/create-declared-view.js';
+import type {DeclarationRelay} from '@siskinhub/declared/declaration-relay.js';
+import type {DeclarationStore} from '@siskinhub/declared/declaration-store.js';
+import type {DeclaredChanges} from '@siskinhub/declared/declared-changes.js';
+import {err, ok} from 'neverthrow';
+import {
+	afterEach, beforeEach, expect, it, vi,
+} from 'vitest';
+import {followStore} from '../follow-store.js';
+
+const RELIST_MS = 2600;
+
+const silentLog = {
+	trace() {/* Tests read no logs. */}, debug() {/* Same. */}, info() {/* Same. */}, warn() {/* Same. */}, error() {/* Same. */}, child: () => silentLog,
+};
+
+beforeEach(() => {
+	vi.useFakeTimers();
+});
+afterEach(() => {
+	vi.useRealTimers();
+});
+
+const start = () => {
+	const state = {isTurnedAway: false, hasRelay: false};
+	let tell: ((changes: DeclaredChanges) => void) | undefined;
+	const store: DeclarationStore = {
+		readChanges: async () => state.isTurnedAway ? err({kind: 'unavailable', message: 'turned away'}) : ok({entries: [], revision: 7, isWhole: false}),
+		commit: async () => undefined,
+	};
+	const relay: DeclarationRelay = {
+		id: 'r', follow(_after, onRead) {
+			tell = onRead;
+			return {close() {/* Nothing is open. */}};
+		},
+	};
+	const stopping = new AbortController();
+	const follower = followStore({
+		view: createDeclaredView(),
+		store,
+		publisher: {publish() {/* Nobody follows. */}},
+		chooseRelay: () => state.hasRelay ? relay : undefined,
+		listNeighbours: () => [],
+		cfg: {relistMs: RELIST_MS, applyWithinMs: 2000},
+		log: silentLog,
+		signal: stopping.signal,
+	});
+	return {
+		state,
+		graceMs: () => Math.max(0, follower.graceUntil() - Date.now()),
+		tell(lapseGraceMs: number) {
+			tell!({
+				entries: [], revision: 8, isWhole: false, lapseGraceMs,
+			});
+		},
+		stop() {
+			stopping.abort();
+		},
+	};
+};
+
+it('defers no removal once a relay tells that the service was up all the time', async () => {
+	const process = start();
+	await vi.advanceTimersByTimeAsync(100);
+	process.state.isTurnedAway = true;
+	await vi.advanceTimersByTimeAsync(3000);
+	expect(process.graceMs()).toBe(RELIST_MS);
+	process.state.hasRelay = true;
+	await vi.advanceTimersByTimeAsync(1000);
+	process.tell(0);
+	expect(process.graceMs()).toBe(0);
+	process.stop();
+});
+
+it('defers removals for as long as the relay does after an outage, and after an outage that it saw itself', async () => {
+	const process = start();
+	await vi.advanceTimersByTimeAsync(100);
+	process.state.hasRelay = true;
+	await vi.advanceTimersByTimeAsync(1000);
+	process.tell(1500);
+	expect(process.graceMs()).toBe(1500);
+	process.state.hasRelay = false;
+	process.state.isTurnedAway = true;
+	await vi.advanceTimersByTimeAsync(5000);
+	process.state.isTurnedAway = false;
+	await vi.advanceTimersByTimeAsync(750);
+	expect(process.graceMs()).toBeGreaterThan(RELIST_MS - 800);
+	process.stop();
+});
--- a/packages/gateway/src/host/follow-store.ts
+++ b/packages/gateway/src/host/follow-store.ts
@@ -28,7 +28,7 @@
 export const followStore = ({view, store, publisher, chooseRelay, listNeighbours, cfg, log, signal}: FollowStoreOptions): {readonly graceUntil: () => number; readonly lastReadAt: () => number} => {
 	const {relistMs} = cfg;
 	let isReachable = true;
-	let recoveredAt = -Infinity;
+	let graceEndsAt = -Infinity;
 	let lastReadAt = performance.now();
 	let relayId: string | undefined;
 	const chooseAndLog = (failed: ReadonlySet<string>): DeclarationRelay | undefined => {
@@ -48,12 +48,16 @@
 		listNeighbours,
 		...deriveReadTimes(cfg.applyWithinMs),
 		onOwnRead: publisher.publish,
-		onFresh() {
+		onNews({lapseGraceMs}) {
 			lastReadAt = performance.now();
+			// This process may have been turned away while the service served all others: nothing lapsed then, and a relay knows.
+			if (lapseGraceMs !== undefined) {
+				graceEndsAt = Date.now() + lapseGraceMs;
+			}
 		},
 		onReachable(next, reason) {
 			if (next && !isReachable) {
-				recoveredAt = Date.now();
+				graceEndsAt = Date.now() + relistMs;
 			}
 
 			isReachable = next;
@@ -61,5 +65,5 @@
 		},
 		signal,
 	});
-	return {graceUntil: () => isReachable ? recoveredAt + relistMs : Date.now() + relistMs, lastReadAt: () => lastReadAt};
+	return {graceUntil: () => isReachable ? graceEndsAt : Date.now() + relistMs, lastReadAt: () => lastReadAt};
 };
--- a/packages/gateway/src/host/start-gateway.ts
+++ b/packages/gateway/src/host/start-gateway.ts
@@ -60,7 +60,7 @@
 	const view = createDeclaredView();
 	const routes = createRouteTable();
 	const crashes = createCrashTracker(() => performance.now());
-	const publisher = createChangePublisher<PeerLink>(view, deriveReadTimes(cfg.applyWithinMs).intervalMs);
+	const publisher = createChangePublisher<PeerLink>(view, deriveReadTimes(cfg.applyWithinMs).intervalMs, () => Math.max(0, follower.graceUntil() - Date.now()));
 	const links = createHostLinks({
 		host: cfg.host, dataCentre: cfg.dataCentre, view, crashes, publisher, onPause() {
 			log.warn('process was paused; reconnecting the peer links', {});
--- a/packages/gateway/src/host/start-holder.ts
+++ b/packages/gateway/src/host/start-holder.ts
@@ -77,7 +77,7 @@
 	const stopping = new AbortController();
 	const view = createDeclaredView();
 	const registry = createHolderRegistry({view, store, keys});
-	const publisher = createChangePublisher<PeerLink>(view, deriveReadTimes(cfg.applyWithinMs).intervalMs);
+	const publisher = createChangePublisher<PeerLink>(view, deriveReadTimes(cfg.applyWithinMs).intervalMs, () => Math.max(0, follower.graceUntil() - Date.now()));
 	const linkTo = (holder: Holder) => links.linkTo(holder.address);
 	const syncCopy: SyncCopy = async (group, listVersion) => copyFromHolders({
 		store: copies, group, listVersion, losses: cfg.losses, linkTo,
@@ -102,7 +102,7 @@
 	};
 	await createPeerServer({ip: cfg.peers.ip, port: cfg.peers.port, settings: links.settings});
 	const retiring = followRetireRequests(view, keys);
-	followStore({
+	const follower = followStore({
 		view,
 		store,
 		publisher,
