fix(gateway): the time that own turns wait at an engine counts in its choice

Cause: each gateway ranks engines by its own turns alone. The first events of its own turns tell each gateway how full the engine is, and nobody looked at them.

A stream counts as served with its first bytes, no longer with its head.

--- a/packages/gateway/src/forward/create-attempt-runner.ts
+++ b/packages/gateway/src/forward/create-attempt-runner.ts
@@ -68,7 +68,7 @@
 				progress,
 				priority: call.prompt && Math.min(LEAST_URGENT_PRIORITY, DEFAULT_PRIORITY + route.rank),
 				completeTurn,
-				onAnswered: activeCall.markAnswered,
+				onServed: activeCall.markAnswered,
 			});
 			const isUpstreamOk = result.kind === 'done' || result.kind === 'gone';
 			activeCall.end(isUpstreamOk ? 'done' : (result.kind === 'not-run' && result.isFull ? 'full' : 'failed'));
--- a/packages/gateway/src/forward/run-attempt.ts
+++ b/packages/gateway/src/forward/run-attempt.ts
@@ -26,8 +26,8 @@
 	readonly priority: number | undefined;
 	/** Stores the turn before the response ends; resolves to whether that succeeded. */
 	readonly completeTurn: () => Promise<boolean>;
-	/** Called when the upstream's response begins. */
-	readonly onAnswered: () => void;
+	/** Called when the upstream begins to serve the request: with the head of a plain response, with the first bytes of a stream. */
+	readonly onServed: () => void;
 };
 
 /** A larger plain response is forwarded in chunks, and its request can no longer be retried. */
@@ -38,7 +38,7 @@
 
 /** Resolves once the attempt has ended. The caller's response has ended too if the result says so. */
 export const runAttempt = async (options: AttemptOptions): Promise<AttemptResult> => new Promise(resolve => {
-	const {plan, upstream, pool, codec, response, progress, priority, completeTurn, onAnswered} = options;
+	const {plan, upstream, pool, codec, response, progress, priority, completeTurn, onServed} = options;
 	const {call, route, body, deadlineAt} = plan;
 	const isStream = route.kind === 'stream';
 	const splitter = createEventSplitter();
@@ -162,7 +162,6 @@
 	const handleHead = (status: number, headers: Record<string, string | string[] | undefined>): void => {
 		head = codec.decodeResponse(status, headers);
 		responseClass = classifyResponseHead(head, call.id);
-		onAnswered();
 		switch (responseClass) {
 			case 'foreign':
 			case 'unproven': {
@@ -187,6 +186,10 @@
 			}
 
 			case 'success': {
+				if (!isStream) {
+					onServed();
+				}
+
 				break;
 			}
 		}
@@ -211,6 +214,7 @@
 			}
 
 			if (isStream && responseClass === 'success') {
+				onServed();
 				forwardEvents(chunk);
 			} else {
 				bufferOrWrite(chunk);
--- /dev/null
+++ b/packages/gateway/src/placement/__tests__/many-gateways.test.ts
@@ -0,0 +1,52 @@
+import {
+	afterEach, beforeEach, describe, expect, it, vi,
+} from 'vitest';
+import {simulateFleet} from './simulate-fleet.js';
+
+/** Time to the first event within which a turn earns its full worth on the users' sheets. */
+const OBJECTIVE_MS = 200;
+
+beforeEach(() => {
+	vi.useFakeTimers();
+});
+
+afterEach(() => {
+	vi.useRealTimers();
+});
+
+const createRandom = (seed: number) => {
+	let state = seed;
+	return (): number => {
+		state = ((state * 1_103_515_245) + 12_345) % 2_147_483_648;
+		return state / 2_147_483_648;
+	};
+};
+
+describe('many gateways that see only their own turns', () => {
+	// Guards against SHORT: engines that all gateways preferred filled up unseen while half of the others were idle.
+	it.each([
+		{
+			gateways: 19, engines: 28, slots: 6, turnsPerS: 400,
+		},
+		{
+			gateways: 19, engines: 28, slots: 6, turnsPerS: 800,
+		},
+		{
+			gateways: 60, engines: 80, slots: 6, turnsPerS: 1200,
+		},
+	])('$gateways gateways serve $turnsPerS turns a second in time on $engines engines with $slots places', fleet => {
+		const {waits, refused} = simulateFleet({
+			...fleet, durationMs: 5000, readPerMs: 112, random: createRandom(1),
+		});
+		expect(waits[Math.floor(waits.length * 0.9)]).toBeLessThan(OBJECTIVE_MS);
+		expect(refused).toBe(0);
+	}, 60_000);
+
+	it('reads no more prompts again than a tenth of those that programs share', () => {
+		const {readTokens} = simulateFleet({
+			gateways: 19, engines: 28, slots: 6, turnsPerS: 400, durationMs: 5000, readPerMs: 112, random: createRandom(3),
+		});
+		const ownTokensOfTurn = 208;
+		expect(readTokens).toBeLessThan(ownTokensOfTurn + 256);
+	}, 60_000);
+});
--- /dev/null
+++ b/packages/gateway/src/placement/__tests__/simulate-fleet.ts
@@ -0,0 +1,162 @@
+/**
+A fleet of gateways that choose among the same engines, each with its own load
+tracker. Runs on the fake timers of the test.
+*/
+import type {DataCentreId} from '@siskinhub/core/ids/data-centre-id.js';
+import type {ProgramId} from '@siskinhub/core/ids/program-id.js';
+import type {RequestId} from '@siskinhub/core/ids/request-id.js';
+import type {UpstreamId} from '@siskinhub/core/ids/upstream-id.js';
+import {vi} from 'vitest';
+import type {CallHead} from '../../call/call-head.js';
+import type {Upstream} from '../../upstreams/upstream.js';
+import {chooseEngine} from '../choose-engine.js';
+import {createLoadTracker} from '../create-load-tracker.js';
+import {createPrefixTracker} from '../create-prefix-tracker.js';
+
+type FleetOptions = {
+	readonly gateways: number;
+	readonly engines: number;
+	readonly slots: number;
+	/** Turns a second of all programs together. */
+	readonly turnsPerS: number;
+	readonly durationMs: number;
+	/** Uniformly distributed in [0, 1). */
+	readonly random: () => number;
+	/** Prompt tokens that an engine reads in a millisecond. */
+	readonly readPerMs: number;
+};
+
+type FleetResult = {
+	/** Milliseconds from sending each turn until its first event, in ascending order. */
+	readonly waits: readonly number[];
+	readonly refused: number;
+	/** Turns at the busiest engine by the mean of all engines. */
+	readonly imbalance: number;
+	/** Prompt tokens that engines had to read, by turn. */
+	readonly readTokens: number;
+};
+
+const DATA_CENTRES = ['d1', 'd2', 'd3', 'd4'] as const;
+const MEMORY_TOKENS = 117_000;
+const SHARED_PREFIXES = 6;
+const SHARED_TOKENS = 2560;
+const OUTPUT_TOKENS = 30;
+const QUEUE = 18;
+const FIRST_MS = 31;
+const STEP_MS = 3.41;
+const STEP_MS_PER_CALL = 0.097;
+const TURNS_PER_PROGRAM = 6;
+const PAUSE_MS = 150;
+const TICK_MS = 1;
+
+type QueuedTurn = {readonly call: CallHead; readonly onFirstEvent: () => void; readonly onEnd: () => void};
+
+const createEngine = (slots: number, readPerMs: number) => {
+	const cache = createPrefixTracker(MEMORY_TOKENS);
+	const queue: QueuedTurn[] = [];
+	let running = 0;
+	// An engine reads one prompt after the other.
+	let readUntil = 0;
+	const engine = {turns: 0, readTokens: 0};
+
+	const start = ({call, onFirstEvent, onEnd}: QueuedTurn): void => {
+		running++;
+		const missing = call.prompt!.promptTokens - cache.countHeldTokens(call.prompt!.parts);
+		cache.record(call.prompt!.parts);
+		engine.readTokens += missing;
+		readUntil = Math.max(readUntil, Date.now()) + (missing / readPerMs);
+		const firstMs = FIRST_MS + (readUntil - Date.now());
+		setTimeout(onFirstEvent, firstMs);
+		setTimeout(() => {
+			running--;
+			onEnd();
+			const next = queue.shift();
+			if (next) {
+				start(next);
+			}
+		}, firstMs + (OUTPUT_TOKENS * (STEP_MS + (STEP_MS_PER_CALL * running))));
+	};
+
+	return Object.assign(engine, {
+		/** Returns `false` if the queue is full. */
+		offer(turn: QueuedTurn): boolean {
+			if (running < slots) {
+				engine.turns++;
+				start(turn);
+				return true;
+			}
+
+			if (queue.length >= QUEUE) {
+				return false;
+			}
+
+			engine.turns++;
+			queue.push(turn);
+			return true;
+		},
+	});
+};
+
+/** Needs fake timers, which it advances. */
+export const simulateFleet = ({gateways, engines, slots, turnsPerS, durationMs, random, readPerMs}: FleetOptions): FleetResult => {
+	const upstreams: Upstream[] = Array.from({length: engines}, (_, index) => ({
+		id: `e${index}` as UpstreamId, service: 's', address: `10.0.0.${index}:1`, dataCentre: DATA_CENTRES[index % DATA_CENTRES.length]! as DataCentreId, slots, isLeaving: false, coldMs: 0, sequence: 1, bornAtMs: 1,
+	}));
+	const engineById = new Map(upstreams.map(({id}) => [id, createEngine(slots, readPerMs)]));
+	const trackers = Array.from({length: gateways}, (_, index) => createLoadTracker({
+		dataCentre: DATA_CENTRES[index % DATA_CENTRES.length]! as DataCentreId, memoryTokens: () => MEMORY_TOKENS,
+	}));
+	const waits: number[] = [];
+	let refused = 0;
+
+	const runTurn = (gateway: number, program: string, turn: number): void => {
+		const shared = `shared-${Number(program) % SHARED_PREFIXES}`;
+		const own = Array.from({length: turn + 1}, (_, index) => ({id: `${program}-${index}`, tokens: index === 0 ? 500 : 150}));
+		const parts = [{id: shared, tokens: SHARED_TOKENS}, ...own];
+		const call: CallHead = {
+			id: `${program}-${turn}-${random()}` as RequestId, method: 'POST', path: '/', host: 'h', headers: [], program: {id: program as ProgramId},
+			prompt: {promptTokens: parts.reduce((sum, {tokens}) => sum + tokens, 0), maxTokens: OUTPUT_TOKENS, parts},
+		};
+		const tracker = trackers[gateway]!;
+		const {upstream} = chooseEngine(call, upstreams.map(each => tracker.getLoad(each, call)))!;
+		const active = tracker.beginCall(upstream, call);
+		const sentAt = Date.now();
+		const isTaken = engineById.get(upstream.id)!.offer({
+			call,
+			onFirstEvent() {
+				waits.push(Date.now() - sentAt);
+				active.markAnswered();
+			},
+			onEnd() {
+				active.end('done');
+				if (turn + 1 < TURNS_PER_PROGRAM) {
+					setTimeout(runTurn, PAUSE_MS * (0.5 + random()), gateway, program, turn + 1);
+				}
+			},
+		});
+		if (!isTaken) {
+			refused++;
+			active.end('full');
+			setTimeout(runTurn, PAUSE_MS, gateway, program, turn);
+		}
+	};
+
+	let program = 0;
+	for (let passedMs = 0; passedMs < durationMs; passedMs += TICK_MS) {
+		if (random() < turnsPerS / TURNS_PER_PROGRAM / 1000 * TICK_MS) {
+			// Callers are spread unevenly: the balancer hashes them.
+			runTurn(Math.floor((random() ** 1.5) * gateways), String(program++), 0);
+		}
+
+		vi.advanceTimersByTime(TICK_MS);
+	}
+
+	const engineTurns = [...engineById.values()].map(({turns}) => turns);
+	const total = engineTurns.reduce((sum, turns) => sum + turns, 0);
+	return {
+		waits: waits.toSorted((a, b) => a - b),
+		refused,
+		imbalance: Math.max(...engineTurns) / (total / engines),
+		readTokens: [...engineById.values()].reduce((sum, {readTokens}) => sum + readTokens, 0) / total,
+	};
+};
--- a/packages/gateway/src/placement/choose-engine.ts
+++ b/packages/gateway/src/placement/choose-engine.ts
@@ -6,7 +6,8 @@
 to the engine that is believed to hold most of its prompt. Processes that know
 nothing yet agree through a hash of the shared prefix, so that each prefix is
 read on few engines. Active calls there add to the cost and move a call on to the
-next engine.
+next engine, and so does the time for which own calls waited there of late: it is
+the only sign of the calls that the other processes sent to the same engine.
 */
 import {hashPair} from '@siskinhub/core/ids/hash-pair.js';
 import type {CallHead} from '../call/call-head.js';
@@ -26,7 +27,7 @@
 	const prefillMs = (missingTokens + load.pendingPrefillTokens) / PREFILL_TOKENS_PER_MS;
 	const distanceMs = load.isNear ? 0 : OTHER_DATA_CENTRE_COST_MS;
 	const hashMs = HASH_SPREAD_MS * hashPair(prompt?.parts[0]?.id ?? call.id, load.upstream.id);
-	return prefillMs + (RUNNING_CALL_COST_MS * load.running) + distanceMs + hashMs + load.penaltyMs;
+	return prefillMs + (RUNNING_CALL_COST_MS * load.running) + load.waitMs + distanceMs + hashMs + load.penaltyMs;
 };
 
 /** Returns the entry of `loads` with the lowest cost. */
--- a/packages/gateway/src/placement/create-load-tracker.ts
+++ b/packages/gateway/src/placement/create-load-tracker.ts
@@ -6,6 +6,7 @@
 import type {DataCentreId} from '@siskinhub/core/ids/data-centre-id.js';
 import type {Upstream} from '../upstreams/upstream.js';
 import {createPrefixTracker} from './create-prefix-tracker.js';
+import {createWaitTracker} from './create-wait-tracker.js';
 import type {LoadTracker} from './load-tracker.js';
 
 /** Added to the cost of an upstream after a failure; decays with `PENALTY_HALF_LIFE_MS`. */
@@ -23,6 +24,7 @@
 	penaltyMs: number;
 	penaltySetAt: number;
 	prefixes: ReturnType<typeof createPrefixTracker>;
+	waits: ReturnType<ReturnType<typeof createWaitTracker>['track']>;
 };
 
 type LoadTrackerOptions = {
@@ -34,6 +36,13 @@
 /** Only failures and calls of this process count; a restarted upstream starts afresh. */
 export const createLoadTracker = ({dataCentre, memoryTokens}: LoadTrackerOptions): LoadTracker => {
 	const entries = new Map<string, LoadEntry>();
+	const waitsByService = new Map<string, ReturnType<typeof createWaitTracker>>();
+
+	const getWaits = (service: string): ReturnType<typeof createWaitTracker> => {
+		const waits = waitsByService.get(service) ?? createWaitTracker();
+		waitsByService.set(service, waits);
+		return waits;
+	};
 
 	const getEntry = ({id, bornAtMs, service}: Upstream): LoadEntry => {
 		const existing = entries.get(id);
@@ -42,7 +51,7 @@
 		}
 
 		const entry: LoadEntry = {
-			bornAtMs, running: 0, pendingPrefillTokens: 0, penaltyMs: 0, penaltySetAt: 0, prefixes: createPrefixTracker(memoryTokens(service)),
+			bornAtMs, running: 0, pendingPrefillTokens: 0, penaltyMs: 0, penaltySetAt: 0, prefixes: createPrefixTracker(memoryTokens(service)), waits: getWaits(service).track(),
 		};
 		entries.set(id, entry);
 		return entry;
@@ -62,6 +71,7 @@
 				upstream,
 				running: entry.running,
 				pendingPrefillTokens: entry.pendingPrefillTokens,
+				waitMs: entry.waits.estimateMs(),
 				heldTokens: call.prompt ? entry.prefixes.countHeldTokens(call.prompt.parts) : 0,
 				penaltyMs: computePenalty(entry) + (upstream.coldMs > 0 ? COLD_PENALTY_MS : 0),
 				isNear: upstream.dataCentre === dataCentre,
@@ -72,22 +82,26 @@
 			const prefillTokens = call.prompt ? Math.max(0, call.prompt.promptTokens - entry.prefixes.countHeldTokens(call.prompt.parts)) : 0;
 			entry.running++;
 			entry.pendingPrefillTokens += prefillTokens;
+			const wait = entry.waits.begin(prefillTokens);
 			if (call.prompt) {
 				entry.prefixes.record(call.prompt.parts);
 			}
 
 			let isAnswered = false;
-			const markAnswered = (): void => {
+			const stopWaiting = (wasServed: boolean): void => {
 				if (!isAnswered) {
 					isAnswered = true;
 					entry.pendingPrefillTokens -= prefillTokens;
+					wait.end(wasServed);
 				}
 			};
 
 			return {
-				markAnswered,
+				markAnswered() {
+					stopWaiting(true);
+				},
 				end(outcome) {
-					markAnswered();
+					stopWaiting(false);
 					entry.running--;
 					if (outcome !== 'done') {
 						addPenalty(entry, outcome === 'full' ? FULL_PENALTY_MS : FAILURE_PENALTY_MS);
--- a/packages/gateway/src/placement/load-tracker.ts
+++ b/packages/gateway/src/placement/load-tracker.ts
@@ -7,7 +7,7 @@
 
 /** A call that was sent to an upstream. */
 type ActiveCall = {
-	/** Must be called when the response starts. */
+	/** Must be called when the upstream begins to serve the call, for a stream with its first bytes. */
 	readonly markAnswered: () => void;
 	/** `full`: refused for lack of capacity; `failed`: any other failure or refusal, or the upstream was unreachable. */
 	readonly end: (outcome: 'done' | 'failed' | 'full') => void;
--- a/packages/gateway/src/placement/upstream-load.ts
+++ b/packages/gateway/src/placement/upstream-load.ts
@@ -3,13 +3,15 @@
 */
 import type {Upstream} from '../upstreams/upstream.js';
 
-/** Covers only this process's calls; other processes send to the same upstream. */
+/** Covers only this process's calls; what other processes send to the same upstream shows in `waitMs` alone. */
 export type UpstreamLoad = {
 	readonly upstream: Upstream;
 	/** Active calls of this process at the upstream. */
 	readonly running: number;
 	/** Prompt tokens of calls whose response has not started. */
 	readonly pendingPrefillTokens: number;
+	/** Milliseconds for which a call that is sent now is expected to wait longer than at the fastest upstream of the service. */
+	readonly waitMs: number;
 	/** Tokens of this call's prompt that the upstream is believed to hold. */
 	readonly heldTokens: number;
 	/** Milliseconds to add to the cost for recent failures and refusals and for a cold start. */
