fix(gateway): first calls of programs are refused while turns wait at the engines

Cause: admission looked at the gateway's own processor only. Engines that are full make every turn late, what they computed for callers that gave up is lost, and so they stay full after the burst is over.

Change: the wait tracker also keeps the mean wait of the gateway's own turns at all engines of a service. From half an objective on (three quarters and one for more urgent ranks) a growing share of first calls is refused, with that wait as the time to come back. The shortest time of a service, from which waits are counted, grows with time and no longer with each sample: under uniform overload it followed the waits up and hid them. Refusals by engines, which come at once, are no samples.

--- a/packages/gateway/src/admission/__tests__/admission.test.ts
+++ b/packages/gateway/src/admission/__tests__/admission.test.ts
@@ -29,6 +29,7 @@
 	return createAdmission({
 		routes: {match: () => route},
 		loop: {read},
+		meanWaitMs: () => 0,
 		random() {
 			state = (state * 16_807) % 2_147_483_647;
 			return state / 2_147_483_647;
@@ -38,7 +39,7 @@
 
 describe('decideAdmission', () => {
 	const decide = (utilization: number, rank: number, queueMs = 30) => decideAdmission({
-		queueMs, utilization, rank, isFirstCall: true,
+		queueMs, utilization, rank, isFirstCall: true, waitMs: 0, objectiveMs: 200,
 	}, 0.5);
 
 	it('accepts everything while there is time left, and refuses less urgent programs first', () => {
@@ -51,9 +52,18 @@
 		expect(decide(1, 2, 1)).toBe('accept');
 	});
 
+	it('refuses programs once calls wait at the engines for longer than their objective, less urgent ones first', () => {
+		const decideByWait = (waitMs: number, rank: number) => decideAdmission({
+			queueMs: 0, utilization: 0, rank, isFirstCall: true, waitMs, objectiveMs: 200,
+		}, 0.5);
+		expect([decideByWait(100, 0), decideByWait(100, 2)]).toEqual(['accept', 'accept']);
+		expect([decideByWait(250, 0), decideByWait(250, 2)]).toEqual(['accept', 'refuse']);
+		expect([decideByWait(600, 0), decideByWait(600, 2)]).toEqual(['refuse', 'refuse']);
+	});
+
 	it('never refuses a call of a program under way', () => {
 		expect(decideAdmission({
-			queueMs: 1000, utilization: 1, rank: 2, isFirstCall: false,
+			queueMs: 1000, utilization: 1, rank: 2, isFirstCall: false, waitMs: 2000, objectiveMs: 200,
 		}, 0)).toBe('accept');
 	});
 });
--- a/packages/gateway/src/admission/decide-admission.ts
+++ b/packages/gateway/src/admission/decide-admission.ts
@@ -8,6 +8,11 @@
 serving it. The caller can try another gateway at once. Calls of programs under
 way are always accepted. The less urgent programs are refused first, and more of
 them the busier the process is.
+
+The same holds for the engines: once calls wait there for longer than their
+objective, every further program makes all of them later, and what was computed
+for those that give up is lost. So the engines would stay full long after the
+burst.
 */
 
 /** Utilization of the event loop at which the first of the least urgent programs are refused; the rest is for the calls that accepted programs still make. */
@@ -20,24 +25,46 @@
 const LEAST_URGENT_RANK = 2;
 /** While arrived data waits for less than this, a busy loop does no harm. */
 const HARMLESS_QUEUE_MS = 5;
+/** Wait at the engines, in objectives of the route, from which the first of the least urgent programs are refused. */
+const FIRST_REFUSAL_OBJECTIVES = 0.5;
+/** From the first refusals on, all programs are refused once the wait has grown by so many objectives. */
+const REFUSAL_RANGE_OBJECTIVES = 1;
+/** More urgent programs are refused from a wait that is longer by so many objectives for each rank. */
+const RANK_STEP_OBJECTIVES = 0.25;
 
 type AdmissionState = {
 	/** How long arrived data waits until it is handled, in milliseconds. */
 	readonly queueMs: number;
 	/** Share of the time in which the event loop was not waiting, from 0 to 1. */
 	readonly utilization: number;
+	/** Recent mean wait at the engines of the route, in milliseconds. */
+	readonly waitMs: number;
+	/** Latency objective of the route, in milliseconds. */
+	readonly objectiveMs: number;
 	/** Rank of the route; 0 is the most urgent. */
 	readonly rank: number;
 	/** Whether the call is the first of its program here, as far as the gateway knows. */
 	readonly isFirstCall: boolean;
 };
 
-/** `fraction` is uniformly distributed in [0, 1). */
-export const decideAdmission = ({queueMs, utilization, rank, isFirstCall}: AdmissionState, fraction: number): 'accept' | 'refuse' => {
-	if (!isFirstCall || queueMs < HARMLESS_QUEUE_MS) {
-		return 'accept';
+/** Share of the programs that the processor of the gateway cannot serve. */
+const computeProcessorExcess = ({queueMs, utilization, rank}: AdmissionState): number => {
+	if (queueMs < HARMLESS_QUEUE_MS) {
+		return 0;
 	}
 
 	const firstRefusal = FIRST_REFUSAL_UTILIZATION + (RANK_STEP * (LEAST_URGENT_RANK - Math.min(rank, LEAST_URGENT_RANK)));
-	return fraction < (utilization - firstRefusal) / REFUSAL_RANGE ? 'refuse' : 'accept';
+	return (utilization - firstRefusal) / REFUSAL_RANGE;
+};
+
+/** Share of the programs that the engines cannot serve. */
+const computeEngineExcess = ({waitMs, objectiveMs, rank}: AdmissionState): number => {
+	const firstRefusal = FIRST_REFUSAL_OBJECTIVES + (RANK_STEP_OBJECTIVES * (LEAST_URGENT_RANK - Math.min(rank, LEAST_URGENT_RANK)));
+	return ((waitMs / Math.max(1, objectiveMs)) - firstRefusal) / REFUSAL_RANGE_OBJECTIVES;
+};
+
+/** `fraction` is uniformly distributed in [0, 1). */
+export const decideAdmission = (state: AdmissionState, fraction: number): 'accept' | 'refuse' => {
+	const excess = Math.max(computeProcessorExcess(state), computeEngineExcess(state));
+	return state.isFirstCall && fraction < excess ? 'refuse' : 'accept';
 };
--- a/packages/gateway/src/admission/refuse-overloaded.ts
+++ b/packages/gateway/src/admission/refuse-overloaded.ts
@@ -1,5 +1,5 @@
 /**
-Refuses a request because this gateway has too much to do.
+Refuses a request because this gateway or the engines have too much to do.
 */
 import type {CallHead} from '../call/call-head.js';
 import type {CallLog} from '../forward/call-log.js';
@@ -16,14 +16,16 @@
 	readonly metrics: Pick<GatewayMetrics, 'countCall'>;
 	readonly calls: CallLog;
 	readonly loop: Pick<ReturnType<typeof createLoopMonitor>, 'read'>;
+	/** How long calls have recently waited at the engines, in milliseconds: no gateway can serve the caller before. */
+	readonly waitMs: number;
 };
 
 /** The request has not run. */
-export const refuseOverloaded = (call: CallHead, response: CallerResponse, {metrics, calls, loop}: RefusalOptions): void => {
+export const refuseOverloaded = (call: CallHead, response: CallerResponse, {metrics, calls, loop, waitMs}: RefusalOptions): void => {
 	const {queueMs, utilization} = loop.read();
-	response.refuse(STATUS, RETRY_OTHER_PROCESS_MS);
+	response.refuse(STATUS, Math.max(RETRY_OTHER_PROCESS_MS, Math.round(waitMs)));
 	metrics.countCall(OUTCOME, STATUS, 0);
 	calls.write({
-		requestId: call.id, programId: call.program?.id, outcome: OUTCOME, status: STATUS, queueMs: Math.round(queueMs), utilization: Number(utilization.toFixed(2)),
+		requestId: call.id, programId: call.program?.id, outcome: OUTCOME, status: STATUS, queueMs: Math.round(queueMs), utilization: Number(utilization.toFixed(2)), waitMs: Math.round(waitMs),
 	}, false);
 };
--- a/packages/gateway/src/host/start-gateway.ts
+++ b/packages/gateway/src/host/start-gateway.ts
@@ -12,6 +12,7 @@
 import {createListReader} from '@siskinhub/turns/client/create-list-reader.js';
 import {createAdmission} from '../admission/create-admission.js';
 import {createLoopMonitor} from '../admission/create-loop-monitor.js';
+import {readEngineWait} from '../admission/read-engine-wait.js';
 import {refuseOverloaded} from '../admission/refuse-overloaded.js';
 import type {CallCodec} from '../call/call-codec.js';
 import {createCallLog} from '../forward/create-call-log.js';
@@ -114,9 +115,13 @@
 			loop.recordArrival();
 			return loop.read().queueMs;
 		},
-		isAdmitted: createAdmission({routes, loop, random: Math.random}),
+		isAdmitted: createAdmission({
+			routes, loop, meanWaitMs: loads.meanWaitMs, random: Math.random,
+		}),
 		onRefused(call, response) {
-			refuseOverloaded(call, response, {metrics, calls, loop});
+			refuseOverloaded(call, response, {
+				metrics, calls, loop, waitMs: readEngineWait(call, routes.match(call.host, call.path), loads.meanWaitMs),
+			});
 		},
 		async onCall(call, body, response, arrivedAt) {
 			await runCall(parts, call, body, response, arrivedAt);
--- a/packages/gateway/src/placement/__tests__/many-gateways.test.ts
+++ b/packages/gateway/src/placement/__tests__/many-gateways.test.ts
@@ -42,6 +42,17 @@
 		expect(refused).toBe(0);
 	}, 60_000);
 
+	// Guards against SHORT: under more programs than the engines can serve, all of them waited and few ended in time.
+	it('refuses some programs under twice the load that the engines can serve, and finishes the others', () => {
+		const {waits, refusedPrograms, finishedPrograms} = simulateFleet({
+			gateways: 19, engines: 28, slots: 6, turnsPerS: 2200, durationMs: 8000, readPerMs: 112, random: createRandom(1),
+		});
+		expect(waits[Math.floor(waits.length * 0.5)]).toBeLessThan(2 * OBJECTIVE_MS);
+		expect(refusedPrograms).toBeGreaterThan(0);
+		// The engines serve about 1,000 turns a second.
+		expect(finishedPrograms).toBeGreaterThan(0.7 * 1000 / 6 * 8);
+	}, 60_000);
+
 	it('reads no more prompts again than a tenth of those that programs share', () => {
 		const {readTokens} = simulateFleet({
 			gateways: 19, engines: 28, slots: 6, turnsPerS: 400, durationMs: 5000, readPerMs: 112, random: createRandom(3),
--- a/packages/gateway/src/placement/__tests__/simulate-fleet.ts
+++ b/packages/gateway/src/placement/__tests__/simulate-fleet.ts
@@ -9,6 +9,7 @@
 import {vi} from 'vitest';
 import type {CallHead} from '../../call/call-head.js';
 import type {Upstream} from '../../upstreams/upstream.js';
+import {decideAdmission} from '../../admission/decide-admission.js';
 import {chooseEngine} from '../choose-engine.js';
 import {createLoadTracker} from '../create-load-tracker.js';
 import {createPrefixTracker} from '../create-prefix-tracker.js';
@@ -29,7 +30,11 @@
 type FleetResult = {
 	/** Milliseconds from sending each turn until its first event, in ascending order. */
 	readonly waits: readonly number[];
+	/** Turns that engines refused. */
 	readonly refused: number;
+	/** Programs that gateways refused. */
+	readonly refusedPrograms: number;
+	readonly finishedPrograms: number;
 	/** Turns at the busiest engine by the mean of all engines. */
 	readonly imbalance: number;
 	/** Prompt tokens that engines had to read, by turn. */
@@ -48,6 +53,7 @@
 const TURNS_PER_PROGRAM = 6;
 const PAUSE_MS = 150;
 const TICK_MS = 1;
+const OBJECTIVE_MS = 200;
 
 type QueuedTurn = {readonly call: CallHead; readonly onFirstEvent: () => void; readonly onEnd: () => void};
 
@@ -108,6 +114,8 @@
 	}));
 	const waits: number[] = [];
 	let refused = 0;
+	let refusedPrograms = 0;
+	let finishedPrograms = 0;
 
 	const runTurn = (gateway: number, program: string, turn: number): void => {
 		const shared = `shared-${Number(program) % SHARED_PREFIXES}`;
@@ -131,6 +139,8 @@
 				active.end('done');
 				if (turn + 1 < TURNS_PER_PROGRAM) {
 					setTimeout(runTurn, PAUSE_MS * (0.5 + random()), gateway, program, turn + 1);
+				} else {
+					finishedPrograms++;
 				}
 			},
 		});
@@ -141,11 +151,22 @@
 		}
 	};
 
+	const startProgram = (gateway: number, program: string): void => {
+		const decision = decideAdmission({
+			queueMs: 0, utilization: 0, rank: 1, isFirstCall: true, waitMs: trackers[gateway]!.meanWaitMs('s'), objectiveMs: OBJECTIVE_MS,
+		}, random());
+		if (decision === 'refuse') {
+			refusedPrograms++;
+		} else {
+			runTurn(gateway, program, 0);
+		}
+	};
+
 	let program = 0;
 	for (let passedMs = 0; passedMs < durationMs; passedMs += TICK_MS) {
 		if (random() < turnsPerS / TURNS_PER_PROGRAM / 1000 * TICK_MS) {
 			// Callers are spread unevenly: the balancer hashes them.
-			runTurn(Math.floor((random() ** 1.5) * gateways), String(program++), 0);
+			startProgram(Math.floor((random() ** 1.5) * gateways), String(program++));
 		}
 
 		vi.advanceTimersByTime(TICK_MS);
@@ -156,6 +177,8 @@
 	return {
 		waits: waits.toSorted((a, b) => a - b),
 		refused,
+		refusedPrograms,
+		finishedPrograms,
 		imbalance: Math.max(...engineTurns) / (total / engines),
 		readTokens: [...engineById.values()].reduce((sum, {readTokens}) => sum + readTokens, 0) / total,
 	};
--- a/packages/gateway/src/placement/create-load-tracker.ts
+++ b/packages/gateway/src/placement/create-load-tracker.ts
@@ -65,6 +65,7 @@
 	};
 
 	return {
+		meanWaitMs: service => waitsByService.get(service)?.meanMs() ?? 0,
 		getLoad(upstream, call) {
 			const entry = getEntry(upstream);
 			return {
--- a/packages/gateway/src/placement/create-wait-tracker.ts
+++ b/packages/gateway/src/placement/create-wait-tracker.ts
@@ -16,24 +16,44 @@
 const HALF_LIFE_MS = 700;
 /** Weight of a new sample. */
 const NEWEST_WEIGHT = 0.5;
-/** The shortest time of the service follows longer ones by this share of the difference, so that it is not forever that of one lucky call. */
-const SHORTEST_DRIFT = 0.01;
+/** Weight of a new sample in the mean of the service, to which all upstreams contribute. */
+const MEAN_WEIGHT = 0.1;
+/** Share by which the shortest time of the service grows a second, so that it is not forever that of one lucky call. */
+const SHORTEST_GROWTH_PER_S = 0.02;
+const MS_PER_S = 1000;
 
 /** For the upstreams of one service; times are on the clock of `performance.now()`. */
 export const createWaitTracker = () => {
 	let shortestMs: number | undefined;
+	let shortestSetAt = 0;
+	let mean = 0;
+	let meanSetAt = 0;
 
-	/** Returns how much longer than the shortest it was. */
-	const learn = (elapsedMs: number): number => {
-		shortestMs = shortestMs === undefined || elapsedMs < shortestMs ? elapsedMs : shortestMs + (SHORTEST_DRIFT * (elapsedMs - shortestMs));
-		return Math.max(0, elapsedMs - shortestMs);
+	const fadeMean = (): number => mean * (0.5 ** ((performance.now() - meanSetAt) / HALF_LIFE_MS));
+
+	const addToMean = (excessMs: number): void => {
+		mean = fadeMean();
+		mean += MEAN_WEIGHT * (excessMs - mean);
+		meanSetAt = performance.now();
+	};
+
+	const learnShortest = (elapsedMs: number): void => {
+		const passedS = (performance.now() - shortestSetAt) / MS_PER_S;
+		const grownMs = shortestMs === undefined ? Infinity : shortestMs * (1 + (SHORTEST_GROWTH_PER_S * passedS));
+		shortestMs = Math.min(elapsedMs, grownMs);
+		shortestSetAt = performance.now();
 	};
 
+	/** Returns how much longer than the shortest call, and than it takes to read its prompt, a call has waited. */
+	const computeExcess = (sentAt: number, prefillMs: number): number => Math.max(0, performance.now() - sentAt - prefillMs - (shortestMs ?? 0));
+
 	return {
+		/** Milliseconds for which calls of this process have recently waited at the upstreams of the service, longer than at the fastest. */
+		meanMs: fadeMean,
 		/** Creates the estimate of one upstream. */
 		track() {
 			// In the order in which they were sent.
-			const waiting = new Map<number, number>();
+			const waiting = new Map<number, {readonly sentAt: number; readonly prefillMs: number}>();
 			let nextId = 0;
 			let estimate = 0;
 			let setAt = 0;
@@ -42,28 +62,40 @@
 
 			const measureOldest = (): number => {
 				const [oldest] = waiting.values();
-				return oldest === undefined ? 0 : performance.now() - oldest - (shortestMs ?? 0);
+				return oldest && shortestMs !== undefined ? computeExcess(oldest.sentAt, oldest.prefillMs) : 0;
 			};
 
 			return {
 				/** Counts a call that is being sent and has to read `prefillTokens`. */
 				begin(prefillTokens: number) {
 					const id = nextId++;
-					const startedAt = performance.now() + (prefillTokens / PREFILL_TOKENS_PER_MS);
-					waiting.set(id, startedAt);
+					const sentAt = performance.now();
+					const prefillMs = prefillTokens / PREFILL_TOKENS_PER_MS;
+					waiting.set(id, {sentAt, prefillMs});
 					return {
-						/** The call waits no longer. If it was not served, its time counts as far as it is longer than expected. */
+						/** The call waits no longer. If it was not served, its time counts only if it is longer than expected: a refusal comes at once. */
 						end(wasServed: boolean) {
 							waiting.delete(id);
-							const elapsedMs = Math.max(0, performance.now() - startedAt);
-							const excessMs = wasServed ? learn(elapsedMs) : Math.max(fade(), elapsedMs - (shortestMs ?? 0));
+							if (wasServed) {
+								learnShortest(performance.now() - sentAt);
+							}
+
+							const excessMs = computeExcess(sentAt, prefillMs);
+							if (wasServed || excessMs > fadeMean()) {
+								addToMean(excessMs);
+							}
+
+							if (!wasServed && excessMs <= fade()) {
+								return;
+							}
+
 							estimate = fade() + (NEWEST_WEIGHT * (excessMs - fade()));
 							setAt = performance.now();
 						},
 					};
 				},
 				/** Milliseconds for which a call is expected to wait longer than at the fastest upstream; calls that still wait count. */
-				estimateMs: () => Math.max(0, fade(), measureOldest()),
+				estimateMs: () => Math.max(fade(), measureOldest()),
 			};
 		},
 	};
--- a/packages/gateway/src/placement/load-tracker.ts
+++ b/packages/gateway/src/placement/load-tracker.ts
@@ -16,6 +16,8 @@
 export type LoadTracker = {
 	/** The load of the upstream, with the part of the call's prompt that it is believed to hold. */
 	readonly getLoad: (upstream: Upstream, call: CallHead) => UpstreamLoad;
+	/** Milliseconds for which calls of this process have recently waited at the upstreams of the service. */
+	readonly meanWaitMs: (service: string) => number;
 	/** Counts a call that is being sent to the upstream. */
 	readonly beginCall: (upstream: Upstream, call: CallHead) => ActiveCall;
 	/** Drops what is known about a removed upstream. */
