fix(gateway): no more requests to an upstream than the limit that it names

Change: every request to an upstream that names a limit needs a permit, whatever its kind, also retries. One copy holder counts for all gateways: the first in an order by rendezvous hash that is reached. If it is not, the next one in the order issues a third as much, and so on, so that all issuers together never pass 1.5 times the limit, however the views differ. Limits spread over heartbeats and with each permit; the newest statement holds, and an answer revokes a limit only if its request was sent after the limit was named. Without a permit a request goes to another upstream of the service, or back to its caller with the time until one is worth asking for. A limited upstream that refuses counts neither as failing nor against the retries.

Ruled out: an equal share for each gateway (at 60 gateways one request each in 4 s is 60 where 17 are allowed), shares by demand in heartbeats (0.8 s old, and the rest of a share lies idle), a bounded set of gateways for each upstream (nobody lists gateways). A permit costs one message of 2 to 4 ms at a few a second.

Measured: 'sends an upstream no more than the limit that it names' in platform.test.ts failed before (40 requests in 4 s, 17 allowed). limits.test.ts: 5, 25 and 60 gateways at 2.1, 3.4 and 6 a second get at least three quarters of the limit and never more than allowed, also while limits change, holders freeze, gateways restart or reach different holders; with the issuers' shares switched off the last case fails.

--- a/packages/gateway/src/forward/create-attempt-runner.ts
+++ b/packages/gateway/src/forward/create-attempt-runner.ts
@@ -2,6 +2,8 @@
 Runs the attempts of one request, one upstream after the other, and counts runs
 and refusals.
 */
+import type {Upstream} from '../upstreams/upstream.js';
+import type {UpstreamLoad} from '../placement/upstream-load.js';
 import type {AttemptResult} from './attempt-result.js';
 import type {CallerResponse} from './caller-response.js';
 import type {CallPlan} from './call-plan.js';
@@ -13,6 +15,8 @@
 
 const DEFAULT_PRIORITY = 4;
 const LEAST_URGENT_PRIORITY = 9;
+/** Each permit costs a message; an attempt that was denied so many goes only to upstreams without a limit. */
+const MAX_DENIALS = 3;
 
 type AttemptRunnerOptions = {
 	readonly plan: CallPlan;
@@ -25,12 +29,13 @@
 
 /** Tries no upstream twice. `completeTurn` stores the turn before the response ends. */
 export const createAttemptRunner = (context: GatewayContext, {plan, response, progress, completeTurn}: AttemptRunnerOptions) => {
-	const {directory, loads, pools, codec, metrics, crashes} = context;
+	const {directory, loads, limits, pools, codec, metrics, crashes} = context;
 	const {call, route, service} = plan;
 	const excluded = new Set<string>();
 	const trail: string[] = [];
 	let runs = 0;
 	let refusals = 0;
+	let denials = 0;
 	let fingerprint: string | undefined;
 
 	const getFingerprint = (): string => {
@@ -40,25 +45,49 @@
 
 	const isDangerous = (): boolean => !crashes.isEmpty() && crashes.isDangerous(getFingerprint());
 
+	const isUsable = (upstream: Upstream): boolean => !excluded.has(upstream.id) && (denials < MAX_DENIALS ? limits.waitMs(upstream) === 0 : !limits.isLimited(upstream));
+
+	/** Chooses an upstream that the request may be sent to now; `undefined` if there is none. */
+	const chooseNext = async (): Promise<UpstreamLoad | undefined> => {
+		const chosen = chooseUpstreamForCall(context, plan, isUsable);
+		if (!chosen || await limits.acquire(chosen.upstream)) {
+			return chosen;
+		}
+
+		denials++;
+		return chooseNext();
+	};
+
+	/** Upstreams that the request is kept from only because of their limit. */
+	const listWithheld = (): readonly Upstream[] => directory.list(service).filter(upstream => !excluded.has(upstream.id) && limits.isLimited(upstream));
+
 	return {
 		trail,
+		/** Permits that were denied. */
+		denials: () => denials,
+		/** Milliseconds until the first of the upstreams that are kept back by their limit takes a request; `undefined` if none is. */
+		withheldForMs(): number | undefined {
+			const waits = listWithheld().map(upstream => limits.waitMs(upstream));
+			return waits.length > 0 ? Math.min(...waits) : undefined;
+		},
 		/** Upstreams that may have run the request. */
 		runs: () => runs,
 		/** Upstreams that had no capacity; `Infinity` once none may be tried any more. */
-		refusals: () => !isDangerous() && directory.list(service).some(({id}) => !excluded.has(id)) ? refusals : Infinity,
+		refusals: () => !isDangerous() && directory.list(service).some(upstream => isUsable(upstream)) ? refusals : Infinity,
 		async next(): Promise<AttemptResult> {
 			if (isDangerous()) {
 				return {kind: 'not-run', isFull: true, message: 'too many upstreams lost their connection while they ran the request'};
 			}
 
-			const chosen = chooseUpstreamForCall(context, plan, excluded);
+			const chosen = await chooseNext();
 			if (!chosen) {
-				return {kind: 'not-run', isFull: true, message: 'no upstream is left to try'};
+				return {kind: 'not-run', isFull: true, message: denials > 0 ? 'the limits of the upstreams that are left allow no request now' : 'no upstream is left to try'};
 			}
 
 			const {upstream, heldTokens} = chosen;
 			metrics.countChoice(chosen, call.prompt && {held: heldTokens, missing: Math.max(0, call.prompt.promptTokens - heldTokens)});
 			const activeCall = loads.beginCall(upstream, call);
+			const sentAt = limits.now();
 			const result = await runAttempt({
 				plan,
 				upstream,
@@ -69,9 +98,19 @@
 				priority: call.prompt && Math.min(LEAST_URGENT_PRIORITY, DEFAULT_PRIORITY + route.rank),
 				completeTurn,
 				onServed: activeCall.markAnswered,
+				onUpstreamHead({limitPerSecond}) {
+					limits.recordAnswer(upstream, limitPerSecond, sentAt);
+				},
 			});
 			const isUpstreamOk = result.kind === 'done' || result.kind === 'gone';
-			activeCall.end(isUpstreamOk ? 'done' : (result.kind === 'not-run' && result.isFull ? 'full' : 'failed'));
+			const isFull = result.kind === 'not-run' && result.isFull;
+			// A limited upstream that refuses is not a failing one, and says nothing about the capacity of the others.
+			const isLimited = isFull && limits.isLimited(upstream);
+			activeCall.end(isUpstreamOk || isLimited ? 'done' : (isFull ? 'full' : 'failed'));
+			if (isLimited) {
+				limits.recordRefusal(upstream);
+			}
+
 			metrics.countAttempt(result.kind);
 			trail.push(`${upstream.id} ${describeResult(result)}`);
 			excluded.add(upstream.id);
@@ -80,7 +119,7 @@
 			}
 
 			if (result.kind === 'not-run') {
-				refusals += result.isFull ? 1 : 0;
+				refusals += isFull && !isLimited ? 1 : 0;
 			} else {
 				runs++;
 			}
--- a/packages/gateway/src/forward/gateway-context.ts
+++ b/packages/gateway/src/forward/gateway-context.ts
@@ -4,6 +4,7 @@
 import type {HolderClient} from '@siskinhub/turns/client/holder-client.js';
 import type {CallCodec} from '../call/call-codec.js';
 import type {GatewayMetrics} from '../metrics/gateway-metrics.js';
+import type {LimitGate} from '../limits/limit-gate.js';
 import type {LoadTracker} from '../placement/load-tracker.js';
 import type {RouteTable} from '../routes/route-table.js';
 import type {UpstreamDirectory} from '../upstreams/upstream-directory.js';
@@ -17,6 +18,7 @@
 	readonly routes: RouteTable;
 	readonly directory: UpstreamDirectory;
 	readonly loads: LoadTracker;
+	readonly limits: LimitGate;
 	readonly pools: UpstreamPools;
 	readonly holderClient: HolderClient;
 	readonly crashes: CrashTracker;
--- a/packages/gateway/src/forward/run-attempt.ts
+++ b/packages/gateway/src/forward/run-attempt.ts
@@ -28,6 +28,8 @@
 	readonly completeTurn: () => Promise<boolean>;
 	/** Called when the upstream begins to serve the request: with the head of a plain response, with the first bytes of a stream. */
 	readonly onServed: () => void;
+	/** Called with the head of an answer that comes from the upstream itself. */
+	readonly onUpstreamHead: (head: ResponseHead) => void;
 };
 
 /** A larger plain response is forwarded in chunks, and its request can no longer be retried. */
@@ -38,7 +40,7 @@
 
 /** Resolves once the attempt has ended. The caller's response has ended too if the result says so. */
 export const runAttempt = async (options: AttemptOptions): Promise<AttemptResult> => new Promise(resolve => {
-	const {plan, upstream, pool, codec, response, progress, priority, completeTurn, onServed} = options;
+	const {plan, upstream, pool, codec, response, progress, priority, completeTurn, onServed, onUpstreamHead} = options;
 	const {call, route, body, deadlineAt} = plan;
 	const isStream = route.kind === 'stream';
 	const splitter = createEventSplitter();
@@ -162,6 +164,10 @@
 	const handleHead = (status: number, headers: Record<string, string | string[] | undefined>): void => {
 		head = codec.decodeResponse(status, headers);
 		responseClass = classifyResponseHead(head, call.id);
+		if (responseClass !== 'foreign' && responseClass !== 'unproven' && !head.isOtherUpstream) {
+			onUpstreamHead(head);
+		}
+
 		switch (responseClass) {
 			case 'foreign':
 			case 'unproven': {
--- a/packages/gateway/src/forward/run-call.ts
+++ b/packages/gateway/src/forward/run-call.ts
@@ -37,7 +37,7 @@
 type LogFields = Record<string, unknown>;
 
 /** Ends the response as `step` says; returns the values to report. */
-const finishCall = (response: CallerResponse, result: AttemptResult, step: Exclude<ReturnType<typeof decideNextStep>, {kind: 'retry'}>): CallReport => {
+const finishCall = (response: CallerResponse, result: AttemptResult, step: Exclude<ReturnType<typeof decideNextStep>, {kind: 'retry'}>, retryAfterMs: number): CallReport => {
 	switch (step.kind) {
 		case 'none': {
 			return {outcome: result.kind, status: result.kind === 'done' ? result.status : 0};
@@ -59,7 +59,7 @@
 				return {outcome: 'failed', status: result.status};
 			}
 
-			response.refuse(step.status, step.isRefusal ? RETRY_WHEN_FULL_MS : undefined);
+			response.refuse(step.status, step.isRefusal ? retryAfterMs : undefined);
 			return {outcome: step.isRefusal ? 'refused' : 'failed', status: step.status};
 		}
 	}
@@ -116,7 +116,10 @@
 		Object.assign(fields, {
 			trail: attempts.trail, events: progress.events, preparedMs, firstEventMs,
 		});
-		return {...finishCall(response, result, step), attempts: attempts.trail.length, firstEventMs};
+		const withheldForMs = attempts.withheldForMs();
+		Object.assign(fields, attempts.denials() > 0 && {denials: attempts.denials(), withheldForMs});
+		const retryAfterMs = Math.max(RETRY_OTHER_PROCESS_MS, withheldForMs ?? RETRY_WHEN_FULL_MS);
+		return {...finishCall(response, result, step, retryAfterMs), attempts: attempts.trail.length, firstEventMs};
 	}
 };
 
--- a/packages/gateway/src/host/create-host-links.ts
+++ b/packages/gateway/src/host/create-host-links.ts
@@ -18,6 +18,9 @@
 import type {Holder} from '@siskinhub/turns/membership/holder.js';
 import {err, ok} from 'neverthrow';
 import type {CrashTracker} from '../forward/crash-tracker.js';
+import {fromWireLimit} from '../limits/from-wire-limit.js';
+import type {LimitBook} from '../limits/limit-book.js';
+import {toWireLimit} from '../limits/to-wire-limit.js';
 import {fromWireChanges} from './from-wire-changes.js';
 import {toWireChanges} from './to-wire-changes.js';
 
@@ -32,6 +35,7 @@
 	readonly dataCentre: DataCentreId;
 	readonly view: DeclaredView;
 	readonly crashes: CrashTracker;
+	readonly limits: LimitBook;
 	/** Passes own reads of the platform's service on to other processes; absent in processes that do not read it. */
 	readonly publisher?: ReturnType<typeof createChangePublisher<PeerLink>>;
 	/** Id of this host's disk; absent on hosts that hold no copies. */
@@ -42,10 +46,11 @@
 	readonly onPause: () => void;
 };
 
-/** The links answer neighbours that ask for changes of the declared state, and tell each other new upstream crashes with each heartbeat. */
-export const createHostLinks = ({host, dataCentre, view, crashes, publisher, diskId = '', onMessage = () => false, onPause}: HostLinksOptions) => {
-	// The newest crash that was sent on each link; a new link gets all of them.
-	const sentSequences = new WeakMap<PeerLink, number>();
+/** The links answer neighbours that ask for changes of the declared state, and tell each other new upstream crashes and limits with each heartbeat. */
+export const createHostLinks = ({host, dataCentre, view, crashes, limits, publisher, diskId = '', onMessage = () => false, onPause}: HostLinksOptions) => {
+	// The newest crash and limit that were sent on each link; a new link gets all of them.
+	const sentCrashes = new WeakMap<PeerLink, number>();
+	const sentLimits = new WeakMap<PeerLink, number>();
 	const settings: LinkSettings = {
 		hello: {
 			host, instance: randomUUID(), role: Role.ENTRY, dataCentre, dataFolderId: diskId,
@@ -53,12 +58,18 @@
 		heartbeatIntervalMs: HEARTBEAT_INTERVAL_MS,
 		silenceMs: SILENCE_MS,
 		createHeartbeat(link) {
-			const unsent = crashes.listAfter(sentSequences.get(link) ?? 0);
-			sentSequences.set(link, unsent.sequence);
-			return {crashes: unsent.crashes.map(({fingerprint, upstream, ageMs}) => ({fingerprint, upstream, ageMs: Math.round(ageMs)}))};
+			const unsentCrashes = crashes.listAfter(sentCrashes.get(link) ?? 0);
+			sentCrashes.set(link, unsentCrashes.sequence);
+			const unsentLimits = limits.listAfter(sentLimits.get(link) ?? 0);
+			sentLimits.set(link, unsentLimits.sequence);
+			return {
+				crashes: unsentCrashes.crashes.map(({fingerprint, upstream, ageMs}) => ({fingerprint, upstream, ageMs: Math.round(ageMs)})),
+				limits: unsentLimits.limits.map(limit => toWireLimit(limit)),
+			};
 		},
 		onHeartbeat(_link, heartbeat) {
 			crashes.merge(heartbeat.crashes);
+			limits.merge(heartbeat.limits.map(limit => fromWireLimit(limit)));
 		},
 		pauseDetector: createPauseDetector(SILENCE_MS, onPause),
 		onMessage(message) {
--- a/packages/gateway/src/host/start-gateway.ts
+++ b/packages/gateway/src/host/start-gateway.ts
@@ -19,6 +19,10 @@
 import {createCrashTracker} from '../forward/create-crash-tracker.js';
 import {createUpstreamPools} from '../forward/create-upstream-pools.js';
 import {runCall} from '../forward/run-call.js';
+import {createLimitBook} from '../limits/create-limit-book.js';
+import {createLimitGate} from '../limits/create-limit-gate.js';
+import {identifyStart} from '../limits/identify-start.js';
+import {createLimitLog} from '../limits/create-limit-log.js';
 import {createGatewayServer} from '../http/create-gateway-server.js';
 import type {EarlyListener} from '../http/early-listener.js';
 import type {GatewayMetrics} from '../metrics/gateway-metrics.js';
@@ -61,9 +65,11 @@
 	const view = createDeclaredView();
 	const routes = createRouteTable();
 	const crashes = createCrashTracker(() => performance.now());
+	const limitLog = createLimitLog(log);
+	const limitBook = createLimitBook({now: () => performance.now(), onChange: limitLog.recordChange});
 	const publisher = createChangePublisher<PeerLink>(view, deriveReadTimes(cfg.applyWithinMs).intervalMs, () => Math.max(0, follower.graceUntil() - Date.now()));
 	const links = createHostLinks({
-		host: cfg.host, dataCentre: cfg.dataCentre, view, crashes, publisher, onPause() {
+		host: cfg.host, dataCentre: cfg.dataCentre, view, crashes, limits: limitBook, publisher, onPause() {
 			log.warn('process was paused; reconnecting the peer links', {});
 		},
 	});
@@ -91,9 +97,14 @@
 	const loads = createLoadTracker({
 		dataCentre: cfg.dataCentre, memoryTokens: service => services()?.get(service)?.engine?.memoryTokens ?? DEFAULT_MEMORY_TOKENS,
 	});
+	const limits = createLimitGate({
+		limits: limitBook, listDisks: registry.listDisks, linkTo: holder => links.linkTo(holder.address), now: () => performance.now(), onDecided: metrics.countLimited,
+	});
 	directory.onRemove(upstream => {
 		pools.drop(upstream);
 		loads.forget(upstream);
+		limits.forget(upstream);
+		metrics.forgetLimited(identifyStart(upstream));
 	});
 	const holderClient = createHolderClient({
 		readList: lists.read, adoptList: lists.adopt, linkTo: holder => links.linkTo(holder.address), losses: cfg.losses, dataCentre: cfg.dataCentre,
@@ -101,7 +112,7 @@
 	const calls = createCallLog(log);
 	const loop = createLoopMonitor({schedule: setImmediate, now: () => performance.now(), measureUtilization: performance.eventLoopUtilization.bind(performance)});
 	const parts = {
-		codec, routes, directory, loads, pools, holderClient, crashes, metrics, calls, random: Math.random,
+		codec, routes, directory, loads, limits, pools, holderClient, crashes, metrics, calls, random: Math.random,
 	};
 	await createPeerServer({ip: cfg.peers.ip, port: cfg.peers.port, settings: links.settings});
 	const server = await createGatewayServer({
@@ -154,6 +165,7 @@
 
 		return {status: ready ? 200 : 503, text: ''};
 	});
+	metrics.addLimits(limitBook.listLimits);
 	registerGatewayGauges(metrics, {
 		routes, view, holderClient, registry, loop, countActive: server.countActive, lastReadAt: follower.lastReadAt,
 	});
@@ -170,6 +182,7 @@
 			links.close();
 			pools.close();
 			calls.close();
+			limitLog.close();
 			log.info('gateway stopped', {active: server.countActive()});
 		},
 	};
--- a/packages/gateway/src/host/start-holder.ts
+++ b/packages/gateway/src/host/start-holder.ts
@@ -19,6 +19,10 @@
 import type {Holder} from '@siskinhub/turns/membership/holder.js';
 import type {GatewayMetrics} from '../metrics/gateway-metrics.js';
 import {createCrashTracker} from '../forward/create-crash-tracker.js';
+import {answerPermitRequests} from '../limits/answer-permit-requests.js';
+import {createLimitBook} from '../limits/create-limit-book.js';
+import {createPermitIssuer} from '../limits/create-permit-issuer.js';
+import {createLimitLog} from '../limits/create-limit-log.js';
 import {createHolderRegistry} from './create-holder-registry.js';
 import {createHostLinks} from './create-host-links.js';
 import {createRetireReporter} from './create-retire-reporter.js';
@@ -83,16 +87,24 @@
 		store: copies, group, listVersion, losses: cfg.losses, linkTo,
 	});
 	const crashes = createCrashTracker(() => performance.now());
+	const limitLog = createLimitLog(log);
+	const limits = createLimitBook({now: () => performance.now(), onChange: limitLog.recordChange});
+	metrics.addLimits(limits.listLimits);
+	const answerPermit = answerPermitRequests({
+		diskId: copies.diskId, limits, listDisks: registry.listDisks, issue: createPermitIssuer(() => performance.now()), onIssued: limitLog.countPermit,
+	});
+	const answerCopies = createCopyService({
+		store: copies, syncCopy, onError: createRepeatedErrorLog(log, 'failed to write a record to the disk'),
+	});
 	const links = createHostLinks({
 		host: cfg.host,
 		dataCentre: cfg.dataCentre,
 		view,
 		crashes,
+		limits,
 		publisher,
 		diskId: copies.diskId,
-		onMessage: createCopyService({
-			store: copies, syncCopy, onError: createRepeatedErrorLog(log, 'failed to write a record to the disk'),
-		}),
+		onMessage: message => answerPermit(message) || answerCopies(message),
 		onPause() {
 			log.warn('process was paused; reconnecting the peer links', {});
 		},
@@ -138,6 +150,7 @@
 			stopping.abort();
 			metricsServer.close();
 			links.close();
+			limitLog.close();
 			await copies.close();
 		},
 	};
--- a/packages/gateway/src/metrics/create-gateway-metrics.ts
+++ b/packages/gateway/src/metrics/create-gateway-metrics.ts
@@ -33,6 +33,9 @@
 	const storeCalls = new Counter({
 		name: 'siskinhub_platform_calls_total', help: 'Calls to the platform\'s service by kind and outcome.', labelNames: ['kind', 'outcome'], registers,
 	});
+	const limitedCalls = new Counter({
+		name: 'siskinhub_limited_calls_total', help: 'Requests to upstreams that name a limit, by upstream and whether they were sent or withheld.', labelNames: ['upstream', 'outcome'], registers,
+	});
 	return {
 		countCall(outcome, status, durationMs) {
 			calls.inc({outcome, status: String(status)});
@@ -54,6 +57,23 @@
 		observePreparation(outcome, waitMs) {
 			preparations.observe({outcome}, waitMs);
 		},
+		countLimited(upstream, outcome) {
+			limitedCalls.inc({upstream, outcome});
+		},
+		forgetLimited(upstream) {
+			limitedCalls.remove({upstream, outcome: 'sent'});
+			limitedCalls.remove({upstream, outcome: 'withheld'});
+		},
+		addLimits(read) {
+			const gauge: Gauge = new Gauge({
+				name: 'siskinhub_upstream_limit', help: 'Requests a second that an upstream says it takes from all processes together.', labelNames: ['upstream'], registers, collect() {
+					gauge.reset();
+					for (const {upstream, perSecond} of read()) {
+						gauge.set({upstream}, perSecond);
+					}
+				},
+			});
+		},
 		addGauge(name, help, read) {
 			const gauge: Gauge = new Gauge({
 				name, help, registers, collect() {
--- a/packages/gateway/src/metrics/gateway-metrics.ts
+++ b/packages/gateway/src/metrics/gateway-metrics.ts
@@ -15,6 +15,12 @@
 	readonly countChoice: (chosen: UpstreamLoad, prompt: {readonly held: number; readonly missing: number} | undefined) => void;
 	/** Records that a request was prepared for its first upstream, or refused because it could not be, after `waitMs`. */
 	readonly observePreparation: (outcome: string, waitMs: number) => void;
+	/** Counts a request that was sent to an upstream with a limit, or withheld from it; `upstream` as `identifyStart` names it. */
+	readonly countLimited: (upstream: string, outcome: 'sent' | 'withheld') => void;
+	/** Removes the counts of an upstream that is gone, so that the labels stay bounded. */
+	readonly forgetLimited: (upstream: string) => void;
+	/** Adds a gauge of the limits that upstreams name, which `read` returns whenever the metrics are collected. */
+	readonly addLimits: (read: () => ReadonlyArray<{readonly upstream: string; readonly perSecond: number}>) => void;
 	/** Adds a gauge that calls `read` whenever the metrics are collected. */
 	readonly addGauge: (name: string, help: string, read: () => number) => void;
 	/** Returns all metrics in the text format of Prometheus. */
