--- a/packages/gateway/src/forward/__tests__/create-crash-tracker.test.ts
+++ b/packages/gateway/src/forward/__tests__/create-crash-tracker.test.ts
@@ -1,19 +1,10 @@
 import {describe, expect, it} from 'vitest';
+import {createManualClock} from '../../__tests__/create-manual-clock.js';
 import {createCrashTracker} from '../create-crash-tracker.js';
 
-const createClock = () => {
-	let at = 1000;
-	return {
-		now: () => at,
-		advance(ms: number) {
-			at += ms;
-		},
-	};
-};
-
 describe('createCrashTracker', () => {
 	it('marks a request as dangerous after crashes at three different upstreams, however many at one of them', () => {
-		const tracker = createCrashTracker(createClock().now);
+		const tracker = createCrashTracker(createManualClock().now);
 		for (const upstream of ['a', 'a', 'a', 'b', 'b']) {
 			tracker.record('r', upstream);
 		}
@@ -25,7 +16,7 @@
 	});
 
 	it('forgets crashes after a minute', () => {
-		const clock = createClock();
+		const clock = createManualClock();
 		const tracker = createCrashTracker(clock.now);
 		tracker.record('r', 'a');
 		clock.advance(40_000);
@@ -38,7 +29,7 @@
 	});
 
 	it('combines crashes that several processes saw once each, through a process that relays them', () => {
-		const clock = createClock();
+		const clock = createManualClock();
 		const gateways = Array.from({length: 5}, () => createCrashTracker(clock.now));
 		const holder = createCrashTracker(clock.now);
 		for (const [index, gateway] of gateways.slice(0, 3).entries()) {
@@ -58,7 +49,7 @@
 	});
 
 	it('does not extend the lifetime of an entry by relaying it', () => {
-		const clock = createClock();
+		const clock = createManualClock();
 		const trackers = [createCrashTracker(clock.now), createCrashTracker(clock.now)] as const;
 		trackers[0].record('r', 'a');
 		for (let round = 0; round < 100; round++) {
@@ -71,7 +62,7 @@
 	});
 
 	it('tells each crash once, however many heartbeats follow', () => {
-		const tracker = createCrashTracker(createClock().now);
+		const tracker = createCrashTracker(createManualClock().now);
 		let told = 0;
 		let sequence = 0;
 		for (let heartbeat = 0; heartbeat < 100; heartbeat++) {
@@ -89,7 +80,7 @@
 	});
 
 	it('bounds its list and returns the latest crashes first', () => {
-		const tracker = createCrashTracker(createClock().now);
+		const tracker = createCrashTracker(createManualClock().now);
 		for (let index = 0; index < 5000; index++) {
 			tracker.record(`r${index}`, 'a');
 		}
--- a/packages/gateway/src/limits/__tests__/create-limit-book.test.ts
+++ b/packages/gateway/src/limits/__tests__/create-limit-book.test.ts
@@ -1,22 +1,13 @@
 import {
 	describe, expect, it, vi,
 } from 'vitest';
+import {createManualClock} from '../../__tests__/create-manual-clock.js';
 import type {UpstreamLimit} from '../upstream-limit.js';
 import {createLimitBook} from '../create-limit-book.js';
 
-const createClock = () => {
-	let at = 1000;
-	return {
-		now: () => at,
-		advance(ms: number) {
-			at += ms;
-		},
-	};
-};
-
 describe('createLimitBook', () => {
 	it('keeps a limit until an answer to a later request names none', () => {
-		const clock = createClock();
+		const clock = createManualClock();
 		const book = createLimitBook({now: clock.now});
 		const sentBefore = clock.now();
 		clock.advance(100);
@@ -29,7 +20,7 @@
 	});
 
 	it('lets the newest statement hold, whoever passes it on and in whatever order', () => {
-		const clock = createClock();
+		const clock = createManualClock();
 		const book = createLimitBook({now: clock.now});
 		book.merge([{upstream: 'u', perSecond: 2, ageMs: 50}]);
 		book.merge([{upstream: 'u', perSecond: 6, ageMs: 400}]);
@@ -41,7 +32,7 @@
 	});
 
 	it('spreads through a process that relays, and tells each statement once', () => {
-		const clock = createClock();
+		const clock = createManualClock();
 		const [gateway, holder, other] = [1, 2, 3].map(() => createLimitBook({now: clock.now}));
 		gateway!.record('u', 5, clock.now());
 		const first = gateway!.listAfter(0);
@@ -57,7 +48,7 @@
 	});
 
 	it('bounds what one heartbeat lists, and leaves nothing out in the end', () => {
-		const book = createLimitBook({now: createClock().now});
+		const book = createLimitBook({now: createManualClock().now});
 		for (let index = 0; index < 1000; index++) {
 			book.record(`u${index}`, 2, 0);
 		}
@@ -79,7 +70,7 @@
 
 	it('tells about changes only, with their source', () => {
 		const onChange = vi.fn<(limit: UpstreamLimit, source: string) => void>();
-		const book = createLimitBook({now: createClock().now, onChange});
+		const book = createLimitBook({now: createManualClock().now, onChange});
 		book.record('u', 3, 0);
 		book.record('u', 3, 0);
 		book.merge([{upstream: 'v', perSecond: 2, ageMs: 0}]);
--- a/packages/gateway/src/limits/__tests__/limits.test.ts
+++ b/packages/gateway/src/limits/__tests__/limits.test.ts
@@ -1,6 +1,7 @@
 import {
 	afterEach, beforeEach, describe, expect, it, vi,
 } from 'vitest';
+import {createSeededRandom} from '../../__tests__/create-seeded-random.js';
 import {simulateLimitedUpstream} from './simulate-limited-upstream.js';
 
 const SETTLE_MS = 3000;
@@ -15,14 +16,6 @@
 	vi.useRealTimers();
 });
 
-const createRandom = (seed: number) => {
-	let state = seed;
-	return (): number => {
-		state = ((state * 1_103_515_245) + 12_345) % 2_147_483_648;
-		return state / 2_147_483_648;
-	};
-};
-
 type Sent = Awaited<ReturnType<typeof simulateLimitedUpstream>>;
 
 /** The most that gateways which had been told sent in any window, beyond one and a half times what the limit allows. */
@@ -51,7 +44,7 @@
 	it.each([5, 25, 60].flatMap(gateways => [2.1, 3.4, 6].map(limit => ({gateways, limit}))))('gets what it takes, and no more, from $gateways gateways at $limit a second', async ({gateways, limit}) => {
 		const getLimit = () => limit;
 		const sent = await simulateLimitedUpstream({
-			gateways, holders: 5, requestsPerS: 80, getLimit, durationMs: 15_000, random: createRandom(gateways),
+			gateways, holders: 5, requestsPerS: 80, getLimit, durationMs: 15_000, random: createSeededRandom(gateways),
 		});
 		expect(findExcess(sent, getLimit, SETTLE_MS, 15_000)).toBeLessThanOrEqual(ALLOWED_EXCESS);
 		expect(countBetween(sent, SETTLE_MS, 15_000)).toBeGreaterThan(0.75 * limit * 12);
@@ -67,7 +60,7 @@
 		};
 
 		const sent = await simulateLimitedUpstream({
-			gateways: 25, holders: 11, requestsPerS: 60, getLimit, durationMs: 20_000, random: createRandom(7),
+			gateways: 25, holders: 11, requestsPerS: 60, getLimit, durationMs: 20_000, random: createSeededRandom(7),
 		});
 		expect(findExcess(sent, getLimit, SETTLE_MS, 16_000)).toBeLessThanOrEqual(ALLOWED_EXCESS);
 		expect(countBetween(sent, 18_000, 20_000)).toBeGreaterThan(60);
@@ -82,7 +75,7 @@
 			getLimit,
 			durationMs: 22_000,
 			isReachable: (_gateway, position, atMs) => !(position === 0 && atMs > 6000 && atMs < 11_000) && !(position === 1 && atMs > 9000 && atMs < 13_000),
-			random: createRandom(9),
+			random: createSeededRandom(9),
 		});
 		expect(findExcess(sent, getLimit, SETTLE_MS, 22_000)).toBeLessThanOrEqual(ALLOWED_EXCESS);
 		expect(countBetween(sent, 7000, 9000)).toBeGreaterThan(0);
@@ -91,7 +84,7 @@
 	it('gets no more from gateways that reach different holders', async () => {
 		const getLimit = () => 6;
 		const sent = await simulateLimitedUpstream({
-			gateways: 60, holders: 5, requestsPerS: 120, getLimit, durationMs: 15_000, isReachable: (gateway, position) => position >= gateway % 3, random: createRandom(11),
+			gateways: 60, holders: 5, requestsPerS: 120, getLimit, durationMs: 15_000, isReachable: (gateway, position) => position >= gateway % 3, random: createSeededRandom(11),
 		});
 		expect(findExcess(sent, getLimit, SETTLE_MS, 15_000)).toBeLessThanOrEqual(ALLOWED_EXCESS);
 	});
@@ -99,7 +92,7 @@
 	it('gets no more from gateways that restart and know nothing', async () => {
 		const getLimit = () => 2;
 		const sent = await simulateLimitedUpstream({
-			gateways: 25, holders: 5, requestsPerS: 80, getLimit, durationMs: 15_000, restart: {atMs: 8000, gateways: 12}, random: createRandom(13),
+			gateways: 25, holders: 5, requestsPerS: 80, getLimit, durationMs: 15_000, restart: {atMs: 8000, gateways: 12}, random: createSeededRandom(13),
 		});
 		expect(findExcess(sent, getLimit, SETTLE_MS, 15_000)).toBeLessThanOrEqual(ALLOWED_EXCESS);
 	});
--- a/packages/gateway/src/placement/__tests__/many-gateways.test.ts
+++ b/packages/gateway/src/placement/__tests__/many-gateways.test.ts
@@ -1,6 +1,7 @@
 import {
 	afterEach, beforeEach, describe, expect, it, vi,
 } from 'vitest';
+import {createSeededRandom} from '../../__tests__/create-seeded-random.js';
 import {simulateFleet} from './simulate-fleet.js';
 
 /** Time to the first event within which a turn earns its full worth on the users' sheets. */
@@ -14,14 +15,6 @@
 	vi.useRealTimers();
 });
 
-const createRandom = (seed: number) => {
-	let state = seed;
-	return (): number => {
-		state = ((state * 1_103_515_245) + 12_345) % 2_147_483_648;
-		return state / 2_147_483_648;
-	};
-};
-
 describe('many gateways that see only their own turns', () => {
 	// Guards against SHORT: engines that all gateways preferred filled up unseen while half of the others were idle.
 	it.each([
@@ -36,7 +29,7 @@
 		},
 	])('$gateways gateways serve $turnsPerS turns a second in time on $engines engines with $slots places', fleet => {
 		const {waits, refused} = simulateFleet({
-			...fleet, durationMs: 5000, readPerMs: 112, random: createRandom(1),
+			...fleet, durationMs: 5000, readPerMs: 112, random: createSeededRandom(1),
 		});
 		expect(waits[Math.floor(waits.length * 0.9)]).toBeLessThan(OBJECTIVE_MS);
 		expect(refused).toBe(0);
@@ -45,7 +38,7 @@
 	// Guards against SHORT: under more programs than the engines can serve, all of them waited and few ended in time.
 	it('refuses some programs under twice the load that the engines can serve, and finishes the others', () => {
 		const {waits, refusedPrograms, finishedPrograms} = simulateFleet({
-			gateways: 19, engines: 28, slots: 6, turnsPerS: 2200, durationMs: 8000, readPerMs: 112, random: createRandom(1),
+			gateways: 19, engines: 28, slots: 6, turnsPerS: 2200, durationMs: 8000, readPerMs: 112, random: createSeededRandom(1),
 		});
 		expect(waits[Math.floor(waits.length * 0.5)]).toBeLessThan(2 * OBJECTIVE_MS);
 		expect(refusedPrograms).toBeGreaterThan(0);
@@ -55,7 +48,7 @@
 
 	it('reads no more prompts again than a tenth of those that programs share', () => {
 		const {readTokens} = simulateFleet({
-			gateways: 19, engines: 28, slots: 6, turnsPerS: 400, durationMs: 5000, readPerMs: 112, random: createRandom(3),
+			gateways: 19, engines: 28, slots: 6, turnsPerS: 400, durationMs: 5000, readPerMs: 112, random: createSeededRandom(3),
 		});
 		const ownTokensOfTurn = 208;
 		expect(readTokens).toBeLessThan(ownTokensOfTurn + 256);
