test(gateway): engines that let turns hang hardly make gateways refuse programs

A doubt while reading the admission by waits: a turn that hangs for two seconds counts in the mean wait of all engines.

--- a/packages/gateway/src/placement/__tests__/many-gateways.test.ts
+++ b/packages/gateway/src/placement/__tests__/many-gateways.test.ts
@@ -46,6 +46,13 @@
 		expect(finishedPrograms).toBeGreaterThan(0.7 * 1000 / 6 * 8);
 	}, 60_000);
 
+	it('refuses hardly a program because some engines let turns hang', () => {
+		const {refusedPrograms, finishedPrograms} = simulateFleet({
+			gateways: 19, engines: 28, slots: 6, turnsPerS: 300, durationMs: 8000, readPerMs: 112, hangingEngines: 4, random: createSeededRandom(5),
+		});
+		expect(refusedPrograms).toBeLessThan(0.02 * (finishedPrograms + refusedPrograms));
+	}, 60_000);
+
 	it('reads no more prompts again than a tenth of those that programs share', () => {
 		const {readTokens} = simulateFleet({
 			gateways: 19, engines: 28, slots: 6, turnsPerS: 400, durationMs: 5000, readPerMs: 112, random: createSeededRandom(3),
--- a/packages/gateway/src/placement/__tests__/simulate-fleet.ts
+++ b/packages/gateway/src/placement/__tests__/simulate-fleet.ts
@@ -23,6 +23,8 @@
 	readonly durationMs: number;
 	/** Uniformly distributed in [0, 1). */
 	readonly random: () => number;
+	/** How many of the engines let two of five turns hang until their caller leaves. */
+	readonly hangingEngines?: number;
 	/** Prompt tokens that an engine reads in a millisecond. */
 	readonly readPerMs: number;
 };
@@ -53,6 +55,9 @@
 const TURNS_PER_PROGRAM = 6;
 const PAUSE_MS = 150;
 const TICK_MS = 1;
+const HANG_SHARE = 0.4;
+/** Callers leave a stream that has not begun after this time. */
+const PATIENCE_MS = 2000;
 const OBJECTIVE_MS = 200;
 
 type QueuedTurn = {readonly call: CallHead; readonly onFirstEvent: () => void; readonly onEnd: () => void};
@@ -104,7 +109,7 @@
 };
 
 /** Needs fake timers, which it advances. */
-export const simulateFleet = ({gateways, engines, slots, turnsPerS, durationMs, random, readPerMs}: FleetOptions): FleetResult => {
+export const simulateFleet = ({gateways, engines, slots, turnsPerS, durationMs, random, readPerMs, hangingEngines = 0}: FleetOptions): FleetResult => {
 	const upstreams: Upstream[] = Array.from({length: engines}, (_, index) => ({
 		id: `e${index}` as UpstreamId, service: 's', address: `10.0.0.${index}:1`, dataCentre: DATA_CENTRES[index % DATA_CENTRES.length]! as DataCentreId, slots, isLeaving: false, coldMs: 0, sequence: 1, bornAtMs: 1,
 	}));
@@ -129,6 +134,14 @@
 		const {upstream} = chooseEngine(call, upstreams.map(each => tracker.getLoad(each, call)))!;
 		const active = tracker.beginCall(upstream, call);
 		const sentAt = Date.now();
+		if (upstreams.indexOf(upstream) < hangingEngines && random() < HANG_SHARE) {
+			setTimeout(() => {
+				active.end('failed');
+				runTurn(gateway, program, turn);
+			}, PATIENCE_MS);
+			return;
+		}
+
 		const isTaken = engineById.get(upstream.id)!.offer({
 			call,
 			onFirstEvent() {
