--- a/packages/gateway/src/limits/create-permit-issuer.ts
+++ b/packages/gateway/src/limits/create-permit-issuer.ts
@@ -14,6 +14,7 @@
 than one and a half times the limit. A bucket starts empty, as the holder that
 issued before may just have issued what it had.
 */
+import type {Permit} from './permit.js';
 
 /** Share of the limit that each holder issues of what the one before it in the order issues. */
 const NEXT_ISSUER_SHARE = 1 / 3;
@@ -42,11 +43,6 @@
 	readonly position: number;
 };
 
-export type Permit =
-	| {readonly kind: 'granted'}
-	/** `waitMs`: when it is worth asking again. */
-	| {readonly kind: 'denied'; readonly waitMs: number};
-
 /** `now` reads a monotonic clock, in milliseconds. */
 export const createPermitIssuer = (now: () => number): ((request: PermitRequest) => Permit) => {
 	const buckets = new Map<string, Bucket>();
