feat(gateway): crash notes and blocked requests are logged and counted

Cause: an incident report says that a request under which three upstreams had ended was sent on. Which upstreams a gateway believes to have ended under a request, who told it, and on what a refusal rests, was in no line and no metric, so that the hypotheses could not be told apart. The files about crashes move to a folder of their own. No decision changes.

--- a/packages/gateway/src/forward/__tests__/create-crash-tracker.test.ts
+++ b/packages/gateway/src/crashes/__tests__/create-crash-tracker.test.ts
@@ -4,39 +4,39 @@
 
 describe('createCrashTracker', () => {
 	it('marks a request as dangerous after crashes at three different upstreams, however many at one of them', () => {
-		const tracker = createCrashTracker(createManualClock().now);
+		const tracker = createCrashTracker({now: createManualClock().now});
 		for (const upstream of ['a', 'a', 'a', 'b', 'b']) {
 			tracker.record('r', upstream);
 		}
 
-		expect(tracker.isDangerous('r')).toBe(false);
+		expect(tracker.findBlock('r')).toBeUndefined();
 		tracker.record('r', 'c');
-		expect(tracker.isDangerous('r')).toBe(true);
-		expect(tracker.isDangerous('other')).toBe(false);
+		expect(tracker.findBlock('r')?.length).toBe(3);
+		expect(tracker.findBlock('other')).toBeUndefined();
 	});
 
 	it('forgets crashes after a minute', () => {
 		const clock = createManualClock();
-		const tracker = createCrashTracker(clock.now);
+		const tracker = createCrashTracker({now: clock.now});
 		tracker.record('r', 'a');
 		clock.advance(40_000);
 		tracker.record('r', 'b');
 		tracker.record('r', 'c');
-		expect(tracker.isDangerous('r')).toBe(true);
+		expect(tracker.findBlock('r')?.length).toBe(3);
 		clock.advance(30_000);
-		expect(tracker.isDangerous('r')).toBe(false);
+		expect(tracker.findBlock('r')).toBeUndefined();
 		expect(tracker.list().map(({upstream}) => upstream)).toEqual(['b', 'c']);
 	});
 
 	it('combines crashes that several processes saw once each, through a process that relays them', () => {
 		const clock = createManualClock();
-		const gateways = Array.from({length: 5}, () => createCrashTracker(clock.now));
-		const holder = createCrashTracker(clock.now);
+		const gateways = Array.from({length: 5}, () => createCrashTracker({now: clock.now}));
+		const holder = createCrashTracker({now: clock.now});
 		for (const [index, gateway] of gateways.slice(0, 3).entries()) {
 			gateway.record('r', `upstream-${index}`);
 		}
 
-		expect(gateways.some(gateway => gateway.isDangerous('r'))).toBe(false);
+		expect(gateways.some(gateway => gateway.findBlock('r'))).toBe(false);
 		for (const gateway of gateways) {
 			holder.merge(gateway.list());
 		}
@@ -45,12 +45,12 @@
 			gateway.merge(holder.list());
 		}
 
-		expect(gateways.every(gateway => gateway.isDangerous('r'))).toBe(true);
+		expect(gateways.every(gateway => gateway.findBlock('r'))).toBe(true);
 	});
 
 	it('does not extend the lifetime of an entry by relaying it', () => {
 		const clock = createManualClock();
-		const trackers = [createCrashTracker(clock.now), createCrashTracker(clock.now)] as const;
+		const trackers = [createCrashTracker({now: clock.now}), createCrashTracker({now: clock.now})] as const;
 		trackers[0].record('r', 'a');
 		for (let round = 0; round < 100; round++) {
 			clock.advance(800);
@@ -62,7 +62,7 @@
 	});
 
 	it('tells each crash once, however many heartbeats follow', () => {
-		const tracker = createCrashTracker(createManualClock().now);
+		const tracker = createCrashTracker({now: createManualClock().now});
 		let told = 0;
 		let sequence = 0;
 		for (let heartbeat = 0; heartbeat < 100; heartbeat++) {
@@ -80,7 +80,7 @@
 	});
 
 	it('bounds its list and returns the latest crashes first', () => {
-		const tracker = createCrashTracker(createManualClock().now);
+		const tracker = createCrashTracker({now: createManualClock().now});
 		for (let index = 0; index < 5000; index++) {
 			tracker.record(`r${index}`, 'a');
 		}
--- a/packages/gateway/src/forward/crash-tracker.ts
+++ b/packages/gateway/src/crashes/crash-tracker.ts
@@ -13,7 +13,7 @@
 	readonly list: () => readonly Crash[];
 	/** Those of `list` that became known after `sequence`, and the sequence to pass the next time; 0 lists all. */
 	readonly listAfter: (sequence: number) => {readonly crashes: readonly Crash[]; readonly sequence: number};
-	/** Whether the request crashed so many upstreams that it must not be sent to another. */
-	readonly isDangerous: (fingerprint: string) => boolean;
+	/** The crashes because of which the request must be sent to no other upstream; `undefined` if it may be. */
+	readonly findBlock: (fingerprint: string) => readonly Crash[] | undefined;
 	readonly isEmpty: () => boolean;
 };
--- a/packages/gateway/src/forward/create-crash-tracker.ts
+++ b/packages/gateway/src/crashes/create-crash-tracker.ts
@@ -22,19 +22,26 @@
 /** `sequence` numbers the crashes in the order in which this process learnt of them. */
 type KnownCrash = {readonly at: number; readonly sequence: number};
 
-/** `now` reads a monotonic clock, in milliseconds. */
-export const createCrashTracker = (now: () => number): CrashTracker => {
+type CrashTrackerOptions = {
+	/** Reads a monotonic clock, in milliseconds. */
+	readonly now: () => number;
+	/** Called with each crash that is new here. `source`: whether this process saw it, or another process passed it on. */
+	readonly onNoted?: (crash: Crash, source: 'attempt' | 'process') => void;
+};
+
+export const createCrashTracker = ({now, onNoted}: CrashTrackerOptions): CrashTracker => {
 	// Ordered by the latest crash; each value maps upstreams to their crash.
 	const crashesByFingerprint = new Map<string, Map<string, KnownCrash>>();
 	let newestSequence = 0;
 
-	const addCrash = (fingerprint: string, upstream: string, at: number): void => {
+	const addCrash = (fingerprint: string, upstream: string, at: number, source: 'attempt' | 'process'): void => {
 		const crashes = crashesByFingerprint.get(fingerprint) ?? new Map<string, KnownCrash>();
 		if (crashes.has(upstream) || now() - at >= CRASH_TTL_MS) {
 			return;
 		}
 
 		newestSequence++;
+		onNoted?.({fingerprint, upstream, ageMs: now() - at}, source);
 		crashes.set(upstream, {at, sequence: newestSequence});
 		crashesByFingerprint.delete(fingerprint);
 		crashesByFingerprint.set(fingerprint, crashes);
@@ -62,16 +69,21 @@
 
 	return {
 		record(fingerprint, upstream) {
-			addCrash(fingerprint, upstream, now());
+			addCrash(fingerprint, upstream, now(), 'attempt');
 		},
 		merge(crashes) {
 			for (const {fingerprint, upstream, ageMs} of crashes) {
-				addCrash(fingerprint, upstream, now() - ageMs);
+				addCrash(fingerprint, upstream, now() - ageMs, 'process');
 			}
 		},
 		list: () => listAfter(0),
 		listAfter: sequence => ({crashes: sequence === newestSequence ? [] : listAfter(sequence), sequence: newestSequence}),
-		isDangerous: fingerprint => [...crashesByFingerprint.get(fingerprint)?.values() ?? []].filter(({at}) => now() - at < CRASH_TTL_MS).length >= MIN_CRASHED_UPSTREAMS,
+		findBlock(fingerprint) {
+			const crashes = [...crashesByFingerprint.get(fingerprint) ?? []]
+				.map(([upstream, {at}]) => ({fingerprint, upstream, ageMs: now() - at}))
+				.filter(({ageMs}) => ageMs < CRASH_TTL_MS);
+			return crashes.length >= MIN_CRASHED_UPSTREAMS ? crashes : undefined;
+		},
 		isEmpty: () => crashesByFingerprint.size === 0,
 	};
 };
--- a/packages/gateway/src/forward/create-attempt-runner.ts
+++ b/packages/gateway/src/forward/create-attempt-runner.ts
@@ -4,11 +4,12 @@
 */
 import type {Upstream} from '../upstreams/upstream.js';
 import type {UpstreamLoad} from '../placement/upstream-load.js';
+import type {Crash} from '../crashes/crash.js';
 import type {AttemptResult} from './attempt-result.js';
 import type {CallerResponse} from './caller-response.js';
 import type {CallPlan} from './call-plan.js';
 import {chooseUpstreamForCall} from './choose-upstream-for-call.js';
-import {computeFingerprint} from './compute-fingerprint.js';
+import {computeFingerprint} from '../crashes/compute-fingerprint.js';
 import type {GatewayContext} from './gateway-context.js';
 import {runAttempt} from './run-attempt.js';
 import type {StreamProgress} from './stream-progress.js';
@@ -29,7 +30,7 @@
 
 /** Tries no upstream twice. `completeTurn` stores the turn before the response ends. */
 export const createAttemptRunner = (context: GatewayContext, {plan, response, progress, completeTurn}: AttemptRunnerOptions) => {
-	const {directory, loads, limits, pools, codec, metrics, crashes} = context;
+	const {directory, loads, limits, pools, codec, metrics, crashes, crashLog} = context;
 	const {call, route, service} = plan;
 	const excluded = new Set<string>();
 	const trail: string[] = [];
@@ -43,7 +44,7 @@
 		return fingerprint;
 	};
 
-	const isDangerous = (): boolean => !crashes.isEmpty() && crashes.isDangerous(getFingerprint());
+	const findBlock = (): readonly Crash[] | undefined => crashes.isEmpty() ? undefined : crashes.findBlock(getFingerprint());
 
 	const isUsable = (upstream: Upstream): boolean => !excluded.has(upstream.id) && (denials < MAX_DENIALS ? limits.waitMs(upstream) === 0 : !limits.isLimited(upstream));
 
@@ -73,9 +74,12 @@
 		/** Upstreams that may have run the request. */
 		runs: () => runs,
 		/** Upstreams that had no capacity; `Infinity` once none may be tried any more. */
-		refusals: () => !isDangerous() && directory.list(service).some(upstream => isUsable(upstream)) ? refusals : Infinity,
+		refusals: () => !findBlock() && directory.list(service).some(upstream => isUsable(upstream)) ? refusals : Infinity,
 		async next(): Promise<AttemptResult> {
-			if (isDangerous()) {
+			const block = findBlock();
+			if (block) {
+				crashLog.recordBlock(call.id, block);
+				metrics.countBlocked();
 				return {kind: 'not-run', isFull: true, message: 'too many upstreams lost their connection while they ran the request'};
 			}
 
--- a/packages/gateway/src/forward/gateway-context.ts
+++ b/packages/gateway/src/forward/gateway-context.ts
@@ -9,7 +9,8 @@
 import type {RouteTable} from '../routes/route-table.js';
 import type {UpstreamDirectory} from '../upstreams/upstream-directory.js';
 import type {CallLog} from './call-log.js';
-import type {CrashTracker} from './crash-tracker.js';
+import type {createCrashLog} from '../crashes/create-crash-log.js';
+import type {CrashTracker} from '../crashes/crash-tracker.js';
 import type {UpstreamPools} from './upstream-pools.js';
 
 /** Shared by all requests of the process. */
@@ -22,6 +23,7 @@
 	readonly pools: UpstreamPools;
 	readonly holderClient: HolderClient;
 	readonly crashes: CrashTracker;
+	readonly crashLog: Pick<ReturnType<typeof createCrashLog>, 'recordBlock'>;
 	readonly metrics: GatewayMetrics;
 	readonly calls: CallLog;
 	/** Uniformly distributed in [0, 1). */
--- a/packages/gateway/src/host/create-host-links.ts
+++ b/packages/gateway/src/host/create-host-links.ts
@@ -17,7 +17,7 @@
 import {chooseRelay} from '@siskinhub/turns/membership/choose-relay.js';
 import type {Holder} from '@siskinhub/turns/membership/holder.js';
 import {err, ok} from 'neverthrow';
-import type {CrashTracker} from '../forward/crash-tracker.js';
+import type {CrashTracker} from '../crashes/crash-tracker.js';
 import {fromWireLimit} from '../limits/from-wire-limit.js';
 import type {LimitBook} from '../limits/limit-book.js';
 import {toWireLimit} from '../limits/to-wire-limit.js';
--- a/packages/gateway/src/host/start-gateway.ts
+++ b/packages/gateway/src/host/start-gateway.ts
@@ -16,7 +16,8 @@
 import {refuseOverloaded} from '../admission/refuse-overloaded.js';
 import type {CallCodec} from '../call/call-codec.js';
 import {createCallLog} from '../forward/create-call-log.js';
-import {createCrashTracker} from '../forward/create-crash-tracker.js';
+import {createCrashLog} from '../crashes/create-crash-log.js';
+import {createCrashTracker} from '../crashes/create-crash-tracker.js';
 import {createUpstreamPools} from '../forward/create-upstream-pools.js';
 import {runCall} from '../forward/run-call.js';
 import {createLimitBook} from '../limits/create-limit-book.js';
@@ -64,7 +65,13 @@
 	const stopping = new AbortController();
 	const view = createDeclaredView();
 	const routes = createRouteTable();
-	const crashes = createCrashTracker(() => performance.now());
+	const crashLog = createCrashLog(log);
+	const crashes = createCrashTracker({
+		now: () => performance.now(), onNoted(crash, source) {
+			crashLog.recordNote(crash, source);
+			metrics.countCrash(source);
+		},
+	});
 	const limitLog = createLimitLog(log);
 	const limitBook = createLimitBook({now: () => performance.now(), onChange: limitLog.recordChange});
 	const publisher = createChangePublisher<PeerLink>(view, deriveReadTimes(cfg.applyWithinMs).intervalMs, () => Math.max(0, follower.graceUntil() - Date.now()));
@@ -112,7 +119,7 @@
 	const calls = createCallLog(log);
 	const loop = createLoopMonitor({schedule: setImmediate, now: () => performance.now(), measureUtilization: performance.eventLoopUtilization.bind(performance)});
 	const parts = {
-		codec, routes, directory, loads, limits, pools, holderClient, crashes, metrics, calls, random: Math.random,
+		codec, routes, directory, loads, limits, pools, holderClient, crashes, crashLog, metrics, calls, random: Math.random,
 	};
 	await createPeerServer({ip: cfg.peers.ip, port: cfg.peers.port, settings: links.settings});
 	const server = await createGatewayServer({
@@ -183,6 +190,7 @@
 			pools.close();
 			calls.close();
 			limitLog.close();
+			crashLog.close();
 			log.info('gateway stopped', {active: server.countActive()});
 		},
 	};
--- a/packages/gateway/src/host/start-holder.ts
+++ b/packages/gateway/src/host/start-holder.ts
@@ -18,7 +18,8 @@
 import type {SyncCopy} from '@siskinhub/turns/holder/sync-copy.js';
 import type {Holder} from '@siskinhub/turns/membership/holder.js';
 import type {GatewayMetrics} from '../metrics/gateway-metrics.js';
-import {createCrashTracker} from '../forward/create-crash-tracker.js';
+import {createCrashLog} from '../crashes/create-crash-log.js';
+import {createCrashTracker} from '../crashes/create-crash-tracker.js';
 import {answerPermitRequests} from '../limits/answer-permit-requests.js';
 import {createLimitBook} from '../limits/create-limit-book.js';
 import {createPermitIssuer} from '../limits/create-permit-issuer.js';
@@ -86,7 +87,13 @@
 	const syncCopy: SyncCopy = async (group, listVersion) => copyFromHolders({
 		store: copies, group, listVersion, losses: cfg.losses, linkTo,
 	});
-	const crashes = createCrashTracker(() => performance.now());
+	const crashLog = createCrashLog(log);
+	const crashes = createCrashTracker({
+		now: () => performance.now(), onNoted(crash, source) {
+			crashLog.recordNote(crash, source);
+			metrics.countCrash(source);
+		},
+	});
 	const limitLog = createLimitLog(log);
 	const limits = createLimitBook({now: () => performance.now(), onChange: limitLog.recordChange});
 	metrics.addLimits(limits.listLimits);
@@ -151,6 +158,7 @@
 			metricsServer.close();
 			links.close();
 			limitLog.close();
+			crashLog.close();
 			await copies.close();
 		},
 	};
--- a/packages/gateway/src/metrics/create-gateway-metrics.ts
+++ b/packages/gateway/src/metrics/create-gateway-metrics.ts
@@ -36,6 +36,12 @@
 	const limitedCalls = new Counter({
 		name: 'siskinhub_limited_calls_total', help: 'Requests to upstreams that name a limit, by upstream and whether they were sent or withheld.', labelNames: ['upstream', 'outcome'], registers,
 	});
+	const crashes = new Counter({
+		name: 'siskinhub_crash_notes_total', help: 'Requests that broke off at an upstream, by whether this process saw it or another passed it on.', labelNames: ['source'], registers,
+	});
+	const blocked = new Counter({
+		name: 'siskinhub_blocked_calls_total', help: 'Requests that were sent to no upstream because they crashed several.', registers,
+	});
 	return {
 		countCall(outcome, status, durationMs) {
 			calls.inc({outcome, status: String(status)});
@@ -44,6 +50,12 @@
 		countAttempt(end) {
 			attempts.inc({end});
 		},
+		countCrash(source) {
+			crashes.inc({source});
+		},
+		countBlocked() {
+			blocked.inc();
+		},
 		countStoreCall(kind, outcome) {
 			storeCalls.inc({kind, outcome});
 		},
--- a/packages/gateway/src/metrics/gateway-metrics.ts
+++ b/packages/gateway/src/metrics/gateway-metrics.ts
@@ -9,6 +9,10 @@
 	readonly countCall: (outcome: string, status: number, durationMs: number) => void;
 	/** Counts a request to an upstream by how it ended. */
 	readonly countAttempt: (end: string) => void;
+	/** Counts a note that a request broke off at an upstream. */
+	readonly countCrash: (source: 'attempt' | 'process') => void;
+	/** Counts a request that was sent to no upstream because it crashed several. */
+	readonly countBlocked: () => void;
 	/** Counts a call to the platform's service. */
 	readonly countStoreCall: (kind: string, outcome: string) => void;
 	/** Counts the choice of an upstream; `prompt` is how many tokens of the prompt its cache is estimated to hold and to lack. */
