--- a/packages/gateway/src/crashes/__tests__/create-crash-tracker.test.ts
+++ b/packages/gateway/src/crashes/__tests__/create-crash-tracker.test.ts
@@ -64,19 +64,19 @@
 	it('tells each crash once, however many heartbeats follow', () => {
 		const tracker = createCrashTracker({now: createManualClock().now});
 		let told = 0;
-		let sequence = 0;
+		let cursor: number | undefined;
 		for (let heartbeat = 0; heartbeat < 100; heartbeat++) {
 			if (heartbeat < 30) {
 				tracker.record(`r${heartbeat}`, 'a');
 			}
 
-			const next = tracker.listAfter(sequence);
+			const next = tracker.listAfter(cursor);
 			told += next.crashes.length;
-			({sequence} = next);
+			({cursor} = next);
 		}
 
 		expect(told).toBe(30);
-		expect(tracker.listAfter(0).crashes.length).toBe(30);
+		expect(tracker.listAfter().crashes.length).toBe(30);
 	});
 
 	it('bounds its list and returns the latest crashes first', () => {
--- a/packages/gateway/src/crashes/crash-tracker.ts
+++ b/packages/gateway/src/crashes/crash-tracker.ts
@@ -11,8 +11,8 @@
 	readonly merge: (crashes: readonly Crash[]) => void;
 	/** The crashes to report to other processes, the latest first. */
 	readonly list: () => readonly Crash[];
-	/** Those of `list` that became known after `sequence`, and the sequence to pass the next time; 0 lists all. */
-	readonly listAfter: (sequence: number) => {readonly crashes: readonly Crash[]; readonly sequence: number};
+	/** Those of `list` that became known after the call that returned `cursor`, and the cursor to pass the next time; without one, all. */
+	readonly listAfter: (cursor?: number) => {readonly crashes: readonly Crash[]; readonly cursor: number};
 	/** The crashes because of which the request must be sent to no other upstream; `undefined` if it may be. */
 	readonly findBlock: (fingerprint: string) => readonly Crash[] | undefined;
 	readonly isEmpty: () => boolean;
--- a/packages/gateway/src/crashes/create-crash-tracker.ts
+++ b/packages/gateway/src/crashes/create-crash-tracker.ts
@@ -77,7 +77,7 @@
 			}
 		},
 		list: () => listAfter(0),
-		listAfter: sequence => ({crashes: sequence === newestSequence ? [] : listAfter(sequence), sequence: newestSequence}),
+		listAfter: (cursor = 0) => ({crashes: cursor === newestSequence ? [] : listAfter(cursor), cursor: newestSequence}),
 		findBlock(fingerprint) {
 			const crashes = [...crashesByFingerprint.get(fingerprint) ?? []]
 				.map(([upstream, {at}]) => ({fingerprint, upstream, ageMs: now() - at}))
--- a/packages/gateway/src/forward/create-attempt-runner.ts
+++ b/packages/gateway/src/forward/create-attempt-runner.ts
@@ -5,11 +5,11 @@
 import type {Upstream} from '../upstreams/upstream.js';
 import type {UpstreamLoad} from '../placement/upstream-load.js';
 import type {Crash} from '../crashes/crash.js';
+import {computeFingerprint} from '../crashes/compute-fingerprint.js';
 import type {AttemptResult} from './attempt-result.js';
 import type {CallerResponse} from './caller-response.js';
 import type {CallPlan} from './call-plan.js';
 import {chooseUpstreamForCall} from './choose-upstream-for-call.js';
-import {computeFingerprint} from '../crashes/compute-fingerprint.js';
 import type {GatewayContext} from './gateway-context.js';
 import {runAttempt} from './run-attempt.js';
 import type {StreamProgress} from './stream-progress.js';
--- a/packages/gateway/src/forward/gateway-context.ts
+++ b/packages/gateway/src/forward/gateway-context.ts
@@ -8,9 +8,9 @@
 import type {LoadTracker} from '../placement/load-tracker.js';
 import type {RouteTable} from '../routes/route-table.js';
 import type {UpstreamDirectory} from '../upstreams/upstream-directory.js';
-import type {CallLog} from './call-log.js';
 import type {createCrashLog} from '../crashes/create-crash-log.js';
 import type {CrashTracker} from '../crashes/crash-tracker.js';
+import type {CallLog} from './call-log.js';
 import type {UpstreamPools} from './upstream-pools.js';
 
 /** Shared by all requests of the process. */
--- a/packages/gateway/src/host/create-host-links.ts
+++ b/packages/gateway/src/host/create-host-links.ts
@@ -58,8 +58,8 @@
 		heartbeatIntervalMs: HEARTBEAT_INTERVAL_MS,
 		silenceMs: SILENCE_MS,
 		createHeartbeat(link) {
-			const unsentCrashes = crashes.listAfter(sentCrashes.get(link) ?? 0);
-			sentCrashes.set(link, unsentCrashes.sequence);
+			const unsentCrashes = crashes.listAfter(sentCrashes.get(link));
+			sentCrashes.set(link, unsentCrashes.cursor);
 			const unsentLimits = limits.listAfter(sentLimits.get(link) ?? 0);
 			sentLimits.set(link, unsentLimits.sequence);
 			return {
