fix(gateway): no crash note is left out of the heartbeats

What callers saw: a request under which three upstreams had ended was sent to more. Cause: of the notes that are new on a link, listAfter named the latest 64 and returned the sequence of the last one known, so the others were never told on that link; a new link got 64 in all. An engine of 64 slots and a queue of 192 that ends leaves up to 256 notes, the one of the cause among them. Change: notes wait in a queue and are told page by page. Requests that broke off at two starts go first, with all their notes, and are not pushed out by those that broke off once. The test that expected the latest 64 of 5000 notes and nothing more described the fault; in its place stand tests that all notes are told, 64 a heartbeat, that repeated ones come first, and that 20,000 others do not push them out.

--- a/packages/gateway/src/crashes/crash-tracker.ts
+++ b/packages/gateway/src/crashes/crash-tracker.ts
@@ -1,18 +1,17 @@
 /**
 Records which requests broke off at which upstreams.
 */
-
 import type {Crash} from './crash.js';
+import type {CrashCursor} from './crash-cursor.js';
 
-/** Bounded in size; entries expire after a minute. */
+/** Bounded in size; notes expire after a minute. */
 export type CrashTracker = {
+	/** Notes that the request broke off at the upstream while it ran. */
 	readonly record: (fingerprint: string, upstream: string) => void;
 	/** Adds crashes that another process reported. */
 	readonly merge: (crashes: readonly Crash[]) => void;
-	/** The crashes to report to other processes, the latest first. */
-	readonly list: () => readonly Crash[];
-	/** Those of `list` that became known after the call that returned `cursor`, and the cursor to pass the next time; without one, all. */
-	readonly listAfter: (cursor?: number) => {readonly crashes: readonly Crash[]; readonly cursor: number};
+	/** The next crashes to report on a link, and the cursor to pass the next time; without a cursor, from the first one on. */
+	readonly listAfter: (cursor?: CrashCursor) => {readonly crashes: readonly Crash[]; readonly cursor: CrashCursor};
 	/** The crashes because of which the request must be sent to no other upstream; `undefined` if it may be. */
 	readonly findBlock: (fingerprint: string) => readonly Crash[] | undefined;
 	readonly isEmpty: () => boolean;
--- a/packages/gateway/src/crashes/create-crash-tracker.ts
+++ b/packages/gateway/src/crashes/create-crash-tracker.ts
@@ -2,69 +2,59 @@
 Recognises a request that crashes every upstream that runs it, so that its
 retries do not take down one upstream after the other.
 
-Expected load: the caller retries the request with the same bytes, at any
-process. Each process reports the crashes it saw in the heartbeats of its links
-to the holders, which relay them to the other processes; each process decides by
-itself. A single crash proves nothing, since upstreams also crash on their own
-and connections are reset. Three different upstreams are taken as proof.
+Expected load: the caller sends the request again with the same bytes, at any
+process. An upstream that ends breaks off hundreds of other requests with it, and
+the processes note all of them, because none can tell yet which one was the cause.
+Each process reports the notes in the heartbeats of its links to the holders, which
+relay them; each process decides by itself. A single crash proves nothing, since
+upstreams also crash on their own. Three starts of upstreams are taken as proof.
+
+Requests that crashed more than one start are reported before the others and kept
+longer: a request that shared one start with the cause rarely shares a second.
 */
 import type {Crash} from './crash.js';
+import type {CrashCursor} from './crash-cursor.js';
 import type {CrashTracker} from './crash-tracker.js';
+import {createNoteQueue} from './create-note-queue.js';
 
-/** Upstreams at which a request must have broken off before it is blocked. */
+/** Starts of upstreams at which a request must have broken off before it is blocked. */
 const MIN_CRASHED_UPSTREAMS = 3;
 /** Callers that gave up do not retry after this time, and crashes further apart are hardly related. */
 const CRASH_TTL_MS = 60_000;
-/** Bounds the size of a heartbeat; an upstream under repair breaks off about ten requests a second. */
+/** Bounds the size of a heartbeat; the rest follows in the next ones. */
 const MAX_LISTED_CRASHES = 64;
-const MAX_TRACKED_REQUESTS = 2000;
+const MAX_SINGLE_REQUESTS = 4000;
+const MAX_REPEATED_REQUESTS = 1000;
 
-/** `sequence` numbers the crashes in the order in which this process learnt of them. */
-type KnownCrash = {readonly at: number; readonly sequence: number};
+type Source = 'attempt' | 'process';
 
 type CrashTrackerOptions = {
 	/** Reads a monotonic clock, in milliseconds. */
 	readonly now: () => number;
 	/** Called with each crash that is new here. `source`: whether this process saw it, or another process passed it on. */
-	readonly onNoted?: (crash: Crash, source: 'attempt' | 'process') => void;
+	readonly onNoted?: (crash: Crash, source: Source) => void;
 };
 
 export const createCrashTracker = ({now, onNoted}: CrashTrackerOptions): CrashTracker => {
-	// Ordered by the latest crash; each value maps upstreams to their crash.
-	const crashesByFingerprint = new Map<string, Map<string, KnownCrash>>();
-	let newestSequence = 0;
+	const singles = createNoteQueue(MAX_SINGLE_REQUESTS);
+	const repeats = createNoteQueue(MAX_REPEATED_REQUESTS);
 
-	const addCrash = (fingerprint: string, upstream: string, at: number, source: 'attempt' | 'process'): void => {
-		const crashes = crashesByFingerprint.get(fingerprint) ?? new Map<string, KnownCrash>();
-		if (crashes.has(upstream) || now() - at >= CRASH_TTL_MS) {
-			return;
-		}
-
-		newestSequence++;
-		onNoted?.({fingerprint, upstream, ageMs: now() - at}, source);
-		crashes.set(upstream, {at, sequence: newestSequence});
-		crashesByFingerprint.delete(fingerprint);
-		crashesByFingerprint.set(fingerprint, crashes);
-		for (const [oldest, times] of crashesByFingerprint) {
-			if (crashesByFingerprint.size <= MAX_TRACKED_REQUESTS && [...times.values()].some(each => now() - each.at < CRASH_TTL_MS)) {
-				return;
-			}
+	const toCrash = (fingerprint: string, upstream: string, at: number): Crash => ({fingerprint, upstream, ageMs: Math.max(0, now() - at)});
 
-			crashesByFingerprint.delete(oldest);
-		}
-	};
+	const isFresh = ({ageMs}: Crash): boolean => ageMs < CRASH_TTL_MS;
 
-	const listAfter = (sequence: number): readonly Crash[] => {
-		const crashes: Crash[] = [];
-		for (const [fingerprint, upstreams] of [...crashesByFingerprint].toReversed()) {
-			for (const [upstream, {at, sequence: known}] of upstreams) {
-				if (known > sequence && now() - at < CRASH_TTL_MS && crashes.length < MAX_LISTED_CRASHES) {
-					crashes.push({fingerprint, upstream, ageMs: now() - at});
-				}
-			}
+	/** A second start makes the request a repeated one, all of whose crashes are reported again, ahead of the others. */
+	const addCrash = (fingerprint: string, upstream: string, at: number, source: Source): void => {
+		const known = repeats.get(fingerprint) ?? singles.get(fingerprint) ?? new Map<string, number>();
+		const crash = toCrash(fingerprint, upstream, at);
+		if (known.has(upstream) || !isFresh(crash)) {
+			return;
 		}
 
-		return crashes;
+		onNoted?.(crash, source);
+		const crashes = new Map([...known].filter(([, knownAt]) => isFresh(toCrash(fingerprint, upstream, knownAt)))).set(upstream, at);
+		singles.delete(fingerprint);
+		(crashes.size > 1 ? repeats : singles).put(fingerprint, crashes);
 	};
 
 	return {
@@ -76,14 +66,18 @@
 				addCrash(fingerprint, upstream, now() - ageMs, 'process');
 			}
 		},
-		list: () => listAfter(0),
-		listAfter: (cursor = 0) => ({crashes: cursor === newestSequence ? [] : listAfter(cursor), cursor: newestSequence}),
+		listAfter(cursor?: CrashCursor) {
+			const repeated = repeats.listAfter(cursor?.repeated, MAX_LISTED_CRASHES);
+			const single = singles.listAfter(cursor?.single, MAX_LISTED_CRASHES - repeated.notes.length);
+			return {
+				crashes: [...repeated.notes, ...single.notes].map(({key, upstream, at}) => toCrash(key, upstream, at)).filter(crash => isFresh(crash)),
+				cursor: {repeated: repeated.cursor, single: single.cursor},
+			};
+		},
 		findBlock(fingerprint) {
-			const crashes = [...crashesByFingerprint.get(fingerprint) ?? []]
-				.map(([upstream, {at}]) => ({fingerprint, upstream, ageMs: now() - at}))
-				.filter(({ageMs}) => ageMs < CRASH_TTL_MS);
+			const crashes = [...repeats.get(fingerprint) ?? []].map(([upstream, at]) => toCrash(fingerprint, upstream, at)).filter(crash => isFresh(crash));
 			return crashes.length >= MIN_CRASHED_UPSTREAMS ? crashes : undefined;
 		},
-		isEmpty: () => crashesByFingerprint.size === 0,
+		isEmpty: () => singles.size() + repeats.size() === 0,
 	};
 };
--- a/packages/gateway/src/host/create-host-links.ts
+++ b/packages/gateway/src/host/create-host-links.ts
@@ -17,6 +17,7 @@
 import {chooseRelay} from '@siskinhub/turns/membership/choose-relay.js';
 import type {Holder} from '@siskinhub/turns/membership/holder.js';
 import {err, ok} from 'neverthrow';
+import type {CrashCursor} from '../crashes/crash-cursor.js';
 import type {CrashTracker} from '../crashes/crash-tracker.js';
 import {fromWireLimit} from '../limits/from-wire-limit.js';
 import type {LimitBook} from '../limits/limit-book.js';
@@ -49,7 +50,7 @@
 /** The links answer neighbours that ask for changes of the declared state, and tell each other new upstream crashes and limits with each heartbeat. */
 export const createHostLinks = ({host, dataCentre, view, crashes, limits, publisher, diskId = '', onMessage = () => false, onPause}: HostLinksOptions) => {
 	// The newest crash and limit that were sent on each link; a new link gets all of them.
-	const sentCrashes = new WeakMap<PeerLink, number>();
+	const sentCrashes = new WeakMap<PeerLink, CrashCursor>();
 	const sentLimits = new WeakMap<PeerLink, number>();
 	const settings: LinkSettings = {
 		hello: {
