fix(gateway): an upstream that ends without closing its connections is noted

What callers saw: a request under which three upstreams had ended was sent on. Cause: a crash was noted only if the attempt's connection was lost. An upstream that falls silent closes none: the caller leaves first, or the deadline comes; an answer without a length that ends with its connection seemed whole. And a crash was named by the start that the list knew then, so that two starts under one id counted once while the list was late. Change: an attempt that was sent and not answered makes a suspect, and so does a second loss at the same start; it counts once the list says that this start has ended (removed without leaving, or replaced by a newer start). The directory now tells of replaced starts too, whose pools and loads were kept until the id was removed. Ruled out: counting unanswered attempts at once; overloaded engines leave hundreds of them, and three would block a turn that harms nobody (test 'blocks nothing while engines that go on'). Evidence: crashing-request.test.ts, silent upstreams and the late list: 502 before, 503 and no run now; create-crash-watch.test.ts.

--- a/packages/gateway/src/crashes/__tests__/simulate-crashing-request.ts
+++ b/packages/gateway/src/crashes/__tests__/simulate-crashing-request.ts
@@ -94,7 +94,7 @@
 	const sendCrasher = (): void => {
 		const sender = pick(gatewayList);
 		const running = upFrom.flatMap((from, engine) => from <= clock.now() ? [engine] : []);
-		if (sender.tracker.findBlock(CRASHER) || running.length === 0) {
+		if (sender.tracker.findBlock(CRASHER) !== undefined || running.length === 0) {
 			return;
 		}
 
--- a/packages/gateway/src/crashes/crash-tracker.ts
+++ b/packages/gateway/src/crashes/crash-tracker.ts
@@ -6,8 +6,8 @@
 
 /** Bounded in size; notes expire after ten minutes. */
 export type CrashTracker = {
-	/** Notes that the request broke off at the upstream while it ran. */
-	readonly record: (fingerprint: string, upstream: string) => void;
+	/** Notes that the request broke off at the upstream while it ran; returns whether that is new. */
+	readonly record: (fingerprint: string, upstream: string) => boolean;
 	/** Adds crashes that another process reported. */
 	readonly merge: (crashes: readonly Crash[]) => void;
 	/** The next crashes to report on a link, and the cursor to pass the next time; without a cursor, from the first one on. */
--- a/packages/gateway/src/crashes/create-crash-tracker.ts
+++ b/packages/gateway/src/crashes/create-crash-tracker.ts
@@ -44,23 +44,22 @@
 	const isFresh = ({ageMs}: Crash): boolean => ageMs < CRASH_TTL_MS;
 
 	/** A second start makes the request a repeated one, all of whose crashes are reported again, ahead of the others. */
-	const addCrash = (fingerprint: string, upstream: string, at: number, source: Source): void => {
+	const addCrash = (fingerprint: string, upstream: string, at: number, source: Source): boolean => {
 		const known = repeats.get(fingerprint) ?? singles.get(fingerprint) ?? new Map<string, number>();
 		const crash = toCrash(fingerprint, upstream, at);
 		if (known.has(upstream) || !isFresh(crash)) {
-			return;
+			return false;
 		}
 
 		onNoted?.(crash, source);
 		const crashes = new Map([...known].filter(([, knownAt]) => isFresh(toCrash(fingerprint, upstream, knownAt)))).set(upstream, at);
 		singles.delete(fingerprint);
 		(crashes.size > 1 ? repeats : singles).put(fingerprint, crashes);
+		return true;
 	};
 
 	return {
-		record(fingerprint, upstream) {
-			addCrash(fingerprint, upstream, now(), 'attempt');
-		},
+		record: (fingerprint, upstream) => addCrash(fingerprint, upstream, now(), 'attempt'),
 		merge(crashes) {
 			for (const {fingerprint, upstream, ageMs} of crashes) {
 				addCrash(fingerprint, upstream, now() - ageMs, 'process');
--- a/packages/gateway/src/crashes/create-note-queue.ts
+++ b/packages/gateway/src/crashes/create-note-queue.ts
@@ -30,16 +30,16 @@
 		delete(key: string): void {
 			entries.delete(key);
 		},
-		/** Lists whole requests that changed after `cursor`, with at most `maxNotes` notes unless a single request has more. */
-		listAfter(cursor = 0, maxNotes: number): {readonly notes: readonly Note[]; readonly cursor: number} {
+		/** Lists whole requests that changed after `cursor`, or all without one, with at most `maxNotes` notes unless a single request has more. */
+		listAfter(cursor: number | undefined, maxNotes: number): {readonly notes: readonly Note[]; readonly cursor: number} {
 			const notes: Note[] = [];
-			let listed = cursor;
-			if (cursor === newestSequence) {
-				return {notes, cursor};
+			let listed = cursor ?? 0;
+			if (listed === newestSequence) {
+				return {notes, cursor: listed};
 			}
 
 			for (const [key, {sequence, times}] of entries) {
-				if (sequence <= cursor) {
+				if (sequence <= listed) {
 					continue;
 				}
 
--- a/packages/gateway/src/forward/attempt-result.ts
+++ b/packages/gateway/src/forward/attempt-result.ts
@@ -3,7 +3,8 @@
 */
 
 /**
-`done`: the response has been sent to the caller. `not-run`: the upstream has not
+`done`: the response has been sent to the caller; only if `isFramed` does its end
+prove that it is whole. `not-run`: the upstream has not
 run the request and will not; `isFull` means that it had no capacity. `unknown`:
 the request may have run, and the caller has received nothing of the response.
 `broken`: the caller has received a part of it. `isConnectionLost`: the upstream's
@@ -12,9 +13,8 @@
 `gone`: the caller disconnected. `timed-out`: the request's deadline passed.
 */
 export type AttemptResult =
-	| {readonly kind: 'done'; readonly status: number}
+	| {readonly kind: 'done'; readonly status: number; readonly isFramed: boolean}
 	| {readonly kind: 'not-run'; readonly isFull: boolean; readonly message: string}
 	| {readonly kind: 'unknown' | 'broken'; readonly message: string; readonly isConnectionLost: boolean}
 	| {readonly kind: 'failed'; readonly status: number; readonly forwardResponse: () => void}
-	| {readonly kind: 'gone'}
-	| {readonly kind: 'timed-out'; readonly wasSent: boolean};
+	| {readonly kind: 'gone' | 'timed-out'; readonly wasSent: boolean};
--- a/packages/gateway/src/forward/create-attempt-runner.ts
+++ b/packages/gateway/src/forward/create-attempt-runner.ts
@@ -4,6 +4,7 @@
 */
 import type {Upstream} from '../upstreams/upstream.js';
 import type {UpstreamLoad} from '../placement/upstream-load.js';
+import {identifyStart} from '../upstreams/identify-start.js';
 import type {Crash} from '../crashes/crash.js';
 import {computeFingerprint} from '../crashes/compute-fingerprint.js';
 import type {AttemptResult} from './attempt-result.js';
@@ -11,6 +12,7 @@
 import type {CallPlan} from './call-plan.js';
 import {chooseUpstreamForCall} from './choose-upstream-for-call.js';
 import type {GatewayContext} from './gateway-context.js';
+import {judgeAttemptEnd} from './judge-attempt-end.js';
 import {runAttempt} from './run-attempt.js';
 import type {StreamProgress} from './stream-progress.js';
 
@@ -30,7 +32,7 @@
 
 /** Tries no upstream twice. `completeTurn` stores the turn before the response ends. */
 export const createAttemptRunner = (context: GatewayContext, {plan, response, progress, completeTurn}: AttemptRunnerOptions) => {
-	const {directory, loads, limits, pools, codec, metrics, crashes, crashLog} = context;
+	const {directory, loads, limits, pools, codec, metrics, crashes, crashWatch, crashLog} = context;
 	const {call, route, service} = plan;
 	const excluded = new Set<string>();
 	const trail: string[] = [];
@@ -46,6 +48,16 @@
 
 	const findBlock = (): readonly Crash[] | undefined => crashes.isEmpty() ? undefined : crashes.findBlock(getFingerprint());
 
+	/** Notes what the end of an attempt tells of its upstream. */
+	const noteEnd = (upstream: Upstream, result: AttemptResult): void => {
+		const end = judgeAttemptEnd(result);
+		if (end === 'lost') {
+			crashWatch.recordLost(getFingerprint(), identifyStart(upstream));
+		} else if (end === 'unanswered') {
+			crashWatch.recordUnanswered(getFingerprint(), identifyStart(upstream));
+		}
+	};
+
 	const isUsable = (upstream: Upstream): boolean => !excluded.has(upstream.id) && (denials < MAX_DENIALS ? limits.waitMs(upstream) === 0 : !limits.isLimited(upstream));
 
 	/** Chooses an upstream that the request may be sent to now; `undefined` if there is none. */
@@ -118,9 +130,7 @@
 			metrics.countAttempt(result.kind);
 			trail.push(`${upstream.id} ${describeResult(result)}`);
 			excluded.add(upstream.id);
-			if ((result.kind === 'unknown' || result.kind === 'broken') && result.isConnectionLost) {
-				crashes.record(getFingerprint(), `${upstream.id} ${upstream.bornAtMs}`);
-			}
+			noteEnd(upstream, result);
 
 			if (result.kind === 'not-run') {
 				refusals += isFull && !isLimited ? 1 : 0;
--- a/packages/gateway/src/forward/gateway-context.ts
+++ b/packages/gateway/src/forward/gateway-context.ts
@@ -9,6 +9,7 @@
 import type {RouteTable} from '../routes/route-table.js';
 import type {UpstreamDirectory} from '../upstreams/upstream-directory.js';
 import type {createCrashLog} from '../crashes/create-crash-log.js';
+import type {createCrashWatch} from '../crashes/create-crash-watch.js';
 import type {CrashTracker} from '../crashes/crash-tracker.js';
 import type {CallLog} from './call-log.js';
 import type {UpstreamPools} from './upstream-pools.js';
@@ -23,6 +24,7 @@
 	readonly pools: UpstreamPools;
 	readonly holderClient: HolderClient;
 	readonly crashes: CrashTracker;
+	readonly crashWatch: Pick<ReturnType<typeof createCrashWatch>, 'recordLost' | 'recordUnanswered'>;
 	readonly crashLog: Pick<ReturnType<typeof createCrashLog>, 'recordBlock'>;
 	readonly metrics: GatewayMetrics;
 	readonly calls: CallLog;
--- a/packages/gateway/src/forward/run-attempt.ts
+++ b/packages/gateway/src/forward/run-attempt.ts
@@ -143,7 +143,7 @@
 
 		startResponse();
 		response.finish(remainder.length > 0 ? remainder : undefined);
-		settle({kind: 'done', status: head!.status});
+		settle({kind: 'done', status: head!.status, isFramed: head!.isFramed});
 	};
 
 	const finishPlain = (): void => {
@@ -158,7 +158,7 @@
 		}
 
 		forwardResponse();
-		settle({kind: 'done', status: head!.status});
+		settle({kind: 'done', status: head!.status, isFramed: head!.isFramed});
 	};
 
 	const handleHead = (status: number, headers: Record<string, string | string[] | undefined>): void => {
@@ -249,6 +249,6 @@
 	}, Math.max(0, deadlineAt - Date.now()));
 
 	response.onDisconnect(() => {
-		abortWith({kind: 'gone'});
+		abortWith({kind: 'gone', wasSent: exchange.wasSent()});
 	});
 });
--- a/packages/gateway/src/host/start-gateway.ts
+++ b/packages/gateway/src/host/start-gateway.ts
@@ -17,12 +17,13 @@
 import type {CallCodec} from '../call/call-codec.js';
 import {createCallLog} from '../forward/create-call-log.js';
 import {createCrashLog} from '../crashes/create-crash-log.js';
+import {createCrashWatch} from '../crashes/create-crash-watch.js';
 import {createCrashTracker} from '../crashes/create-crash-tracker.js';
 import {createUpstreamPools} from '../forward/create-upstream-pools.js';
 import {runCall} from '../forward/run-call.js';
 import {createLimitBook} from '../limits/create-limit-book.js';
 import {createLimitGate} from '../limits/create-limit-gate.js';
-import {identifyStart} from '../limits/identify-start.js';
+import {identifyStart} from '../upstreams/identify-start.js';
 import {createLimitLog} from '../limits/create-limit-log.js';
 import {createGatewayServer} from '../http/create-gateway-server.js';
 import type {EarlyListener} from '../http/early-listener.js';
@@ -72,6 +73,7 @@
 			metrics.countCrash(source);
 		},
 	});
+	const crashWatch = createCrashWatch({tracker: crashes, now: () => performance.now()});
 	const limitLog = createLimitLog(log);
 	const limitBook = createLimitBook({now: () => performance.now(), onChange: limitLog.recordChange});
 	const publisher = createChangePublisher<PeerLink>(view, deriveReadTimes(cfg.applyWithinMs).intervalMs, () => Math.max(0, follower.graceUntil() - Date.now()));
@@ -107,7 +109,11 @@
 	const limits = createLimitGate({
 		limits: limitBook, listDisks: registry.listDisks, linkTo: holder => links.linkTo(holder.address), now: () => performance.now(), onDecided: metrics.countLimited,
 	});
-	directory.onRemove(upstream => {
+	directory.onEnd(upstream => {
+		if (!upstream.isLeaving) {
+			crashWatch.recordEnd(identifyStart(upstream));
+		}
+
 		pools.drop(upstream);
 		loads.forget(upstream);
 		limits.forget(upstream);
@@ -119,7 +125,7 @@
 	const calls = createCallLog(log);
 	const loop = createLoopMonitor({schedule: setImmediate, now: () => performance.now(), measureUtilization: performance.eventLoopUtilization.bind(performance)});
 	const parts = {
-		codec, routes, directory, loads, limits, pools, holderClient, crashes, crashLog, metrics, calls, random: Math.random,
+		codec, routes, directory, loads, limits, pools, holderClient, crashes, crashWatch, crashLog, metrics, calls, random: Math.random,
 	};
 	await createPeerServer({ip: cfg.peers.ip, port: cfg.peers.port, settings: links.settings});
 	const server = await createGatewayServer({
--- a/packages/gateway/src/limits/__tests__/simulate-limited-upstream.ts
+++ b/packages/gateway/src/limits/__tests__/simulate-limited-upstream.ts
@@ -15,7 +15,7 @@
 import {createLimitBook} from '../create-limit-book.js';
 import {createLimitGate} from '../create-limit-gate.js';
 import {createPermitIssuer} from '../create-permit-issuer.js';
-import {identifyStart} from '../identify-start.js';
+import {identifyStart} from '../../upstreams/identify-start.js';
 import {orderIssuers} from '../order-issuers.js';
 
 type Options = {
--- a/packages/gateway/src/limits/create-limit-gate.ts
+++ b/packages/gateway/src/limits/create-limit-gate.ts
@@ -9,9 +9,9 @@
 import type {PeerLink} from '@siskinhub/peer/peer-link.js';
 import {askHolder} from '@siskinhub/turns/membership/ask-holder.js';
 import type {Holder} from '@siskinhub/turns/membership/holder.js';
+import {identifyStart} from '../upstreams/identify-start.js';
 import type {Permit} from './permit.js';
 import {fromWireLimit} from './from-wire-limit.js';
-import {identifyStart} from './identify-start.js';
 import type {LimitBook} from './limit-book.js';
 import type {LimitGate} from './limit-gate.js';
 import {orderIssuers} from './order-issuers.js';
--- a/packages/gateway/src/upstreams/__tests__/create-upstream-directory.test.ts
+++ b/packages/gateway/src/upstreams/__tests__/create-upstream-directory.test.ts
@@ -57,9 +57,21 @@
 	it('removes a leaving upstream at once even during the grace period', () => {
 		const directory = createUpstreamDirectory({graceUntil: () => Date.now() + 2000});
 		const removed: string[] = [];
-		directory.onRemove(({id}) => removed.push(id));
+		directory.onEnd(({id}) => removed.push(id));
 		directory.update(upstream({isLeaving: true}));
 		directory.remove('u1');
 		expect(removed).toEqual(['u1']);
 	});
+
+	it('tells the end of a start when the entry of a newer one replaces it, and once only', () => {
+		const directory = createUpstreamDirectory({graceUntil: () => 0});
+		const ended: number[] = [];
+		directory.onEnd(({bornAtMs}) => ended.push(bornAtMs));
+		directory.update(upstream({bornAtMs: 10}));
+		directory.update(upstream({bornAtMs: 10, sequence: 2}));
+		directory.update(upstream({bornAtMs: 20}));
+		directory.update(upstream({bornAtMs: 10, sequence: 3}));
+		directory.remove('u1');
+		expect(ended).toEqual([10, 20]);
+	});
 });
--- a/packages/gateway/src/upstreams/create-upstream-directory.ts
+++ b/packages/gateway/src/upstreams/create-upstream-directory.ts
@@ -28,6 +28,12 @@
 		byService.set(service, [...byId.values()].filter(upstream => upstream.service === service && !upstream.isLeaving));
 	};
 
+	const tellEnd = (ended: Upstream): void => {
+		for (const listener of listeners) {
+			listener(ended);
+		}
+	};
+
 	const removeNow = (id: string): void => {
 		pendingRemovals.delete(id);
 		const known = byId.get(id);
@@ -37,9 +43,7 @@
 
 		byId.delete(id);
 		refreshService(known.service);
-		for (const listener of listeners) {
-			listener(known);
-		}
+		tellEnd(known);
 	};
 
 	return {
@@ -58,6 +62,9 @@
 			}
 
 			refreshService(next.service);
+			if (known && !isSameStart) {
+				tellEnd(known);
+			}
 		},
 		remove(id) {
 			const waitMs = graceUntil() - Date.now();
@@ -69,7 +76,7 @@
 		},
 		list: service => byService.get(service) ?? [],
 		get: id => byId.get(id),
-		onRemove(listener) {
+		onEnd(listener) {
 			listeners.push(listener);
 		},
 	};
--- a/packages/gateway/src/upstreams/upstream-directory.ts
+++ b/packages/gateway/src/upstreams/upstream-directory.ts
@@ -11,6 +11,6 @@
 	/** The upstreams of a service that are not leaving. */
 	readonly list: (service: string) => readonly Upstream[];
 	readonly get: (id: string) => Upstream | undefined;
-	/** Calls `listener` with each upstream that was removed. */
-	readonly onRemove: (listener: (upstream: Upstream) => void) => void;
+	/** Calls `listener` with each start of an upstream that has ended: it was removed, or replaced by a newer start. */
+	readonly onEnd: (listener: (upstream: Upstream) => void) => void;
 };
