--- a/packages/gateway/src/forward/create-attempt-runner.ts
+++ b/packages/gateway/src/forward/create-attempt-runner.ts
@@ -58,6 +58,12 @@
 		}
 	};
 
+	const refuseBlocked = (block: readonly Crash[]): AttemptResult => {
+		crashLog.recordBlock(call.id, block);
+		metrics.countBlocked();
+		return {kind: 'not-run', isFull: true, message: 'too many upstreams ended while they ran the request'};
+	};
+
 	const isUsable = (upstream: Upstream): boolean => !excluded.has(upstream.id) && (denials < MAX_DENIALS ? limits.waitMs(upstream) === 0 : !limits.isLimited(upstream));
 
 	/** Chooses an upstream that the request may be sent to now; `undefined` if there is none. */
@@ -76,6 +82,8 @@
 
 	return {
 		trail,
+		/** Whether the request crashed so many upstreams that it is sent to no other. */
+		isBlocked: () => findBlock() !== undefined,
 		/** Permits that were denied. */
 		denials: () => denials,
 		/** Milliseconds until the first of the upstreams that are kept back by their limit takes a request; `undefined` if none is. */
@@ -88,14 +96,13 @@
 		/** Upstreams that had no capacity; `Infinity` once none may be tried any more. */
 		refusals: () => !findBlock() && directory.list(service).some(upstream => isUsable(upstream)) ? refusals : Infinity,
 		async next(): Promise<AttemptResult> {
+			const chosen = findBlock() ? undefined : await chooseNext();
+			// Other processes may have reported a crash while this one waited for a permit.
 			const block = findBlock();
 			if (block) {
-				crashLog.recordBlock(call.id, block);
-				metrics.countBlocked();
-				return {kind: 'not-run', isFull: true, message: 'too many upstreams lost their connection while they ran the request'};
+				return refuseBlocked(block);
 			}
 
-			const chosen = await chooseNext();
 			if (!chosen) {
 				return {kind: 'not-run', isFull: true, message: denials > 0 ? 'the limits of the upstreams that are left allow no request now' : 'no upstream is left to try'};
 			}
--- a/packages/gateway/src/forward/run-call.ts
+++ b/packages/gateway/src/forward/run-call.ts
@@ -16,6 +16,8 @@
 /** Retry delays for callers; short if another process may serve them at once. */
 const RETRY_OTHER_PROCESS_MS = 100;
 const RETRY_WHEN_FULL_MS = 300;
+/** A request that crashes upstreams stays blocked for minutes, so an earlier return is in vain. */
+const RETRY_BLOCKED_MS = 60_000;
 /** A starting process has read the routes within tens of milliseconds; refusing the caller would cost it one of its few attempts. */
 const FIRST_ROUTES_TIMEOUT_MS = 1000;
 
@@ -118,7 +120,7 @@
 		});
 		const withheldForMs = attempts.withheldForMs();
 		Object.assign(fields, attempts.denials() > 0 && {denials: attempts.denials(), withheldForMs});
-		const retryAfterMs = Math.max(RETRY_OTHER_PROCESS_MS, withheldForMs ?? RETRY_WHEN_FULL_MS);
+		const retryAfterMs = attempts.isBlocked() ? RETRY_BLOCKED_MS : Math.max(RETRY_OTHER_PROCESS_MS, withheldForMs ?? RETRY_WHEN_FULL_MS);
 		return {...finishCall(response, result, step, retryAfterMs), attempts: attempts.trail.length, firstEventMs};
 	}
 };
