fix(gateway): a stream goes on only at the software version that began it

Cause: no part of the promise existed. The version of an upstream was not read, nothing read which attempt a caller takes up, and a retry within one answer went to any upstream. A stream that is taken up reads its origin from a quorum, beside the reservation of its tokens, and goes only to upstreams with this origin; without one it is refused as not run. Within one answer the same holds from the first event on. Why this holds: what a reader finds was written before the caller had an event, the highest try wins, and write and read quorums meet; who does not find it does not send. Ruled out: gossip by heartbeats (a stream is taken up 0.1 s after its gateway was killed); the reservation as carrier (not every stream has a budget, and a retry at another version would need a write of its own anyway); memory only (all holders may be killed at once).

--- a/packages/gateway/src/call/call-head.ts
+++ b/packages/gateway/src/call/call-head.ts
@@ -40,6 +40,8 @@
 	readonly affinityKey?: string;
 	/** The last event that the caller received in an earlier attempt. */
 	readonly lastEventId?: string;
+	/** The earlier attempt that brought the first event of the stream that this one takes up. */
+	readonly resumes?: RequestId;
 	readonly program?: ProgramHead;
 	readonly prompt?: PromptHead;
 };
--- a/packages/gateway/src/forward/__tests__/prepare-turn.test.ts
+++ b/packages/gateway/src/forward/__tests__/prepare-turn.test.ts
@@ -17,6 +17,8 @@
 	reserve: vi.fn<HolderClient['reserve']>(async () => 'reserved'),
 	readTurns: vi.fn<HolderClient['readTurns']>(async () => ({kind: 'found', turns: [], isFromOtherGroup: false})),
 	settle: vi.fn<HolderClient['settle']>(async () => true),
+	recordOrigin: vi.fn<HolderClient['recordOrigin']>(async () => true),
+	readOrigin: vi.fn<HolderClient['readOrigin']>(async () => ({kind: 'unknown'})),
 	isReady: () => !isCutOff,
 	isCutOff: () => isCutOff,
 	cutOffForMs: () => isCutOff ? 1 : 0,
--- a/packages/gateway/src/forward/__tests__/send-to-upstream.test.ts
+++ b/packages/gateway/src/forward/__tests__/send-to-upstream.test.ts
@@ -34,7 +34,7 @@
 	});
 	const {port} = server.address() as AddressInfo;
 	return pools.get({
-		id: 'u' as UpstreamId, service: 's', address: `127.0.0.1:${port}`, dataCentre: 'd' as DataCentreId, slots: 1, isLeaving: false, coldMs: 0, sequence: 1, bornAtMs: 1,
+		id: 'u' as UpstreamId, service: 's', address: `127.0.0.1:${port}`, dataCentre: 'd' as DataCentreId, softwareVersion: '', slots: 1, isLeaving: false, coldMs: 0, sequence: 1, bornAtMs: 1,
 	});
 };
 
@@ -114,7 +114,7 @@
 		const ownPools = createUpstreamPools({getMaxConnections: () => 2});
 		cleanups.push(ownPools.close);
 		const unreachable = ownPools.get({
-			id: 'n' as UpstreamId, service: 's', address: '127.0.0.1:1', dataCentre: 'd' as DataCentreId, slots: 1, isLeaving: false, coldMs: 0, sequence: 1, bornAtMs: 1,
+			id: 'n' as UpstreamId, service: 's', address: '127.0.0.1:1', dataCentre: 'd' as DataCentreId, softwareVersion: '', slots: 1, isLeaving: false, coldMs: 0, sequence: 1, bornAtMs: 1,
 		});
 		expect(await send(unreachable)).toMatchObject({end: 'failed', wasSent: false});
 	});
--- a/packages/gateway/src/forward/call-plan.ts
+++ b/packages/gateway/src/forward/call-plan.ts
@@ -2,6 +2,7 @@
 A request that has been routed and is ready to be sent to upstreams.
 */
 import type {CallHead} from '../call/call-head.js';
+import type {StreamOrigin} from '../origins/stream-origin.js';
 import type {Route} from '../routes/route.js';
 
 /** Times are wall-clock times (`Date.now()`), in milliseconds. */
@@ -9,6 +10,8 @@
 	readonly call: CallHead;
 	readonly route: Route;
 	readonly service: string;
+	/** Only upstreams with this software may run the request, which takes up a stream. */
+	readonly origin?: StreamOrigin;
 	/** The body sent to the upstream. */
 	readonly body: Uint8Array;
 	readonly arrivedAt: number;
--- a/packages/gateway/src/forward/create-attempt-runner.ts
+++ b/packages/gateway/src/forward/create-attempt-runner.ts
@@ -4,6 +4,8 @@
 */
 import type {Upstream} from '../upstreams/upstream.js';
 import type {UpstreamLoad} from '../placement/upstream-load.js';
+import {createOriginRecorder} from '../origins/create-origin-recorder.js';
+import {hasOrigin} from '../origins/has-origin.js';
 import {identifyStart} from '../upstreams/identify-start.js';
 import type {Crash} from '../crashes/crash.js';
 import {computeFingerprint} from '../crashes/compute-fingerprint.js';
@@ -37,6 +39,7 @@
 	const {call, route, service} = plan;
 	const excluded = new Set<string>();
 	const trail: string[] = [];
+	const origins = route.isResumable ? createOriginRecorder({holderClient: context.holderClient, call}) : undefined;
 	let runs = 0;
 	let refusals = 0;
 	let denials = 0;
@@ -67,7 +70,13 @@
 		return {kind: 'not-run', isFull: true, message: 'too many upstreams ended while they ran the request'};
 	};
 
-	const isUsable = (upstream: Upstream): boolean => !excluded.has(upstream.id) && (denials < MAX_DENIALS ? limits.waitMs(upstream) === 0 : !limits.isLimited(upstream));
+	/** Before the first event any software may run the request; after it only the same. */
+	const fitsStream = (upstream: Upstream): boolean => {
+		const origin = plan.origin ?? (progress.events > 0 ? origins?.origin() : undefined);
+		return !origin || hasOrigin(upstream, origin);
+	};
+
+	const isUsable = (upstream: Upstream): boolean => !excluded.has(upstream.id) && fitsStream(upstream) && (denials < MAX_DENIALS ? limits.waitMs(upstream) === 0 : !limits.isLimited(upstream));
 
 	/** Chooses an upstream that the request may be sent to now; `undefined` if there is none. */
 	const chooseNext = async (): Promise<UpstreamLoad | undefined> => {
@@ -81,7 +90,7 @@
 	};
 
 	/** Upstreams that the request is kept from only because of their limit. */
-	const listWithheld = (): readonly Upstream[] => directory.list(service).filter(upstream => !excluded.has(upstream.id) && limits.isLimited(upstream));
+	const listWithheld = (): readonly Upstream[] => directory.list(service).filter(upstream => !excluded.has(upstream.id) && fitsStream(upstream) && limits.isLimited(upstream));
 
 	return {
 		trail,
@@ -113,6 +122,7 @@
 			const {upstream, heldTokens} = chosen;
 			metrics.countChoice(chosen, call.prompt && {held: heldTokens, missing: Math.max(0, call.prompt.promptTokens - heldTokens)});
 			const activeCall = loads.beginCall(upstream, call);
+			origins?.begin(upstream);
 			const sentAt = limits.now();
 			const result = await runAttempt({
 				plan,
@@ -123,6 +133,7 @@
 				progress,
 				priority: call.prompt && Math.min(LEAST_URGENT_PRIORITY, DEFAULT_PRIORITY + route.rank),
 				completeTurn,
+				confirmFirstEvent: async () => origins?.confirm() ?? true,
 				onServed: activeCall.markAnswered,
 				onUpstreamHead({limitPerSecond}) {
 					limits.recordAnswer(upstream, limitPerSecond, sentAt);
--- a/packages/gateway/src/forward/run-attempt.ts
+++ b/packages/gateway/src/forward/run-attempt.ts
@@ -11,8 +11,8 @@
 import type {AttemptResult} from './attempt-result.js';
 import type {CallerResponse} from './caller-response.js';
 import type {CallPlan} from './call-plan.js';
-import {createEventSplitter} from './create-event-splitter.js';
 import {classifyResponseHead} from './classify-response-head.js';
+import {createStreamForwarder} from './create-stream-forwarder.js';
 import {sendToUpstream} from './send-to-upstream.js';
 import type {StreamProgress} from './stream-progress.js';
 
@@ -26,6 +26,8 @@
 	readonly priority: number | undefined;
 	/** Stores the turn before the response ends; resolves to whether that succeeded. */
 	readonly completeTurn: () => Promise<boolean>;
+	/** Returns whether the first event of a stream may be passed on. */
+	readonly confirmFirstEvent: () => boolean | Promise<boolean>;
 	/** Called when the upstream begins to serve the request: with the head of a plain response, with the first bytes of a stream. */
 	readonly onServed: () => void;
 	/** Called with the head of an answer that comes from the upstream itself. */
@@ -40,10 +42,9 @@
 
 /** Resolves once the attempt has ended. The caller's response has ended too if the result says so. */
 export const runAttempt = async (options: AttemptOptions): Promise<AttemptResult> => new Promise(resolve => {
-	const {plan, upstream, pool, codec, response, progress, priority, completeTurn, onServed, onUpstreamHead} = options;
+	const {plan, upstream, pool, codec, response, progress, priority, completeTurn, confirmFirstEvent, onServed, onUpstreamHead} = options;
 	const {call, route, body, deadlineAt} = plan;
 	const isStream = route.kind === 'stream';
-	const splitter = createEventSplitter();
 	const bufferedChunks: Uint8Array[] = [];
 	let bufferedBytes = 0;
 	let head: ResponseHead | undefined;
@@ -56,6 +57,7 @@
 		if (!isSettled) {
 			isSettled = true;
 			clearTimeout(timer);
+			stream.stop();
 			resolve(result);
 		}
 	};
@@ -88,28 +90,6 @@
 		}
 	};
 
-	const forwardEvents = (chunk: Uint8Array): void => {
-		const {bytes, events} = splitter.push(chunk);
-		if (splitter.isOversized()) {
-			abortWith(buildBreakResult('the upstream sent bytes without the end of an event', false));
-			return;
-		}
-
-		if (bytes.length === 0) {
-			return;
-		}
-
-		for (const event of events) {
-			progress.lastEventId = event.id ?? progress.lastEventId;
-			progress.output?.push(event.data, '\n');
-		}
-
-		progress.events += events.length;
-		progress.firstEventAt ??= Date.now();
-		startResponse();
-		writeToCaller(bytes);
-	};
-
 	const writeToCaller = (bytes: Uint8Array): void => {
 		if (!response.write(bytes)) {
 			exchange.pause();
@@ -119,6 +99,22 @@
 		}
 	};
 
+	const stream = createStreamForwarder({
+		progress,
+		response,
+		startResponse,
+		confirmFirstEvent,
+		pause() {
+			exchange.pause();
+		},
+		resume() {
+			exchange.resume();
+		},
+		onRejected(message) {
+			abortWith(buildBreakResult(message, false));
+		},
+	});
+
 	const bufferOrWrite = (chunk: Uint8Array): void => {
 		if (response.isStarted()) {
 			writeToCaller(chunk);
@@ -134,7 +130,11 @@
 	};
 
 	const finishStream = async (): Promise<void> => {
-		const remainder = splitter.getRemainder();
+		const remainder = await stream.finish();
+		if (!remainder) {
+			return;
+		}
+
 		if (!await completeTurn()) {
 			response.abort();
 			settle({kind: 'broken', message: 'too few copies of the turn could be stored', isConnectionLost: false});
@@ -221,7 +221,7 @@
 
 			if (isStream && responseClass === 'success') {
 				onServed();
-				forwardEvents(chunk);
+				stream.receive(chunk);
 			} else {
 				bufferOrWrite(chunk);
 			}
--- a/packages/gateway/src/forward/run-call.ts
+++ b/packages/gateway/src/forward/run-call.ts
@@ -4,6 +4,7 @@
 */
 import type {CallHead} from '../call/call-head.js';
 import {chooseService} from '../routes/choose-service.js';
+import {findResumedOrigin} from '../origins/find-resumed-origin.js';
 import type {Route} from '../routes/route.js';
 import type {AttemptResult} from './attempt-result.js';
 import type {CallerResponse} from './caller-response.js';
@@ -21,6 +22,9 @@
 /** A starting process has read the routes within tens of milliseconds; refusing the caller would cost it one of its few attempts. */
 const FIRST_ROUTES_TIMEOUT_MS = 1000;
 
+/** Time in which a quorum of holders must tell which software began a stream. */
+const ORIGIN_TIMEOUT_MS = 1200;
+
 const STATUS_BY_TURN_FAILURE = {'over-budget': 402, 'unknown-turn': 404, unavailable: 503} as const;
 
 /** `attempts` counts the upstreams that the request was sent to. */
@@ -75,7 +79,10 @@
 	const turn = createTurnHandler({
 		holderClient: context.holderClient, call, route, body, tokensPerEvent,
 	});
-	const prepared = await turn.prepare(deadlineAt - Date.now());
+	const [prepared, resumption] = await Promise.all([
+		turn.prepare(deadlineAt - Date.now()),
+		findResumedOrigin(context.holderClient, call, route, Math.min(ORIGIN_TIMEOUT_MS, deadlineAt - Date.now())),
+	]);
 	const preparedMs = Date.now() - arrivedAt;
 	context.metrics.observePreparation(prepared.kind, preparedMs);
 	if (prepared.kind !== 'ready') {
@@ -93,9 +100,25 @@
 		return {outcome: prepared.kind, status};
 	}
 
+	if (call.resumes !== undefined) {
+		fields.resumes = call.resumes;
+	}
+
+	if (resumption.kind !== 'new') {
+		context.metrics.countResumption(resumption.kind);
+	}
+
+	if (resumption.kind === 'unknown' || resumption.kind === 'unavailable') {
+		turn.settleInBackground();
+		response.refuse(503, resumption.kind === 'unavailable' ? RETRY_OTHER_PROCESS_MS : undefined);
+		return {outcome: `origin-${resumption.kind}`, status: 503};
+	}
+
+	const origin = resumption.kind === 'resumed' ? resumption.origin : undefined;
+	fields.softwareVersion = origin?.version;
 	const {progress, completeTurn} = turn;
 	const plan = {
-		call, route, service, body: prepared.body, arrivedAt, deadlineAt,
+		call, route, service: origin?.service ?? service, origin, body: prepared.body, arrivedAt, deadlineAt,
 	};
 	const attempts = createAttemptRunner(context, {
 		plan, response, progress, completeTurn,
--- a/packages/gateway/src/limits/__tests__/simulate-limited-upstream.ts
+++ b/packages/gateway/src/limits/__tests__/simulate-limited-upstream.ts
@@ -46,7 +46,7 @@
 const TICK_MS = 5;
 
 const upstream: Upstream = {
-	id: 'worker' as UpstreamId, service: 's', address: '10.0.1.1:1', dataCentre: 'd' as DataCentreId, slots: 1, isLeaving: false, coldMs: 0, sequence: 1, bornAtMs: 1,
+	id: 'worker' as UpstreamId, service: 's', address: '10.0.1.1:1', dataCentre: 'd' as DataCentreId, softwareVersion: '', slots: 1, isLeaving: false, coldMs: 0, sequence: 1, bornAtMs: 1,
 };
 
 const delay = async (ms: number): Promise<void> => new Promise(resolve => {
--- a/packages/gateway/src/metrics/__tests__/create-gateway-metrics.test.ts
+++ b/packages/gateway/src/metrics/__tests__/create-gateway-metrics.test.ts
@@ -6,7 +6,7 @@
 import {createGatewayMetrics} from '../create-gateway-metrics.js';
 
 const upstream: Upstream = {
-	id: 'u1' as UpstreamId, service: 'models', address: '10.0.0.1:80', dataCentre: 'z1' as DataCentreId, slots: 1, isLeaving: false, coldMs: 0, sequence: 1, bornAtMs: 1,
+	id: 'u1' as UpstreamId, service: 'models', address: '10.0.0.1:80', dataCentre: 'z1' as DataCentreId, softwareVersion: '', slots: 1, isLeaving: false, coldMs: 0, sequence: 1, bornAtMs: 1,
 };
 
 const load = (changes: Partial<UpstreamLoad>): UpstreamLoad => ({
--- a/packages/gateway/src/metrics/create-gateway-metrics.ts
+++ b/packages/gateway/src/metrics/create-gateway-metrics.ts
@@ -42,6 +42,9 @@
 	const blocked = new Counter({
 		name: 'siskinhub_blocked_calls_total', help: 'Requests that were sent to no upstream because they crashed several.', registers,
 	});
+	const resumptions = new Counter({
+		name: 'siskinhub_resumptions_total', help: 'Streams that callers take up again, by whether the software that began them is known.', labelNames: ['outcome'], registers,
+	});
 	return {
 		countCall(outcome, status, durationMs) {
 			calls.inc({outcome, status: String(status)});
@@ -56,6 +59,9 @@
 		countBlocked() {
 			blocked.inc();
 		},
+		countResumption(outcome) {
+			resumptions.inc({outcome});
+		},
 		countStoreCall(kind, outcome) {
 			storeCalls.inc({kind, outcome});
 		},
--- a/packages/gateway/src/metrics/gateway-metrics.ts
+++ b/packages/gateway/src/metrics/gateway-metrics.ts
@@ -13,6 +13,8 @@
 	readonly countCrash: (source: 'attempt' | 'process') => void;
 	/** Counts a request that was sent to no upstream because it crashed several. */
 	readonly countBlocked: () => void;
+	/** Counts a stream that its caller takes up again, by whether the software that began it is known. */
+	readonly countResumption: (outcome: 'resumed' | 'unknown' | 'unavailable') => void;
 	/** Counts a call to the platform's service. */
 	readonly countStoreCall: (kind: string, outcome: string) => void;
 	/** Counts the choice of an upstream; `prompt` is how many tokens of the prompt its cache is estimated to hold and to lack. */
--- /dev/null
+++ b/packages/gateway/src/origins/find-resumed-origin.ts
@@ -0,0 +1,28 @@
+/**
+Finds the software with which a stream that its caller takes up again must go on.
+*/
+import type {HolderClient} from '@siskinhub/turns/client/holder-client.js';
+import type {CallHead} from '../call/call-head.js';
+import type {Route} from '../routes/route.js';
+import type {StreamOrigin} from './stream-origin.js';
+
+/** `new`: the request begins a stream. `unknown`: nobody knows the origin, or the route leads to its service no more, so the stream must not go on. */
+type Resumption = {readonly kind: 'resumed'; readonly origin: StreamOrigin} | {readonly kind: 'new' | 'unknown' | 'unavailable'};
+
+export const findResumedOrigin = async (holderClient: Pick<HolderClient, 'readOrigin'>, call: CallHead, route: Route, timeoutMs: number): Promise<Resumption> => {
+	if (!route.isResumable || call.lastEventId === undefined) {
+		return {kind: 'new'};
+	}
+
+	if (call.resumes === undefined) {
+		return {kind: 'unknown'};
+	}
+
+	const read = await holderClient.readOrigin({program: call.program?.id ?? call.resumes, attempt: call.resumes}, timeoutMs);
+	if (read.kind !== 'found') {
+		return read;
+	}
+
+	const {origin} = read;
+	return route.targets.some(({service}) => service === origin.service) ? {kind: 'resumed', origin} : {kind: 'unknown'};
+};
--- a/packages/gateway/src/placement/__tests__/placement.test.ts
+++ b/packages/gateway/src/placement/__tests__/placement.test.ts
@@ -14,7 +14,7 @@
 const OTHER_DATA_CENTRE = 'other' as DataCentreId;
 
 const upstream = (id: string, dataCentre = OWN_DATA_CENTRE): Upstream => ({
-	id: id as UpstreamId, service: 's', address: '10.0.0.1:1', dataCentre, slots: 6, isLeaving: false, coldMs: 0, sequence: 1, bornAtMs: 1,
+	id: id as UpstreamId, service: 's', address: '10.0.0.1:1', dataCentre, slots: 6, isLeaving: false, coldMs: 0, sequence: 1, softwareVersion: '', bornAtMs: 1,
 });
 
 const turn = (program: string, shared: string, ownTokens: number): CallHead => ({
--- a/packages/gateway/src/placement/__tests__/simulate-fleet.ts
+++ b/packages/gateway/src/placement/__tests__/simulate-fleet.ts
@@ -111,7 +111,7 @@
 /** Needs fake timers, which it advances. */
 export const simulateFleet = ({gateways, engines, slots, turnsPerS, durationMs, random, readPerMs, hangingEngines = 0}: FleetOptions): FleetResult => {
 	const upstreams: Upstream[] = Array.from({length: engines}, (_, index) => ({
-		id: `e${index}` as UpstreamId, service: 's', address: `10.0.0.${index}:1`, dataCentre: DATA_CENTRES[index % DATA_CENTRES.length]! as DataCentreId, slots, isLeaving: false, coldMs: 0, sequence: 1, bornAtMs: 1,
+		id: `e${index}` as UpstreamId, service: 's', address: `10.0.0.${index}:1`, dataCentre: DATA_CENTRES[index % DATA_CENTRES.length]! as DataCentreId, softwareVersion: '', slots, isLeaving: false, coldMs: 0, sequence: 1, bornAtMs: 1,
 	}));
 	const engineById = new Map(upstreams.map(({id}) => [id, createEngine(slots, readPerMs)]));
 	const trackers = Array.from({length: gateways}, (_, index) => createLoadTracker({
--- a/packages/gateway/src/upstreams/__tests__/create-upstream-directory.test.ts
+++ b/packages/gateway/src/upstreams/__tests__/create-upstream-directory.test.ts
@@ -7,7 +7,7 @@
 import type {Upstream} from '../upstream.js';
 
 const upstream = (changes: Partial<Upstream> = {}): Upstream => ({
-	id: 'u1' as UpstreamId, service: 's', address: '10.0.0.1:1', dataCentre: 'd' as DataCentreId, slots: 4, isLeaving: false, coldMs: 0, sequence: 1, bornAtMs: 10, ...changes,
+	id: 'u1' as UpstreamId, service: 's', address: '10.0.0.1:1', dataCentre: 'd' as DataCentreId, softwareVersion: '', slots: 4, isLeaving: false, coldMs: 0, sequence: 1, bornAtMs: 10, ...changes,
 });
 
 describe('createUpstreamDirectory', () => {
--- a/packages/gateway/src/upstreams/upstream.ts
+++ b/packages/gateway/src/upstreams/upstream.ts
@@ -11,6 +11,8 @@
 	/** `IP:PORT`. */
 	readonly address: string;
 	readonly dataCentre: DataCentreId;
+	/** Version of its software, without an order; empty if it names none. */
+	readonly softwareVersion: string;
 	readonly slots: number;
 	readonly isLeaving: boolean;
 	/** Milliseconds for which the upstream is still slow after its start. */
--- a/packages/turns/src/client/create-holder-client.ts
+++ b/packages/turns/src/client/create-holder-client.ts
@@ -1,5 +1,5 @@
 /**
-Stores turns and token uses on the disks of a program's replica group by quorum.
+Stores turns, token uses and the origins of streams on the disks of a program's replica group by quorum.
 No owner or leader is needed: a turn never changes once written and a program's
 uses only grow, so the holders need not agree on an order.
 
@@ -13,7 +13,7 @@
 never exceed the budget together.
 */
 import {setTimeout as delay} from 'node:timers/promises';
-import type {KeptTurn, TokenUse} from '@siskinhub/proto/gen/siskinhub/peer/v1/peer_pb.js';
+import type {KeptTurn, StreamOrigin, TokenUse} from '@siskinhub/proto/gen/siskinhub/peer/v1/peer_pb.js';
 import type {PeerLink} from '@siskinhub/peer/peer-link.js';
 import {countQuorum} from '../membership/count-quorum.js';
 import {hasQuorum} from '../membership/has-quorum.js';
@@ -35,6 +35,8 @@
 const CLOCK_SLACK_MS = 30_000;
 /** How often a request that arrived before the first list of holders checks for it. */
 const FIRST_LIST_CHECK_INTERVAL_MS = 20;
+/** Callers take up a stream within their deadline, which is seconds. */
+const ORIGIN_RETENTION_MS = 60_000;
 
 type ClientOptions = {
 	/** Returns the newest list of the group that this process knows. */
@@ -217,7 +219,46 @@
 		return searched.kind === 'found' ? {...searched, isFromOtherGroup: true} : searched;
 	};
 
+	const recordOrigin: HolderClient['recordOrigin'] = async ({program, attempt, service, version, sequence}, timeoutMs) => {
+		const group = findGroup(program);
+		const origin = {
+			attempt, service, version, sequence, expiresAtMs: Date.now() + ORIGIN_RETENTION_MS + CLOCK_SLACK_MS,
+		};
+		return askQuorum({program, group}, listVersion => ({case: 'recordOrigin', value: {group, listVersion, origin}}), 'write', timeoutMs, list => {
+			const stored = new Set<string>();
+			return ({diskId}, answer) => {
+				if (answer.case === 'acknowledged') {
+					stored.add(diskId);
+				}
+
+				return hasQuorum(list, 'write', stored, losses);
+			};
+		});
+	};
+
+	const readOrigin: HolderClient['readOrigin'] = async ({program, attempt}, timeoutMs) => {
+		const group = findGroup(program);
+		let latest: StreamOrigin | undefined;
+		const isAnswered = await askQuorum({program, group}, listVersion => ({case: 'readOrigin', value: {group, listVersion, attempt}}), 'write', timeoutMs, list => {
+			const answered = new Set<string>();
+			return ({diskId}, answer) => {
+				if (answer.case === 'origin') {
+					answered.add(diskId);
+					const {origin} = answer.value;
+					latest = origin && origin.sequence >= (latest?.sequence ?? 0) ? origin : latest;
+				}
+
+				return hasQuorum(list, 'read', answered, losses);
+			};
+		});
+		if (!isAnswered) {
+			return {kind: 'unavailable'};
+		}
+
+		return latest ? {kind: 'found', origin: {service: latest.service, version: latest.version}} : {kind: 'unknown'};
+	};
+
 	return {
-		reserve, readTurns, settle, isReady: monitors.isReady, isCutOff: monitors.isCutOff, cutOffForMs: program => monitors.cutOffForMs(findGroup(program)),
+		reserve, readTurns, settle, recordOrigin, readOrigin, isReady: monitors.isReady, isCutOff: monitors.isCutOff, cutOffForMs: program => monitors.cutOffForMs(findGroup(program)),
 	};
 };
--- a/packages/turns/src/client/holder-client.ts
+++ b/packages/turns/src/client/holder-client.ts
@@ -24,6 +24,15 @@
 	readonly ancestors?: readonly KeptTurn[];
 };
 
+/** The software that began a stream. */
+type Origin = {readonly service: string; readonly version: string};
+
+/** `program` is that of the request, or the id of the attempt if it belongs to none. */
+type StreamAttempt = {readonly program: string; readonly attempt: string};
+
+/** `unknown` is returned only if no holder can have it. */
+type OriginRead = {readonly kind: 'found'; readonly origin: Origin} | {readonly kind: 'unknown' | 'unavailable'};
+
 /** Reserves tokens before a turn runs, reads the turns that precede it and stores its result. */
 export type HolderClient = {
 	/** `spent`: settled turns have used up the budget; nothing was reserved. `over-budget`: the tokens were reserved, and the caller must settle the attempt. `unavailable`: too few holders answered, so the tokens may or may not be reserved. */
@@ -32,6 +41,10 @@
 	readonly readTurns: (program: string, turn: string, timeoutMs: number) => Promise<TurnsRead>;
 	/** Stores the tokens that the attempt used and, if given, its turn; resolves to whether a write quorum has them on disk. */
 	readonly settle: (attempt: Attempt, turn: TurnContent | undefined, timeoutMs: number) => Promise<boolean>;
+	/** Stores which software runs an attempt that may begin a stream; of several the one with the highest `sequence` holds. Resolves to whether a write quorum has it on disk. */
+	readonly recordOrigin: (stream: StreamAttempt & Origin & {readonly sequence: number}, timeoutMs: number) => Promise<boolean>;
+	/** Reads which software began the stream whose first event the attempt brought. */
+	readonly readOrigin: (stream: StreamAttempt, timeoutMs: number) => Promise<OriginRead>;
 	/** Whether a write quorum of most replica groups is reachable now. */
 	readonly isReady: () => boolean;
 	/** Whether waiting for a write quorum is futile for most replica groups. */
--- a/packages/turns/src/disk/create-copy-index.ts
+++ b/packages/turns/src/disk/create-copy-index.ts
@@ -1,10 +1,10 @@
 /**
 In-memory index of a holder's records of one replica group. Records that concern
 the same thing are merged: of two uses of one attempt the settled one counts, otherwise the larger;
-of two lists the one with the higher version.
+of two lists the one with the higher version; of two origins of one attempt the later one.
 */
 import type {
-	HolderList, KeptTurn, ProgramUse, Record as WireRecord, TokenUse,
+	HolderList, KeptTurn, ProgramUse, Record as WireRecord, StreamOrigin, TokenUse,
 } from '@siskinhub/proto/gen/siskinhub/peer/v1/peer_pb.js';
 import {shouldReplaceUse} from './should-replace-use.js';
 
@@ -17,6 +17,7 @@
 export const createCopyIndex = () => {
 	const turns = new Map<string, KeptTurn>();
 	const programs = new Map<string, ProgramUses>();
+	const origins = new Map<string, StreamOrigin>();
 	// Records in the order of arrival, for holders that copy from this one.
 	let arrivals: WireRecord[] = [];
 	let list: HolderList | undefined;
@@ -62,6 +63,16 @@
 		return true;
 	};
 
+	const addOrigin = (origin: StreamOrigin): boolean => {
+		const known = origins.get(origin.attempt);
+		if (known && known.sequence >= origin.sequence) {
+			return false;
+		}
+
+		origins.set(origin.attempt, origin);
+		return true;
+	};
+
 	const mergeRecord = ({fact}: WireRecord): boolean => {
 		switch (fact.case) {
 			case 'turn': {
@@ -76,6 +87,10 @@
 				return addList(fact.value);
 			}
 
+			case 'origin': {
+				return addOrigin(fact.value);
+			}
+
 			case undefined: {
 				return false;
 			}
@@ -97,6 +112,10 @@
 				return fact.value === list;
 			}
 
+			case 'origin': {
+				return origins.get(fact.value.attempt) === fact.value;
+			}
+
 			case undefined: {
 				return false;
 			}
@@ -115,6 +134,7 @@
 		},
 		findTurn: (id: string): KeptTurn | undefined => turns.get(id),
 		listUses: (program: string): readonly TokenUse[] => [...programs.get(program)?.byAttempt.values() ?? []],
+		findOrigin: (attempt: string): StreamOrigin | undefined => origins.get(attempt),
 		list: (): HolderList | undefined => list,
 		/** Drops records that have expired or been superseded and returns the rest. */
 		records(): readonly WireRecord[] {
@@ -133,6 +153,12 @@
 				}
 			}
 
+			for (const origin of origins.values()) {
+				if (origin.expiresAtMs <= now) {
+					origins.delete(origin.attempt);
+				}
+			}
+
 			for (const [program, uses] of programs) {
 				if (uses.expiresAtMs <= now) {
 					programs.delete(program);
--- a/packages/turns/src/holder/create-copy-service.ts
+++ b/packages/turns/src/holder/create-copy-service.ts
@@ -97,6 +97,15 @@
 				return checkListVersion(body.value) ?? {case: 'turns', value: readChain(getIndex(group).findTurn, turn)};
 			}
 
+			case 'recordOrigin': {
+				return checkListVersion(body.value) ?? recordOrigin(body.value);
+			}
+
+			case 'readOrigin': {
+				const {group, attempt} = body.value;
+				return checkListVersion(body.value) ?? {case: 'origin', value: {origin: getIndex(group).findOrigin(attempt)}};
+			}
+
 			case 'adoptHolders': {
 				return adopt(body.value.group, body.value.list);
 			}
@@ -127,6 +136,10 @@
 		return answers.find(each => each.case === 'refused') ?? {case: 'acknowledged', value: {}};
 	};
 
+	const recordOrigin = async ({group, origin}: Extract<MessageBody, {case: 'recordOrigin'}>['value']): Promise<MessageBodyInit> => origin
+		? answerWhenStored(store.add(group as GroupId, {case: 'origin', value: origin}), {case: 'acknowledged', value: {}})
+		: REFUSED;
+
 	const answerSync = async ({group, listVersion}: GroupRequest): Promise<MessageBodyInit> => await syncCopy(group as GroupId, listVersion) ? {case: 'acknowledged', value: {}} : REFUSED;
 
 	return ({body, reply}) => {
