fix(gateway): no exception when a connection ends while its response is paused

What callers would see: a gateway that ends by itself, and with it all of its requests. Cause: undici asserts that a response is not paused when its connection ends, outside of any handler, if the response has no length or announced Connection: close. Responses were paused for slow callers before, and since for the origin of a stream too. Found by a test of streams without length; no process of ours handles such an exception. Change: the end of the connection resumes the response, and later pauses have no effect: all that is left has arrived. Evidence: send-to-upstream.test.ts 'that is paused when its connection is closed' threw 'assert(!this.paused)' and timed out before.

--- a/packages/gateway/src/forward/__tests__/send-to-upstream.test.ts
+++ b/packages/gateway/src/forward/__tests__/send-to-upstream.test.ts
@@ -38,18 +38,23 @@
 	});
 };
 
-const send = async (pool: Awaited<ReturnType<typeof startUpstream>>) => new Promise<{readonly end: 'whole' | 'failed'; readonly wasSent: boolean; readonly text: string}>(resolve => {
+/** `pauseMs`: for how long reading stops after each chunk. */
+const send = async (pool: Awaited<ReturnType<typeof startUpstream>>, pauseMs = 0) => new Promise<{readonly end: 'whole' | 'failed'; readonly wasSent: boolean; readonly text: string}>(resolve => {
 	const chunks: Uint8Array[] = [];
 	const finish = (end: 'whole' | 'failed', wasSent: boolean): void => {
 		resolve({end, wasSent, text: Buffer.concat(chunks).toString()});
 	};
 
-	sendToUpstream(pool, {
+	const exchange = sendToUpstream(pool, {
 		method: 'GET', path: '/', headers: [], body: new Uint8Array(),
 	}, {
 		onHead() {/* Every response here has the same head. */},
 		onData(chunk) {
 			chunks.push(chunk);
+			if (pauseMs > 0) {
+				exchange.pause();
+				setTimeout(exchange.resume, pauseMs);
+			}
 		},
 		onEnd() {
 			finish('whole', true);
@@ -70,6 +75,14 @@
 		expect(await send(pool)).toEqual({end: 'whole', wasSent: true, text: 'all of it'});
 	});
 
+	// Guards against a process that ended: undici throws where nothing catches it if a connection ends while its response is paused.
+	it.each(['', 'Connection: close\r\nContent-Length: 9\r\n'])('reads a response to its end that is paused when its connection is closed (%j)', async headers => {
+		const pool = await startUpstream(socket => {
+			socket.end(`${HEAD}${headers}\r\nall of it`);
+		});
+		expect(await send(pool, 100)).toEqual({end: 'whole', wasSent: true, text: 'all of it'});
+	});
+
 	it('takes a response without a length as broken if its connection is reset', async () => {
 		const pool = await startUpstream(socket => {
 			socket.write(`${HEAD}\r\na part`, () => {
--- a/packages/gateway/src/forward/create-upstream-connection.ts
+++ b/packages/gateway/src/forward/create-upstream-connection.ts
@@ -5,6 +5,9 @@
 of the response, even if the response has no length or is chunked. Only the last
 chunk or an orderly close proves that the response is complete, so a reset is
 reported as an error.
+
+undici throws outside of any handler if a connection ends while its response is
+paused, so the response is resumed first, and is not paused any more.
 */
 import {buildConnector, Client, type Dispatcher} from 'undici';
 
@@ -15,9 +18,17 @@
 	readonly connectTimeoutMs: number;
 };
 
-/** `wasReset` tells whether the connection that carried the request was reset. */
-const reportResets = (handler: Dispatcher.DispatchHandler, wasReset: () => boolean): Dispatcher.DispatchHandler => ({
+type Observation = {
+	/** Whether the connection that carried the request was reset. */
+	readonly wasReset: () => boolean;
+	/** Whether the upstream has closed the connection, so that all that is left of the response has arrived. */
+	readonly hasEnded: () => boolean;
+	readonly onStart: (controller: Dispatcher.DispatchController) => void;
+};
+
+const reportResets = (handler: Dispatcher.DispatchHandler, {wasReset, hasEnded, onStart}: Observation): Dispatcher.DispatchHandler => ({
 	onRequestStart(controller, context) {
+		onStart(controller);
 		handler.onRequestStart?.(controller, context);
 	},
 	onResponseStart(controller, status, headers, message) {
@@ -25,6 +36,9 @@
 	},
 	onResponseData(controller, chunk) {
 		handler.onResponseData?.(controller, chunk);
+		if (hasEnded()) {
+			controller.resume();
+		}
 	},
 	onResponseEnd(controller, trailers) {
 		if (wasReset()) {
@@ -42,6 +56,8 @@
 /** Connects at the first request, and again once the connection is lost. */
 export const createUpstreamConnection = ({origin, client: options, connectTimeoutMs}: ConnectionOptions) => {
 	let wasReset = false;
+	let hasEnded = false;
+	let active: Dispatcher.DispatchController | undefined;
 	const connect = buildConnector({timeout: connectTimeoutMs});
 	const client = new Client(origin, {
 		...options,
@@ -49,6 +65,12 @@
 			connect(target, (...result) => {
 				const [, socket] = result;
 				wasReset = false;
+				hasEnded = false;
+				// Before the listener of undici, which is added next.
+				socket?.on('end', () => {
+					hasEnded = true;
+					active?.resume();
+				});
 				socket?.on('error', () => {
 					wasReset = true;
 				});
@@ -58,7 +80,13 @@
 	});
 	return {
 		dispatch(request: Dispatcher.DispatchOptions, handler: Dispatcher.DispatchHandler): void {
-			client.dispatch(request, reportResets(handler, () => wasReset));
+			client.dispatch(request, reportResets(handler, {
+				wasReset: () => wasReset,
+				hasEnded: () => hasEnded,
+				onStart(controller) {
+					active = controller;
+				},
+			}));
 		},
 		/** Waits for the active request to end. */
 		async close(): Promise<void> {
