fix(gateway): an answer without length or chunks is reset where it is broken off

Cause: a gateway that gave up an answer closed its connection in order, which is the end of an answer that has neither length nor chunks, so that a part looked whole. Change: such a connection is reset.

--- a/packages/gateway/src/http/create-caller-response.ts
+++ b/packages/gateway/src/http/create-caller-response.ts
@@ -21,6 +21,16 @@
 		}
 	});
 
+	/** An answer without length or chunks that ends with its connection would look complete, unless the connection is reset. */
+	const breakOff = (): void => {
+		isOver = true;
+		if (res.headersSent && !res.useChunkedEncodingByDefault) {
+			res.socket?.resetAndDestroy();
+		} else {
+			res.destroy();
+		}
+	};
+
 	return {
 		isStarted: () => res.headersSent,
 		isDisconnected: () => isDisconnected,
@@ -37,8 +47,7 @@
 			}
 
 			if (res.headersSent) {
-				isOver = true;
-				res.destroy();
+				breakOff();
 				return;
 			}
 
@@ -63,9 +72,6 @@
 				res.end(bytes);
 			}
 		},
-		abort() {
-			isOver = true;
-			res.destroy();
-		},
+		abort: breakOff,
 	};
 };
