fix(gateway): a stream that ends inside an event was broken off

Cause: the rest of an event at the end of a stream was passed on, and the stream ended as whole. Change: the rest is dropped, the attempt counts as broken (with its connection lost if it had neither length nor chunks) and the stream goes on elsewhere or is broken off for the caller. Blank lines and comments after the last event belong to no event.

--- a/packages/gateway/src/forward/create-stream-forwarder.ts
+++ b/packages/gateway/src/forward/create-stream-forwarder.ts
@@ -20,6 +20,9 @@
 	readonly onRejected: (message: string) => void;
 };
 
+/** Lines that belong to no event. */
+const isOutsideEvents = (line: string): boolean => line === '' || line.startsWith(':');
+
 export const createStreamForwarder = ({progress, response, startResponse, confirmFirstEvent, pause, resume, onRejected}: ForwarderOptions) => {
 	const splitter = createEventSplitter();
 	const held: Uint8Array[] = [];
@@ -109,10 +112,12 @@
 		stop(): void {
 			isStopped = true;
 		},
-		/** Resolves to the bytes after the last event, or to nothing if the attempt has ended. */
+		/** Resolves to the bytes after the last event, or to nothing if the stream ended inside an event or was rejected. */
 		async finish(): Promise<Uint8Array | undefined> {
 			await confirming;
-			return isStopped ? undefined : splitter.getRemainder();
+			const remainder = splitter.getRemainder();
+			const isWhole = Buffer.from(remainder).toString('utf8').split('\n').every(line => isOutsideEvents(line));
+			return isWhole && !isStopped ? remainder : undefined;
 		},
 	};
 };
--- a/packages/gateway/src/forward/run-attempt.ts
+++ b/packages/gateway/src/forward/run-attempt.ts
@@ -131,7 +131,12 @@
 
 	const finishStream = async (): Promise<void> => {
 		const remainder = await stream.finish();
+		if (isSettled) {
+			return;
+		}
+
 		if (!remainder) {
+			settle(buildBreakResult('the stream ended inside an event', !head!.isFramed));
 			return;
 		}
 
