refactor: files that had grown large are split, bounded lines stand once

The log of limits writes its bounded lines by the same function as the log of crashes. No decision changes; tests as before.

--- a/packages/gateway/src/forward/run-attempt.ts
+++ b/packages/gateway/src/forward/run-attempt.ts
@@ -12,6 +12,7 @@
 import type {CallerResponse} from './caller-response.js';
 import type {CallPlan} from './call-plan.js';
 import {classifyResponseHead} from './classify-response-head.js';
+import {createIgnoredRest} from './create-ignored-rest.js';
 import {createStreamForwarder} from './create-stream-forwarder.js';
 import {sendToUpstream} from './send-to-upstream.js';
 import type {StreamProgress} from './stream-progress.js';
@@ -36,9 +37,6 @@
 
 /** A larger plain response is forwarded in chunks, and its request can no longer be retried. */
 const MAX_BUFFERED_BYTES = 1024 * 1024;
-/** Bounds of the rest of a refusal, after which its connection is closed. */
-const MAX_IGNORED_BYTES = 64 * 1024;
-const MAX_IGNORED_MS = 1000;
 
 /** Resolves once the attempt has ended. The caller's response has ended too if the result says so. */
 export const runAttempt = async (options: AttemptOptions): Promise<AttemptResult> => new Promise(resolve => {
@@ -50,8 +48,6 @@
 	let head: ResponseHead | undefined;
 	let responseClass: ReturnType<typeof classifyResponseHead> | undefined;
 	let isSettled = false;
-	let ignoredBytes = 0;
-	let ignoreTimer: NodeJS.Timeout | undefined;
 
 	const settle = (result: AttemptResult): void => {
 		if (!isSettled) {
@@ -69,20 +65,9 @@
 
 	const buildBreakResult = (message: string, isConnectionLost: boolean): AttemptResult => ({kind: response.isStarted() ? 'broken' : 'unknown', message, isConnectionLost});
 
-	/** The rest of a refusal is read rather than aborted, to keep the connection usable, but not without end. */
-	const ignoreRest = (): void => {
-		ignoreTimer = setTimeout(() => {
-			exchange.abort();
-		}, MAX_IGNORED_MS).unref();
-	};
-
-	const countIgnored = (chunk: Uint8Array): void => {
-		ignoredBytes += chunk.length;
-		if (ignoredBytes > MAX_IGNORED_BYTES) {
-			clearTimeout(ignoreTimer);
-			exchange.abort();
-		}
-	};
+	const ignored = createIgnoredRest(() => {
+		exchange.abort();
+	});
 
 	const startResponse = (): void => {
 		if (!response.isStarted()) {
@@ -182,7 +167,7 @@
 
 			case 'full':
 			case 'not-run': {
-				ignoreRest();
+				ignored.begin();
 				settle({kind: 'not-run', isFull: responseClass === 'full', message: `refused with status ${status}`});
 				break;
 			}
@@ -220,7 +205,7 @@
 		onHead: handleHead,
 		onData(chunk) {
 			if (isSettled) {
-				countIgnored(chunk);
+				ignored.count(chunk);
 				return;
 			}
 
@@ -232,7 +217,7 @@
 			}
 		},
 		onEnd() {
-			clearTimeout(ignoreTimer);
+			ignored.end();
 			if (isSettled) {
 				return;
 			}
--- a/packages/gateway/src/limits/create-limit-log.ts
+++ b/packages/gateway/src/limits/create-limit-log.ts
@@ -5,6 +5,7 @@
 value with every answer. So lines are bounded: the first changes of each period
 have one each, the others and all permits are counted.
 */
+import {createBoundedLines} from '@siskinhub/observe/create-bounded-lines.js';
 import type {Logger} from '@siskinhub/observe/logger.js';
 import type {UpstreamLimit} from './upstream-limit.js';
 
@@ -18,21 +19,16 @@
 
 export const createLimitLog = (log: Pick<Logger, 'info'>) => {
 	const permits = new Map<string, PermitCounts>();
-	let changes = 0;
+	const changes = createBoundedLines(log, {periodMs: PERIOD_MS, maxLines: MAX_CHANGE_LINES, omittedMessage: 'changes of upstream limits left out'});
 	let timer: NodeJS.Timeout | undefined;
 
 	const endPeriod = (): void => {
 		timer = undefined;
-		if (changes > MAX_CHANGE_LINES) {
-			log.info('changes of upstream limits left out', {count: changes - MAX_CHANGE_LINES, withinMs: PERIOD_MS});
-		}
-
 		if (permits.size > 0) {
 			const named = [...permits].slice(0, MAX_NAMED_UPSTREAMS).map(([upstream, {granted, denied}]) => `${upstream}: ${granted} granted, ${denied} denied`);
 			log.info('permits for limited upstreams', {upstreams: permits.size, withinMs: PERIOD_MS, permits: named});
 		}
 
-		changes = 0;
 		permits.clear();
 	};
 
@@ -43,13 +39,9 @@
 	return {
 		/** `source`: whether the upstream said so to this process, or another process passed it on. */
 		recordChange({upstream, perSecond, ageMs}: UpstreamLimit, source: 'answer' | 'process'): void {
-			startPeriod();
-			changes++;
-			if (changes <= MAX_CHANGE_LINES) {
-				log.info(perSecond === undefined ? 'upstream limit revoked' : 'upstream limit named', {
-					upstream, perSecond, source, ageMs: Math.round(ageMs),
-				});
-			}
+			changes.write(perSecond === undefined ? 'upstream limit revoked' : 'upstream limit named', {
+				upstream, perSecond, source, ageMs: Math.round(ageMs),
+			});
 		},
 		countPermit(upstream: string, isGranted: boolean): void {
 			startPeriod();
@@ -62,6 +54,7 @@
 			}
 		},
 		close(): void {
+			changes.close();
 			clearTimeout(timer);
 			endPeriod();
 		},
--- a/packages/turns/src/client/create-holder-client.ts
+++ b/packages/turns/src/client/create-holder-client.ts
@@ -13,7 +13,7 @@
 never exceed the budget together.
 */
 import {setTimeout as delay} from 'node:timers/promises';
-import type {KeptTurn, StreamOrigin, TokenUse} from '@siskinhub/proto/gen/siskinhub/peer/v1/peer_pb.js';
+import type {KeptTurn, TokenUse} from '@siskinhub/proto/gen/siskinhub/peer/v1/peer_pb.js';
 import type {PeerLink} from '@siskinhub/peer/peer-link.js';
 import {countQuorum} from '../membership/count-quorum.js';
 import {hasQuorum} from '../membership/has-quorum.js';
@@ -25,8 +25,11 @@
 import {listAllHolders} from '../membership/list-all-holders.js';
 import {orderHolders} from '../membership/order-holders.js';
 import {askHolders} from '../client/ask-holders.js';
+import type {AskQuorum} from '../client/ask-quorum.js';
+import type {QuorumPlace} from '../client/quorum-place.js';
 import {createGroupMonitors} from '../client/create-group-monitors.js';
 import {createHedgeDelay} from '../client/create-hedge-delay.js';
+import {createOriginClient} from '../client/create-origin-client.js';
 import {createSpentBudgetCache} from '../client/create-spent-budget-cache.js';
 import {tokenUses} from './token-uses.js';
 import type {HolderClient} from './holder-client.js';
@@ -35,8 +38,6 @@
 const CLOCK_SLACK_MS = 30_000;
 /** How often a request that arrived before the first list of holders checks for it. */
 const FIRST_LIST_CHECK_INTERVAL_MS = 20;
-/** Callers take up a stream within their deadline, which is seconds. */
-const ORIGIN_RETENTION_MS = 60_000;
 
 type ClientOptions = {
 	/** Returns the newest list of the group that this process knows. */
@@ -50,14 +51,8 @@
 	readonly dataCentre: string;
 };
 
-/** Where the records of a program are; while a turn of another program is searched for, another group than its own. */
-type Place = {readonly program: string; readonly group: GroupId};
-
 type ChainRead = {readonly kind: 'found'; readonly turns: readonly KeptTurn[]} | {readonly kind: 'unknown' | 'unavailable'};
 
-type BuildRequest = Parameters<typeof askHolders>[0]['buildRequest'];
-type CreateAnswerHandler = (list: HolderList) => Parameters<typeof askHolders>[0]['onAnswer'];
-
 /** A write quorum; all holders while the list is changing, since both lists then need a quorum. */
 const chooseFirstCount = (list: HolderList, losses: number): number => list.next ? Infinity : countQuorum(list.current.length, losses).write;
 
@@ -67,7 +62,7 @@
 	const monitors = createGroupMonitors({readList, linkTo, losses});
 
 	/** Repeats the round under each newer list until there are enough answers or the timeout has passed. `one` asks one holder first, `write` a write quorum. */
-	const askQuorum = async ({program, group}: Place, buildRequest: BuildRequest, kind: 'one' | 'write', timeoutMs: number, createAnswerHandler: CreateAnswerHandler): Promise<boolean> => {
+	const askQuorum: AskQuorum = async ({program, group}, buildRequest, kind, timeoutMs, createAnswerHandler) => {
 		const startedAt = performance.now();
 		const deadline = Date.now() + timeoutMs;
 		for (;;) {
@@ -159,7 +154,7 @@
 	};
 
 	/** Reads `turn` and the turns before it, newest first. The turns of a chain may be on different holders, so the result may end before the start of the chain. */
-	const readChainPart = async (place: Place, turn: string, timeoutMs: number): Promise<{readonly turns: readonly KeptTurn[]; readonly isAnswered: boolean}> => {
+	const readChainPart = async (place: QuorumPlace, turn: string, timeoutMs: number): Promise<{readonly turns: readonly KeptTurn[]; readonly isAnswered: boolean}> => {
 		let longest: readonly KeptTurn[] = [];
 		const isAnswered = await askQuorum(place, listVersion => ({case: 'readTurns', value: {group: place.group, listVersion, turn}}), 'one', timeoutMs, list => {
 			const answered = new Set<string>();
@@ -175,7 +170,7 @@
 		return {turns: longest, isAnswered};
 	};
 
-	const readChain = async (place: Place, turn: string, timeoutMs: number): Promise<ChainRead> => {
+	const readChain = async (place: QuorumPlace, turn: string, timeoutMs: number): Promise<ChainRead> => {
 		const deadline = Date.now() + timeoutMs;
 		const chain: KeptTurn[] = [];
 		for (let next = turn; next !== '';) {
@@ -219,46 +214,9 @@
 		return searched.kind === 'found' ? {...searched, isFromOtherGroup: true} : searched;
 	};
 
-	const recordOrigin: HolderClient['recordOrigin'] = async ({program, attempt, service, version, sequence}, timeoutMs) => {
-		const group = findGroup(program);
-		const origin = {
-			attempt, service, version, sequence, expiresAtMs: Date.now() + ORIGIN_RETENTION_MS + CLOCK_SLACK_MS,
-		};
-		return askQuorum({program, group}, listVersion => ({case: 'recordOrigin', value: {group, listVersion, origin}}), 'write', timeoutMs, list => {
-			const stored = new Set<string>();
-			return ({diskId}, answer) => {
-				if (answer.case === 'acknowledged') {
-					stored.add(diskId);
-				}
-
-				return hasQuorum(list, 'write', stored, losses);
-			};
-		});
-	};
-
-	const readOrigin: HolderClient['readOrigin'] = async ({program, attempt}, timeoutMs) => {
-		const group = findGroup(program);
-		let latest: StreamOrigin | undefined;
-		const isAnswered = await askQuorum({program, group}, listVersion => ({case: 'readOrigin', value: {group, listVersion, attempt}}), 'write', timeoutMs, list => {
-			const answered = new Set<string>();
-			return ({diskId}, answer) => {
-				if (answer.case === 'origin') {
-					answered.add(diskId);
-					const {origin} = answer.value;
-					latest = origin && origin.sequence >= (latest?.sequence ?? 0) ? origin : latest;
-				}
-
-				return hasQuorum(list, 'read', answered, losses);
-			};
-		});
-		if (!isAnswered) {
-			return {kind: 'unavailable'};
-		}
-
-		return latest ? {kind: 'found', origin: {service: latest.service, version: latest.version}} : {kind: 'unknown'};
-	};
+	const origins = createOriginClient({askQuorum, losses, slackMs: CLOCK_SLACK_MS});
 
 	return {
-		reserve, readTurns, settle, recordOrigin, readOrigin, isReady: monitors.isReady, isCutOff: monitors.isCutOff, cutOffForMs: program => monitors.cutOffForMs(findGroup(program)),
+		reserve, readTurns, settle, ...origins, isReady: monitors.isReady, isCutOff: monitors.isCutOff, cutOffForMs: program => monitors.cutOffForMs(findGroup(program)),
 	};
 };
--- /dev/null
+++ b/packages/turns/src/client/create-origin-client.ts
@@ -0,0 +1,64 @@
+/**
+Stores and reads which software began a stream, on the disks of a replica group by
+quorum. An attempt that is tried at several versions stores several origins; the
+quorums of a write and a later read share a holder, so a reader sees the last one.
+*/
+import type {StreamOrigin} from '@siskinhub/proto/gen/siskinhub/peer/v1/peer_pb.js';
+import {findGroup} from '../membership/find-group.js';
+import {hasQuorum} from '../membership/has-quorum.js';
+import type {AskQuorum} from './ask-quorum.js';
+import type {HolderClient} from './holder-client.js';
+
+/** Callers take up a stream within their deadline, which is seconds. */
+const ORIGIN_RETENTION_MS = 60_000;
+
+type OriginClientOptions = {
+	readonly askQuorum: AskQuorum;
+	/** Number of disks that may be lost at the same time. */
+	readonly losses: number;
+	/** Milliseconds added to the retention, since hosts' clocks differ. */
+	readonly slackMs: number;
+};
+
+export const createOriginClient = ({askQuorum, losses, slackMs}: OriginClientOptions): Pick<HolderClient, 'recordOrigin' | 'readOrigin'> => {
+	const recordOrigin: HolderClient['recordOrigin'] = async ({program, attempt, service, version, sequence}, timeoutMs) => {
+		const group = findGroup(program);
+		const origin = {
+			attempt, service, version, sequence, expiresAtMs: Date.now() + ORIGIN_RETENTION_MS + slackMs,
+		};
+		return askQuorum({program, group}, listVersion => ({case: 'recordOrigin', value: {group, listVersion, origin}}), 'write', timeoutMs, list => {
+			const stored = new Set<string>();
+			return ({diskId}, answer) => {
+				if (answer.case === 'acknowledged') {
+					stored.add(diskId);
+				}
+
+				return hasQuorum(list, 'write', stored, losses);
+			};
+		});
+	};
+
+	const readOrigin: HolderClient['readOrigin'] = async ({program, attempt}, timeoutMs) => {
+		const group = findGroup(program);
+		let latest: StreamOrigin | undefined;
+		const isAnswered = await askQuorum({program, group}, listVersion => ({case: 'readOrigin', value: {group, listVersion, attempt}}), 'write', timeoutMs, list => {
+			const answered = new Set<string>();
+			return ({diskId}, answer) => {
+				if (answer.case === 'origin') {
+					answered.add(diskId);
+					const {origin} = answer.value;
+					latest = origin && origin.sequence >= (latest?.sequence ?? 0) ? origin : latest;
+				}
+
+				return hasQuorum(list, 'read', answered, losses);
+			};
+		});
+		if (!isAnswered) {
+			return {kind: 'unavailable'};
+		}
+
+		return latest ? {kind: 'found', origin: {service: latest.service, version: latest.version}} : {kind: 'unknown'};
+	};
+
+	return {recordOrigin, readOrigin};
+};
