fix(gateway): a refusal that does not say which request it answers proves nothing

Reported by other operators: a faulty upstream wrote an earlier refusal once more on a kept connection, and callers were told not run for requests that ran. Cause: a refusal without a request id was taken for one of the request under way; one with another id was dropped. Change: without an id it is unproven: never 'not run', another try only where the request may run again. The test of refusals by every upstream echoes the id now, as upstreams do; its checks stay.

--- a/packages/gateway/src/forward/__tests__/classify-response-head.test.ts
+++ b/packages/gateway/src/forward/__tests__/classify-response-head.test.ts
@@ -14,8 +14,14 @@
 		['a "not run" status without a statement that the request has not run', head({status: 503}), 'unproven'],
 		['a refusal that states that the request has not run', head({status: 503, hasNotRun: true, isSigned: false}), 'full'],
 		['a response of another upstream at the same address', head({
-			status: 421, isOtherUpstream: true, isSigned: false, answeredRequestId: undefined,
+			status: 421, isOtherUpstream: true, isSigned: false,
 		}), 'not-run'],
+		['a refusal that does not say which request it answers', head({
+			status: 503, hasNotRun: true, isSigned: false, answeredRequestId: undefined,
+		}), 'unproven'],
+		['a response of another upstream that does not say which request it answers', head({
+			status: 421, isOtherUpstream: true, isSigned: false, answeredRequestId: undefined,
+		}), 'unproven'],
 		['a server error of the upstream', head({status: 500}), 'server-failure'],
 		['a rejection of the request itself', head({status: 409}), 'failure'],
 	])('classifies %s', (_name, responseHead, expected) => {
--- a/packages/gateway/src/forward/classify-response-head.ts
+++ b/packages/gateway/src/forward/classify-response-head.ts
@@ -18,6 +18,11 @@
 		return 'foreign';
 	}
 
+	if ((head.hasNotRun || head.isOtherUpstream) && head.answeredRequestId === undefined) {
+		// Perhaps an earlier refusal, written once more on a kept connection.
+		return 'unproven';
+	}
+
 	if (head.hasNotRun || head.isOtherUpstream) {
 		return head.status === 503 || head.status === 429 ? 'full' : 'not-run';
 	}
