fix(gateway): streams whose origin is stored, or needs none, are passed on without a pause

Cause: the question whether the first event may be passed on was asked by an async function, so that each stream was paused and resumed once. Change: it answers at once where it can.

--- a/packages/gateway/src/forward/create-attempt-runner.ts
+++ b/packages/gateway/src/forward/create-attempt-runner.ts
@@ -31,6 +31,8 @@
 	readonly completeTurn: () => Promise<boolean>;
 };
 
+const passAtOnce = (): boolean => true;
+
 const describeResult = (result: AttemptResult): string => 'message' in result ? `${result.kind}: ${result.message}` : result.kind;
 
 /** Tries no upstream twice. `completeTurn` stores the turn before the response ends. */
@@ -133,7 +135,7 @@
 				progress,
 				priority: call.prompt && Math.min(LEAST_URGENT_PRIORITY, DEFAULT_PRIORITY + route.rank),
 				completeTurn,
-				confirmFirstEvent: async () => origins?.confirm() ?? true,
+				confirmFirstEvent: origins?.confirm ?? passAtOnce,
 				onServed: activeCall.markAnswered,
 				onUpstreamHead({limitPerSecond}) {
 					limits.recordAnswer(upstream, limitPerSecond, sentAt);
