fix(gateway): a stream is not taken up at a service that its route has left

Cause: a route may still name a service with weight 0, which gets no requests any more; the service that began a stream was taken as allowed then. Change: only services with a weight count; else the stream is refused as not run.

--- a/packages/gateway/src/origins/find-resumed-origin.ts
+++ b/packages/gateway/src/origins/find-resumed-origin.ts
@@ -24,5 +24,5 @@
 	}
 
 	const {origin} = read;
-	return route.targets.some(({service}) => service === origin.service) ? {kind: 'resumed', origin} : {kind: 'unknown'};
+	return route.targets.some(({service, weight}) => service === origin.service && weight > 0) ? {kind: 'resumed', origin} : {kind: 'unknown'};
 };
