fix(gateway): callers that do not name the attempt go on while there is one version

Change: such a stream goes on while all upstreams of its service have one version, and is refused otherwise. Evidence: find-resumed-origin.test.ts.

--- a/packages/gateway/src/forward/run-call.ts
+++ b/packages/gateway/src/forward/run-call.ts
@@ -81,7 +81,10 @@
 	});
 	const [prepared, resumption] = await Promise.all([
 		turn.prepare(deadlineAt - Date.now()),
-		findResumedOrigin(context.holderClient, call, route, Math.min(ORIGIN_TIMEOUT_MS, deadlineAt - Date.now())),
+		findResumedOrigin(context.holderClient, call, route, {
+			timeoutMs: Math.min(ORIGIN_TIMEOUT_MS, deadlineAt - Date.now()),
+			hasSeveralVersions: () => new Set(context.directory.list(service).map(({softwareVersion}) => softwareVersion)).size > 1,
+		}),
 	]);
 	const preparedMs = Date.now() - arrivedAt;
 	context.metrics.observePreparation(prepared.kind, preparedMs);
--- a/packages/gateway/src/origins/__tests__/find-resumed-origin.test.ts
+++ b/packages/gateway/src/origins/__tests__/find-resumed-origin.test.ts
@@ -9,9 +9,10 @@
 
 const holders: Pick<HolderClient, 'readOrigin'> = {readOrigin: async ({attempt}) => attempt === 'a' ? {kind: 'found', origin: ORIGIN} : {kind: 'unknown'}};
 
-const find = async (call: {readonly resumes?: string; readonly lastEventId?: string}, targets: Route['targets'] = [{service: 's', weight: 1}], isResumable = true) => {
+const find = async (call: {readonly resumes?: string; readonly lastEventId?: string}, targets: Route['targets'] = [{service: 's', weight: 1}], hasSeveralVersions = true) => {
 	const head = {id: 'b', lastEventId: call.lastEventId, resumes: call.resumes as RequestId | undefined};
-	return findResumedOrigin(holders, head as CallHead, {isResumable, targets} as Route, 1000);
+	const isResumable = true;
+	return findResumedOrigin(holders, head as CallHead, {isResumable, targets} as Route, {timeoutMs: 1000, hasSeveralVersions: () => hasSeveralVersions});
 };
 
 it('finds the origin of the attempt that is taken up', async () => {
@@ -20,6 +21,11 @@
 	expect(await find({lastEventId: '3'})).toEqual({kind: 'unknown'});
 });
 
+it('lets a caller that does not name the attempt go on only while there is one version', async () => {
+	expect(await find({lastEventId: '3'}, undefined, false)).toEqual({kind: 'new'});
+	expect(await find({lastEventId: '3'}, undefined, true)).toEqual({kind: 'unknown'});
+});
+
 it('takes a request without an earlier event for a new stream', async () => {
 	expect(await find({})).toEqual({kind: 'new'});
 	expect(await find({resumes: 'a'})).toEqual({kind: 'new'});
--- a/packages/gateway/src/origins/find-resumed-origin.ts
+++ b/packages/gateway/src/origins/find-resumed-origin.ts
@@ -9,13 +9,20 @@
 /** `new`: the request begins a stream. `unknown`: nobody knows the origin, or the route leads to its service no more, so the stream must not go on. */
 type Resumption = {readonly kind: 'resumed'; readonly origin: StreamOrigin} | {readonly kind: 'new' | 'unknown' | 'unavailable'};
 
-export const findResumedOrigin = async (holderClient: Pick<HolderClient, 'readOrigin'>, call: CallHead, route: Route, timeoutMs: number): Promise<Resumption> => {
+type FindOptions = {
+	readonly timeoutMs: number;
+	/** Whether upstreams of several software versions serve the route now. */
+	readonly hasSeveralVersions: () => boolean;
+};
+
+/** A caller that does not name the attempt that began its stream may go on only while all upstreams have one version. */
+export const findResumedOrigin = async (holderClient: Pick<HolderClient, 'readOrigin'>, call: CallHead, route: Route, {timeoutMs, hasSeveralVersions}: FindOptions): Promise<Resumption> => {
 	if (!route.isResumable || call.lastEventId === undefined) {
 		return {kind: 'new'};
 	}
 
 	if (call.resumes === undefined) {
-		return {kind: 'unknown'};
+		return {kind: hasSeveralVersions() ? 'unknown' : 'new'};
 	}
 
 	const read = await holderClient.readOrigin({program: call.program?.id ?? call.resumes, attempt: call.resumes}, timeoutMs);
