review: part of a stream looks whole after its gateway was killed

Cause: an answer without length is passed on without length, so that the end of the connection alone ends it, also when the process is killed.

Change: case 2 of the review, a script.

--- /dev/null
+++ b/review/2/run.mjs
@@ -0,0 +1,48 @@
+/**
+Streams whose answers have no length are on their way through a gateway that is
+killed. Their callers must not take what they have for the whole stream.
+*/
+import {randomBytes} from 'node:crypto';
+import {setTimeout as delay} from 'node:timers/promises';
+import {buildConfig} from '../lib/build-config.mjs';
+import {runCase} from '../lib/run-case.mjs';
+import {sendTurn} from '../lib/send-turn.mjs';
+
+const EVENTS = 11;
+const GAP_MS = 100;
+const STREAMS = 8;
+const KILL_AFTER_MS = 550;
+const ID_BYTES = 8;
+
+const drawId = () => randomBytes(ID_BYTES).toString('hex');
+
+await runCase({
+	folder: import.meta.dirname,
+	options: {
+		config: buildConfig(),
+		// Every second stream has no length.
+		plan: call => ({events: EVENTS, gapMs: GAP_MS, isUnframed: call.body.endsWith('without length')}),
+		onRun() {/* What the workers run is not judged here. */},
+	},
+	async play({gateways, log, hasTrouble}) {
+		const [gateway] = gateways;
+		const sending = Array.from({length: STREAMS}, async (_, index) => {
+			const kind = index % 2 === 0 ? 'without length' : 'in chunks';
+			const id = drawId();
+			const answer = await sendTurn({
+				gateway, route: index % 4 < 2 ? 'kept' : 'guide', id, program: drawId(), body: `question ${id}, answered ${kind}`,
+			});
+			log(`${id}, answered ${kind}: status ${answer.status}, ${answer.events.length} of ${EVENTS} events, ${answer.isComplete ? 'ended as complete' : 'broken off'}`);
+			return {id, kind, ...answer};
+		});
+		await delay(KILL_AFTER_MS);
+		if (hasTrouble) {
+			await gateway.send('SIGKILL');
+		}
+
+		const answers = await Promise.all(sending);
+		return answers
+			.filter(({status, isComplete, events}) => status === 200 && isComplete && events.length < EVENTS)
+			.map(({id, events}) => `ORDER, MIXED: ${id} is a success that ended as complete after ${events.length} of ${EVENTS} events`);
+	},
+});
