--- a/review/3/run.mjs
+++ b/review/3/run.mjs
@@ -50,7 +50,7 @@
 			const next = drawId();
 			const lastEventId = answer.events.at(-1)?.id;
 			const rest = await sendTurn({
-				gateway: other, route: 'kept', id: next, program, previous, body, lastEventId,
+				gateway: other, route: 'kept', id: next, program, previous, body, lastEventId, resumes: id,
 			});
 			const numbers = rest.events.map(event => event.id).join(' ');
 			log(`${next} of ${program}, from Last-Event-Id ${lastEventId}: status ${rest.status}, events ${numbers}, ${rest.isComplete ? 'complete' : 'broken off'}`);
--- a/review/lib/send-request.mjs
+++ b/review/lib/send-request.mjs
@@ -30,6 +30,10 @@
 		}
 	};
 
+	const fail = () => {
+		finish(false);
+	};
+
 	const req = request({
 		host: ip, port, method, path, agent: false, headers: {
 			host, 'x-deadline-milliseconds': deadlineMs, ...headers, ...(method === 'POST' && {'content-length': body.length}),
@@ -42,15 +46,11 @@
 			text += chunk;
 			onText?.(text);
 		});
-		res.on('end', () => {
-			finish(res.complete);
-		});
-		res.on('error', () => {
-			finish(false);
-		});
-		res.on('close', () => {
-			finish(res.complete);
+		// The connection is closed after the answer; only its orderly end may complete one without length.
+		res.socket.on('close', hadError => {
+			finish(res.complete && !hadError);
 		});
+		res.on('error', fail);
 	});
 	const deadline = setTimeout(() => {
 		req.destroy();
@@ -67,8 +67,6 @@
 			clearTimeout(connecting);
 		});
 	});
-	req.on('error', () => {
-		finish(false);
-	});
+	req.on('error', fail);
 	req.end(body);
 });
--- a/review/lib/send-turn.mjs
+++ b/review/lib/send-turn.mjs
@@ -6,8 +6,8 @@
 const DEADLINE_MS = 5000;
 const HOST = 'trenza.example';
 
-/** `previous` is the id of the turn that this one continues; `id` is that of the attempt. */
-export const sendTurn = async ({gateway, route, id, program, previous, lastEventId, body, tokens = '600,60', budget = 100_000, finishInMs = 120_000, onText}) => sendRequest({
+/** `previous` is the id of the turn that this one continues; `id` is that of the attempt, `resumes` that of the attempt whose stream this one takes up. */
+export const sendTurn = async ({gateway, route, id, program, previous, lastEventId, resumes, body, tokens = '600,60', budget = 100_000, finishInMs = 120_000, onText}) => sendRequest({
 	address: gateway.settings.listenAddresses.frontend, host: HOST, path: `/${route}/turn`, deadlineMs: DEADLINE_MS, body, onText, headers: {
 		'x-request-id': id,
 		'x-program-id': program,
@@ -19,5 +19,6 @@
 		'x-prompt-prefix': `${program}:600`,
 		...(previous !== undefined && {'x-previous-turn': previous}),
 		...(lastEventId !== undefined && {'last-event-id': lastEventId}),
+		...(resumes !== undefined && {resumes}),
 	},
 });
