--- a/review/2/run.mjs
+++ b/review/2/run.mjs
@@ -9,9 +9,12 @@
 import {sendTurn} from '../lib/send-turn.mjs';
 
 const EVENTS = 11;
-const GAP_MS = 100;
+const GAP_MS = 150;
 const STREAMS = 8;
-const KILL_AFTER_MS = 550;
+/** The gateway is killed once every caller has so many. */
+const EVENTS_BEFORE_KILL = 4;
+const MAX_WAIT_MS = 4000;
+const CHECK_INTERVAL_MS = 20;
 const ID_BYTES = 8;
 
 const drawId = () => randomBytes(ID_BYTES).toString('hex');
@@ -26,16 +29,23 @@
 	},
 	async play({gateways, log, hasTrouble}) {
 		const [gateway] = gateways;
+		const texts = new Map();
 		const sending = Array.from({length: STREAMS}, async (_, index) => {
 			const kind = index % 2 === 0 ? 'without length' : 'in chunks';
 			const id = drawId();
 			const answer = await sendTurn({
-				gateway, route: index % 4 < 2 ? 'kept' : 'guide', id, program: drawId(), body: `question ${id}, answered ${kind}`,
+				gateway, route: index % 4 < 2 ? 'kept' : 'guide', id, program: drawId(), body: `question ${id}, answered ${kind}`, onText(text) {
+					texts.set(id, text);
+				},
 			});
 			log(`${id}, answered ${kind}: status ${answer.status}, ${answer.events.length} of ${EVENTS} events, ${answer.isComplete ? 'ended as complete' : 'broken off'}`);
 			return {id, kind, ...answer};
 		});
-		await delay(KILL_AFTER_MS);
+		const haveEnough = () => texts.size === STREAMS && [...texts.values()].every(text => text.split('\n\n').length > EVENTS_BEFORE_KILL);
+		for (let waitedMs = 0; waitedMs < MAX_WAIT_MS && !haveEnough(); waitedMs += CHECK_INTERVAL_MS) {
+			await delay(CHECK_INTERVAL_MS);
+		}
+
 		if (hasTrouble) {
 			await gateway.send('SIGKILL');
 		}
--- a/review/3/run.mjs
+++ b/review/3/run.mjs
@@ -11,8 +11,11 @@
 
 const LINES = 4;
 const EVENTS = 11;
-const GAP_MS = 100;
-const KILL_AFTER_MS = 600;
+const GAP_MS = 150;
+/** The gateway is killed once every caller has so many. */
+const EVENTS_BEFORE_KILL = 4;
+const MAX_WAIT_MS = 4000;
+const CHECK_INTERVAL_MS = 20;
 const RESUME_AFTER_MS = 200;
 /** `settleWindowMs`, and a little more. */
 const SETTLED_MS = 3300;
@@ -33,13 +36,16 @@
 	},
 	async play({gateways, log, hasTrouble}) {
 		const [gateway, other] = gateways;
+		const texts = new Map();
 
 		/** Sends a turn, and once more from its last event on if it breaks off. */
 		const converse = async line => {
 			const {program, previous, body} = line;
 			const id = drawId();
 			const answer = await sendTurn({
-				gateway: line.gateway, route: 'kept', id, program, previous, body,
+				gateway: line.gateway, route: 'kept', id, program, previous, body, onText(text) {
+					texts.set(program, text);
+				},
 			});
 			log(`${id} of ${program}: status ${answer.status}, events ${answer.events.map(event => event.id).join(' ')}, ${answer.isComplete ? 'complete' : 'broken off'}`);
 			if (answer.isComplete) {
@@ -59,7 +65,11 @@
 
 		const lines = Array.from({length: LINES}, () => ({gateway, program: drawId()}));
 		const firstTurns = Promise.all(lines.map(async line => converse({...line, body: `first input of ${line.program};`})));
-		await delay(KILL_AFTER_MS);
+		const haveEnough = () => texts.size === LINES && [...texts.values()].every(text => text.split('\n\n').length > EVENTS_BEFORE_KILL);
+		for (let waitedMs = 0; waitedMs < MAX_WAIT_MS && !haveEnough(); waitedMs += CHECK_INTERVAL_MS) {
+			await delay(CHECK_INTERVAL_MS);
+		}
+
 		if (hasTrouble) {
 			await gateway.send('SIGKILL');
 		}
