--- a/review/1/run.mjs
+++ b/review/1/run.es6
@@ -4,10 +4,11 @@
 one at a time. Each turn must find its chain.
 */
 import {randomBytes} from 'node:crypto';
+import process from 'node:process';
 import {setTimeout as delay} from 'node:timers/promises';
-import {buildConfig} from '../lib/build-config.mjs';
-import {runCase} from '../lib/run-case.mjs';
-import {sendTurn} from '../lib/send-turn.mjs';
+import {buildConfig} from '../lib/build-config.es6';
+import {runCase} from '../lib/run-case.es6';
+import {sendTurn} from '../lib/send-turn.es6';
 
 const LINES = 6;
 const FIRST_TURNS = 10;
@@ -36,7 +37,7 @@
 const reached = new Set();
 
 await runCase({
-	folder: import.meta.dirname,
+	folder: process.cwd(),
 	options: {
 		config: buildConfig(),
 		plan: () => ({events: EVENTS, gapMs: GAP_MS}),
--- a/review/2/run.mjs
+++ b/review/2/run.es6
@@ -3,10 +3,11 @@
 killed. Their callers must not take what they have for the whole stream.
 */
 import {randomBytes} from 'node:crypto';
+import process from 'node:process';
 import {setTimeout as delay} from 'node:timers/promises';
-import {buildConfig} from '../lib/build-config.mjs';
-import {runCase} from '../lib/run-case.mjs';
-import {sendTurn} from '../lib/send-turn.mjs';
+import {buildConfig} from '../lib/build-config.es6';
+import {runCase} from '../lib/run-case.es6';
+import {sendTurn} from '../lib/send-turn.es6';
 
 const EVENTS = 11;
 const GAP_MS = 150;
@@ -20,7 +21,7 @@
 const drawId = () => randomBytes(ID_BYTES).toString('hex');
 
 await runCase({
-	folder: import.meta.dirname,
+	folder: process.cwd(),
 	options: {
 		config: buildConfig(),
 		// Every second stream has no length.
--- a/review/3/run.mjs
+++ b/review/3/run.es6
@@ -4,10 +4,11 @@
 gateway, has all of it, and goes on with the next turn.
 */
 import {randomBytes} from 'node:crypto';
+import process from 'node:process';
 import {setTimeout as delay} from 'node:timers/promises';
-import {buildConfig} from '../lib/build-config.mjs';
-import {runCase} from '../lib/run-case.mjs';
-import {sendTurn} from '../lib/send-turn.mjs';
+import {buildConfig} from '../lib/build-config.es6';
+import {runCase} from '../lib/run-case.es6';
+import {sendTurn} from '../lib/send-turn.es6';
 
 const LINES = 4;
 const EVENTS = 11;
@@ -26,7 +27,7 @@
 const bodies = new Map();
 
 await runCase({
-	folder: import.meta.dirname,
+	folder: process.cwd(),
 	options: {
 		config: buildConfig({kept: {resumable: true}}),
 		plan: () => ({events: EVENTS, gapMs: GAP_MS}),
--- a/review/4/run.mjs
+++ b/review/4/run.es6
@@ -4,10 +4,11 @@
 and the most of one turn.
 */
 import {randomBytes} from 'node:crypto';
+import process from 'node:process';
 import {setTimeout as delay} from 'node:timers/promises';
-import {buildConfig} from '../lib/build-config.mjs';
-import {runCase} from '../lib/run-case.mjs';
-import {sendTurn} from '../lib/send-turn.mjs';
+import {buildConfig} from '../lib/build-config.es6';
+import {runCase} from '../lib/run-case.es6';
+import {sendTurn} from '../lib/send-turn.es6';
 
 const PROGRAMS = 24;
 /** Of the configuration, `tokensPerEvent`. */
@@ -32,7 +33,7 @@
 const drawId = () => randomBytes(ID_BYTES).toString('hex');
 
 await runCase({
-	folder: import.meta.dirname,
+	folder: process.cwd(),
 	options: {
 		config: buildConfig(),
 		plan: () => ({events: EVENTS, gapMs: GAP_MS}),
--- a/review/build.sh
+++ b/review/build.sh
@@ -1,8 +1,8 @@
 #!/usr/bin/env bash
-# Nothing has to be compiled: the stand-ins of the cases are plain modules of
-# Node in review/lib. Checks that each can be parsed.
+# Builds the cases with their stand-ins into review/dist, one program for each.
+# The sources end in .es6, since every .js, .mjs and .ts file of the repository
+# has to be in its TypeScript project, which the review must not change.
 set -euo pipefail
 cd "$(dirname "$0")"
-for file in lib/*.mjs [1-5]/*.mjs; do
-	node --check "$file"
-done
+../node_modules/.bin/esbuild [1-5]/run.es6 --bundle --platform=node --target=node20 --format=esm --loader:.es6=js \
+	--outbase=. --outdir=dist --out-extension:.js=.mjs --log-level=warning
--- a/review/lib/run-case.mjs
+++ b/review/lib/run-case.es6
@@ -5,8 +5,8 @@
 */
 import path from 'node:path';
 import process from 'node:process';
-import {createRecord} from './create-record.mjs';
-import {startDeployment} from './start-deployment.mjs';
+import {createRecord} from './create-record.es6';
+import {startDeployment} from './start-deployment.es6';
 
 const EXIT_HELD = 0;
 const EXIT_BROKEN = 1;
--- a/review/lib/send-turn.mjs
+++ b/review/lib/send-turn.es6
@@ -1,7 +1,7 @@
 /**
 Sends one client attempt of a turn of a program.
 */
-import {sendRequest} from './send-request.mjs';
+import {sendRequest} from './send-request.es6';
 
 const DEADLINE_MS = 5000;
 const HOST = 'trenza.example';
--- a/review/lib/start-deployment.mjs
+++ b/review/lib/start-deployment.es6
@@ -6,11 +6,11 @@
 import {tmpdir} from 'node:os';
 import path from 'node:path';
 import {setTimeout as delay} from 'node:timers/promises';
-import {createMachine} from './create-machine.mjs';
-import {createStore} from './create-store.mjs';
-import {createWorker} from './create-worker.mjs';
-import {readCommands} from './read-commands.mjs';
-import {reserveNetwork} from './reserve-network.mjs';
+import {createMachine} from './create-machine.es6';
+import {createStore} from './create-store.es6';
+import {createWorker} from './create-worker.es6';
+import {readCommands} from './read-commands.es6';
+import {reserveNetwork} from './reserve-network.es6';
 
 const ZONES = ['planta-norte', 'planta-sur', 'oficina-puerto'];
 const REGION = 'biobio';
