fix(turns): keep the whole chain of a turn on a write quorum

Cause: each disk forgets by what reached that disk. With turn 1 on disks A and B, turn 2 on B and C and turn 3 on A and C, no disk that has turn 1 has the turn that continues it, so nobody extends turn 1 and each disk drops it at its next start.

Change: a holder stores a turn only with the whole chain before it, answers `ChainIncomplete` otherwise, and is sent the chain. So an acknowledged turn has its whole chain, with its own expiry, on as many disks as a write needs, and each disk may decide alone. A disk extends expiries once more before it forgets, for turns that arrived after those that continue them. Log line and metric for gaps of a disk.

--- a/packages/gateway/src/forward/create-turn-handler.ts
+++ b/packages/gateway/src/forward/create-turn-handler.ts
@@ -5,7 +5,6 @@
 */
 import {Buffer} from 'node:buffer';
 import type {HolderClient} from '@siskinhub/turns/client/holder-client.js';
-import type {KeptTurn} from '@siskinhub/proto/gen/siskinhub/peer/v1/peer_pb.js';
 import type {CallHead} from '../call/call-head.js';
 import type {Route} from '../routes/route.js';
 import {prepareTurn} from './prepare-turn.js';
@@ -30,7 +29,7 @@
 		lastEventId: undefined, events: 0, output: isTurn && route.keepsTurns ? [] : undefined, firstEventAt: undefined,
 	};
 	let isReserved = false;
-	let ancestors: readonly KeptTurn[] = [];
+	let chain: Extract<Awaited<ReturnType<typeof prepareTurn>>, {kind: 'ready'}>['chain'] = {ancestors: [], isFromOtherGroup: false};
 
 	const settle = async (turn?: Parameters<HolderClient['settle']>[1]): Promise<boolean> => {
 		isReserved = false;
@@ -53,20 +52,20 @@
 		async prepare(remainingMs: number): ReturnType<typeof prepareTurn> {
 			if (!isTurn) {
 				return {
-					kind: 'ready', body, isReserved: false, ancestors,
+					kind: 'ready', body, isReserved: false, chain,
 				};
 			}
 
 			const prepared = await prepareTurn(holderClient, call, route, {body, remainingMs});
 			isReserved = prepared.isReserved;
-			ancestors = prepared.kind === 'ready' ? prepared.ancestors : [];
+			chain = prepared.kind === 'ready' ? prepared.chain : chain;
 			return prepared;
 		},
 		/** Must be called before the response ends; resolves to whether everything that has to be stored by then is stored. */
 		async completeTurn(): Promise<boolean> {
 			if (progress.output) {
 				return settle({
-					previous: call.program?.previousTurn ?? '', input: body, output: Buffer.from(progress.output.join('')), ancestors,
+					previous: call.program?.previousTurn ?? '', input: body, output: Buffer.from(progress.output.join('')), ...chain,
 				});
 			}
 
--- a/packages/gateway/src/forward/prepare-turn.ts
+++ b/packages/gateway/src/forward/prepare-turn.ts
@@ -5,21 +5,38 @@
 */
 import {Buffer} from 'node:buffer';
 import type {HolderClient} from '@siskinhub/turns/client/holder-client.js';
-import type {KeptTurn} from '@siskinhub/proto/gen/siskinhub/peer/v1/peer_pb.js';
 import type {CallHead} from '../call/call-head.js';
 import type {Route} from '../routes/route.js';
 
 /** Time in which a quorum of holders must answer. */
 const HOLDERS_TIMEOUT_MS = 1200;
 
+/** The chain before a turn, oldest first, as `HolderClient.settle` takes it. */
+type Chain = Pick<NonNullable<Parameters<HolderClient['settle']>[1]>, 'ancestors' | 'isFromOtherGroup'>;
+
 type Preparation =
-	/** `ancestors`: the previous turns that have to be stored again together with this one. */
-	| {readonly kind: 'ready'; readonly body: Uint8Array; readonly ancestors: readonly KeptTurn[]}
+	| {readonly kind: 'ready'; readonly body: Uint8Array; readonly chain: Chain}
 	| {readonly kind: 'over-budget' | 'unknown-turn' | 'unavailable'};
 
 /** `isReserved`: tokens are or may be reserved, so the attempt must be settled. */
 type PreparedTurn = Preparation & {readonly isReserved: boolean};
 
+/** The chain refers to the joined body, so that its bytes are in memory only once while the turn runs. */
+const joinTurns = ({turns, isFromOtherGroup}: Extract<Awaited<ReturnType<HolderClient['readTurns']>>, {kind: 'found'}>, body: Uint8Array): {readonly body: Uint8Array; readonly chain: Chain} => {
+	const joined = Buffer.concat([...turns.flatMap(({input, output}) => [input, output]), body]);
+	let offset = 0;
+	const take = ({length}: Uint8Array): Uint8Array => {
+		const start = offset;
+		offset += length;
+		return joined.subarray(start, offset);
+	};
+
+	const ancestors = turns.map(({id, previous, input, output}) => ({
+		id, previous, input: take(input), output: take(output),
+	}));
+	return {body: joined, chain: {ancestors, isFromOtherGroup}};
+};
+
 /** `reserved` and `turns` are absent if they were not needed. */
 const combineAnswers = (
 	reserved: Awaited<ReturnType<HolderClient['reserve']>> | undefined,
@@ -39,11 +56,10 @@
 	}
 
 	if (turns?.kind !== 'found') {
-		return {kind: 'ready', body, ancestors: []};
+		return {kind: 'ready', body, chain: {ancestors: [], isFromOtherGroup: false}};
 	}
 
-	const previousBodies = turns.turns.flatMap(({input, output}) => [input, output]);
-	return {kind: 'ready', body: Buffer.concat([...previousBodies, body]), ancestors: turns.isFromOtherGroup ? turns.turns : []};
+	return {kind: 'ready', ...joinTurns(turns, body)};
 };
 
 /** `body` is the body as the caller sent it; `remainingMs` is the time until its deadline. */
--- a/packages/gateway/src/host/start-holder.ts
+++ b/packages/gateway/src/host/start-holder.ts
@@ -24,6 +24,7 @@
 import {createLimitBook} from '../limits/create-limit-book.js';
 import {createPermitIssuer} from '../limits/create-permit-issuer.js';
 import {createLimitLog} from '../limits/create-limit-log.js';
+import {createGapLog} from './create-gap-log.js';
 import {createHolderRegistry} from './create-holder-registry.js';
 import {createHostLinks} from './create-host-links.js';
 import {createRetireReporter} from './create-retire-reporter.js';
@@ -100,8 +101,9 @@
 	const answerPermit = answerPermitRequests({
 		diskId: copies.diskId, limits, listDisks: registry.listDisks, issue: createPermitIssuer(() => performance.now()), onIssued: limitLog.countPermit,
 	});
+	const gapLog = createGapLog(log, metrics.countGap);
 	const answerCopies = createCopyService({
-		store: copies, syncCopy, onError: createRepeatedErrorLog(log, 'failed to write a record to the disk'),
+		store: copies, syncCopy, onError: createRepeatedErrorLog(log, 'failed to write a record to the disk'), onGap: gapLog.record,
 	});
 	const links = createHostLinks({
 		host: cfg.host,
@@ -159,6 +161,7 @@
 			links.close();
 			limitLog.close();
 			crashLog.close();
+			gapLog.close();
 			await copies.close();
 		},
 	};
--- a/packages/gateway/src/metrics/create-gateway-metrics.ts
+++ b/packages/gateway/src/metrics/create-gateway-metrics.ts
@@ -45,6 +45,9 @@
 	const resumptions = new Counter({
 		name: 'siskinhub_resumptions_total', help: 'Streams that callers take up again, by whether the software that began them is known.', labelNames: ['outcome'], registers,
 	});
+	const gaps = new Counter({
+		name: 'siskinhub_copy_gaps_total', help: 'Writes to a disk that lacked data in use and was sent it, by what it lacked.', labelNames: ['data'], registers,
+	});
 	return {
 		countCall(outcome, status, durationMs) {
 			calls.inc({outcome, status: String(status)});
@@ -62,6 +65,9 @@
 		countResumption(outcome) {
 			resumptions.inc({outcome});
 		},
+		countGap(data) {
+			gaps.inc({data});
+		},
 		countStoreCall(kind, outcome) {
 			storeCalls.inc({kind, outcome});
 		},
--- a/packages/gateway/src/metrics/gateway-metrics.ts
+++ b/packages/gateway/src/metrics/gateway-metrics.ts
@@ -1,6 +1,7 @@
 /**
 The metrics that gateways and copy holders record.
 */
+import type {CopyGap} from '@siskinhub/turns/holder/copy-gap.js';
 import type {UpstreamLoad} from '../placement/upstream-load.js';
 
 /** No method throws or waits. */
@@ -15,6 +16,8 @@
 	readonly countBlocked: () => void;
 	/** Counts a stream that its caller takes up again, by whether the software that began it is known. */
 	readonly countResumption: (outcome: 'resumed' | 'unknown' | 'unavailable') => void;
+	/** Counts a write to a disk that lacked data in use, by what it lacked. */
+	readonly countGap: (data: CopyGap['data']) => void;
 	/** Counts a call to the platform's service. */
 	readonly countStoreCall: (kind: string, outcome: string) => void;
 	/** Counts the choice of an upstream; `prompt` is how many tokens of the prompt its cache is estimated to hold and to lack. */
--- a/packages/turns/src/__tests__/copies.test.ts
+++ b/packages/turns/src/__tests__/copies.test.ts
@@ -14,9 +14,17 @@
 type Cluster = ReturnType<typeof createFakeCluster>;
 type Client = ReturnType<Cluster['createClient']>;
 
+/** As a gateway does before it sends the turn to an upstream. */
+const readAncestors = async (client: Client, previous: string) => {
+	const chain = previous === '' ? undefined : await advanceUntilSettled(client.readTurns('p', previous, TIMEOUT_MS));
+	return chain?.kind === 'found' ? chain.turns : [];
+};
+
 const store = async (client: Client, attempt: string, previous = '') => advanceUntilSettled(client.settle({
 	program: 'p', attempt, tokens: 10, retentionMs: RETENTION_MS,
-}, {previous, input: bytes(`in ${attempt};`), output: bytes(`out ${attempt};`)}, TIMEOUT_MS));
+}, {
+	previous, input: bytes(`in ${attempt};`), output: bytes(`out ${attempt};`), ancestors: await readAncestors(client, previous), isFromOtherGroup: false,
+}, TIMEOUT_MS));
 
 const read = async (client: Client, turn: string) => advanceUntilSettled(client.readTurns('p', turn, TIMEOUT_MS));
 
--- a/packages/turns/src/__tests__/create-fake-cluster.ts
+++ b/packages/turns/src/__tests__/create-fake-cluster.ts
@@ -3,7 +3,7 @@
 are fakes with short delays, and a test can cut links, kill processes and wipe
 disks. Time is that of the test's fake timers.
 */
-import {create} from '@bufbuild/protobuf';
+import {clone, create} from '@bufbuild/protobuf';
 import type {MessageBody} from '@siskinhub/peer/message-body.js';
 import type {MessageBodyInit} from '@siskinhub/peer/message-body-init.js';
 import type {PeerLink} from '@siskinhub/peer/peer-link.js';
@@ -48,6 +48,7 @@
 	readonly dataCentre: string;
 	incarnation: number;
 	handle: ReturnType<typeof createCopyService> | undefined;
+	compact: CopyStore['compact'] | undefined;
 	stopping: AbortController;
 };
 
@@ -73,15 +74,18 @@
 		const {disk, incarnation} = host;
 		const indexes = createGroupIndexes();
 		for (const record of disk.records) {
-			indexes.add(record);
+			indexes.add(clone(RecordSchema, record));
 		}
 
+		indexes.forgetExpired(Date.now());
 		return {
 			diskId: disk.diskId,
 			isNew: disk.records.length === 0,
 			getIndex: indexes.get,
 			async add(group, fact) {
 				const record = create(RecordSchema, {group, fact});
+				// The index extends expiries, which does not change what is on the disk.
+				const line = clone(RecordSchema, record);
 				const isNew = indexes.add(record);
 				if (host.isDiskFull) {
 					return err('no space left on the disk');
@@ -93,12 +97,14 @@
 				}
 
 				if (isNew) {
-					disk.records.push(record);
+					disk.records.push(line);
 				}
 
 				return ok();
 			},
 			async compact() {
+				indexes.forgetExpired(Date.now());
+				disk.records = indexes.records().map(record => clone(RecordSchema, record));
 				return ok();
 			},
 			size: indexes.size,
@@ -162,7 +168,10 @@
 		const syncCopy: SyncCopy = async (group, listVersion) => copyFromHolders({
 			store, group, listVersion, losses, linkTo,
 		});
-		host.handle = createCopyService({store, syncCopy, onError() {/* The test sees the error at the client. */}});
+		host.handle = createCopyService({
+			store, syncCopy, onError() {/* The test sees the error at the client. */}, onGap() {/* Same. */},
+		});
+		host.compact = store.compact;
 		host.stopping = new AbortController();
 		void runHolder({
 			self: toHolder(host),
@@ -221,7 +230,7 @@
 
 	const add = (name: string): void => {
 		const host: FakeHost = {
-			name, disk: {diskId: `disk-${nextDisk++}`, records: []}, isUp: false, isDiskFull: false, dataCentre: dataCentres[hosts.size % dataCentres.length]!, incarnation: 0, handle: undefined, stopping: new AbortController(),
+			name, disk: {diskId: `disk-${nextDisk++}`, records: []}, isUp: false, isDiskFull: false, dataCentre: dataCentres[hosts.size % dataCentres.length]!, incarnation: 0, handle: undefined, compact: undefined, stopping: new AbortController(),
 		};
 		hosts.set(name, host);
 		start(host);
@@ -248,6 +257,9 @@
 			kill(name);
 			start(hosts.get(name)!);
 		},
+		async compact(name: string) {
+			await hosts.get(name)!.compact?.();
+		},
 		wipe(name: string) {
 			kill(name);
 			hosts.get(name)!.disk = {diskId: `disk-${nextDisk++}`, records: []};
--- a/packages/turns/src/__tests__/groups.test.ts
+++ b/packages/turns/src/__tests__/groups.test.ts
@@ -22,10 +22,10 @@
 
 const bytes = (text: string) => new TextEncoder().encode(text);
 
-const settle = async (client: Client, program: string, attempt: string, turn: Partial<Pick<TurnContent, 'previous' | 'ancestors'>> = {}) => client.settle({
+const settle = async (client: Client, program: string, attempt: string, turn: Partial<Pick<TurnContent, 'previous' | 'ancestors' | 'isFromOtherGroup'>> = {}) => client.settle({
 	program, attempt, tokens: 10, retentionMs: RETENTION_MS,
 }, {
-	previous: turn.previous ?? '', input: bytes(`in ${attempt};`), output: bytes(`out ${attempt};`), ...(turn.ancestors && {ancestors: turn.ancestors}),
+	previous: '', input: bytes(`in ${attempt};`), output: bytes(`out ${attempt};`), ancestors: [], isFromOtherGroup: false, ...turn,
 }, TIMEOUT_MS);
 
 const storeAll = async (client: Client) => advanceUntilSettled(Promise.all(PROGRAMS.map(async program => settle(client, program, `${program}-t1`))));
@@ -226,7 +226,7 @@
 		const found = await advanceUntilSettled(client.readTurns(other, 't2', TIMEOUT_MS));
 		expect(found).toMatchObject({kind: 'found', isFromOtherGroup: true, turns: [{id: 't1'}, {id: 't2'}]});
 		const ancestors = found.kind === 'found' ? found.turns : [];
-		await advanceUntilSettled(settle(client, other, 't3', {previous: 't2', ancestors}));
+		await advanceUntilSettled(settle(client, other, 't3', {previous: 't2', ancestors, isFromOtherGroup: true}));
 		const again = await advanceUntilSettled(client.readTurns(other, 't3', TIMEOUT_MS));
 		expect(again).toMatchObject({kind: 'found', isFromOtherGroup: false, turns: [{id: 't1'}, {id: 't2'}, {id: 't3'}]});
 	});
--- a/packages/turns/src/client/ask-holders.ts
+++ b/packages/turns/src/client/ask-holders.ts
@@ -19,6 +19,9 @@
 import type {HolderList} from '../membership/holder-list.js';
 import {toWireList} from '../membership/to-wire-list.js';
 
+/** `enough`: the answers so far suffice. `more`: other answers are needed. `again`: the same holder must be sent another request, which `buildRequest` builds. */
+type RoundStep = 'enough' | 'more' | 'again';
+
 type Round = {
 	readonly group: GroupId;
 	readonly list: HolderList;
@@ -27,9 +30,9 @@
 	readonly holders: readonly Holder[];
 	/** How many holders are asked immediately. */
 	readonly firstCount: number;
-	readonly buildRequest: (listVersion: number) => MessageBodyInit;
-	/** Handles one answer; returns whether the answers so far suffice. */
-	readonly onAnswer: (holder: Holder, answer: MessageBody) => boolean;
+	readonly buildRequest: (listVersion: number, holder: Holder) => MessageBodyInit;
+	/** Handles one answer. */
+	readonly onAnswer: (holder: Holder, answer: MessageBody) => RoundStep;
 	readonly timeoutMs: number;
 	/** Delay after which the remaining holders are asked too. */
 	readonly hedgeDelayMs: number;
@@ -71,7 +74,12 @@
 
 	const handleAnswer = async (holder: Holder, answer: MessageBody): Promise<'again' | 'done'> => {
 		if (answer.case !== 'wrongHolders') {
-			if (answer.case !== 'refused' && onAnswer(holder, answer)) {
+			const step = answer.case === 'refused' ? 'more' : onAnswer(holder, answer);
+			if (step === 'again') {
+				return 'again';
+			}
+
+			if (step === 'enough') {
 				finish({kind: 'enough'});
 			}
 
@@ -94,7 +102,7 @@
 	};
 
 	const askOne = async (holder: Holder): Promise<void> => {
-		const answer = await askHolder(linkTo(holder), holder, buildRequest(list.version), deadline - Date.now());
+		const answer = await askHolder(linkTo(holder), holder, buildRequest(list.version, holder), deadline - Date.now());
 		if (isDone || (answer.isOk() && await handleAnswer(holder, answer.value) === 'done')) {
 			return;
 		}
--- a/packages/turns/src/client/create-holder-client.ts
+++ b/packages/turns/src/client/create-holder-client.ts
@@ -3,6 +3,11 @@
 No owner or leader is needed: a turn never changes once written and a program's
 uses only grow, so the holders need not agree on an order.
 
+A turn is acknowledged only once a write quorum has it together with the whole
+chain before it, with the expiry of the new turn. Whatever holders miss while they
+are away, each disk can then decide alone what to forget. A holder that lacks
+earlier turns answers so, and is sent them.
+
 A program may continue from a turn of another program. Such a turn is searched
 for in all groups, and its chain is stored again in the program's own group with
 the first turn that continues it.
@@ -100,20 +105,36 @@
 	const settle: HolderClient['settle'] = async ({program, attempt, tokens, retentionMs}, turn, timeoutMs) => {
 		const group = findGroup(program);
 		const expiresAtMs = Date.now() + retentionMs + CLOCK_SLACK_MS;
-		const {ancestors = [], ...content} = turn ?? {};
-		const turnToStore = turn && {id: attempt, ...content, expiresAtMs};
-		return askQuorum({program, group}, listVersion => ({
+		const turnToStore = turn && {
+			id: attempt, previous: turn.previous, input: turn.input, output: turn.output, expiresAtMs,
+		};
+		const ancestors = (turn?.ancestors ?? []).map(ancestor => ({...ancestor, expiresAtMs}));
+		// Disks whose holders have answered that they lack turns of the chain.
+		const incomplete = new Set<string>();
+		return askQuorum({program, group}, (listVersion, {diskId}) => ({
 			case: 'settleTurn', value: {
-				group, listVersion, program, use: {attempt, tokens, settled: true}, expiresAtMs, turn: turnToStore, ancestors: ancestors.map(ancestor => ({...ancestor, expiresAtMs})),
+				group,
+				listVersion,
+				program,
+				use: {attempt, tokens, settled: true},
+				expiresAtMs,
+				turn: turnToStore,
+				ancestors: turn?.isFromOtherGroup === true || incomplete.has(diskId) ? ancestors : [],
+				requiresChain: true,
 			},
 		}), 'write', timeoutMs, list => {
 			const stored = new Set<string>();
 			return ({diskId}, answer) => {
+				if (answer.case === 'chainIncomplete' && !incomplete.has(diskId)) {
+					incomplete.add(diskId);
+					return 'again';
+				}
+
 				if (answer.case === 'acknowledged') {
 					stored.add(diskId);
 				}
 
-				return hasQuorum(list, 'write', stored, losses);
+				return hasQuorum(list, 'write', stored, losses) ? 'enough' : 'more';
 			};
 		});
 	};
@@ -138,7 +159,7 @@
 					tokenUses.merge(uses, answer.value.uses);
 				}
 
-				return hasQuorum(list, 'write', answered, losses) && hasQuorum(list, 'read', answered, losses);
+				return hasQuorum(list, 'write', answered, losses) && hasQuorum(list, 'read', answered, losses) ? 'enough' : 'more';
 			};
 		});
 		if (!isReserved) {
@@ -164,7 +185,7 @@
 					longest = answer.value.turns.length > longest.length ? answer.value.turns : longest;
 				}
 
-				return longest.length > 0 || hasQuorum(list, 'read', answered, losses);
+				return longest.length > 0 || hasQuorum(list, 'read', answered, losses) ? 'enough' : 'more';
 			};
 		});
 		return {turns: longest, isAnswered};
--- a/packages/turns/src/client/create-origin-client.ts
+++ b/packages/turns/src/client/create-origin-client.ts
@@ -33,7 +33,7 @@
 					stored.add(diskId);
 				}
 
-				return hasQuorum(list, 'write', stored, losses);
+				return hasQuorum(list, 'write', stored, losses) ? 'enough' : 'more';
 			};
 		});
 	};
@@ -50,7 +50,7 @@
 					latest = origin && origin.sequence >= (latest?.sequence ?? 0) ? origin : latest;
 				}
 
-				return hasQuorum(list, 'read', answered, losses);
+				return hasQuorum(list, 'read', answered, losses) ? 'enough' : 'more';
 			};
 		});
 		if (!isAnswered) {
--- a/packages/turns/src/client/holder-client.ts
+++ b/packages/turns/src/client/holder-client.ts
@@ -13,15 +13,19 @@
 	readonly retentionMs: number;
 };
 
-/** `isFromOtherGroup`: the chain is not in the program's own replica group yet, so it has to be passed to `settle` as `ancestors`. */
+/** `isFromOtherGroup`: the chain is not in the program's own replica group yet. */
 type TurnsRead = {readonly kind: 'found'; readonly turns: readonly KeptTurn[]; readonly isFromOtherGroup: boolean} | {readonly kind: 'unknown' | 'unavailable'};
 
+type StoredTurn = Pick<KeptTurn, 'id' | 'previous' | 'input' | 'output'>;
+
 type TurnContent = {
 	readonly previous: string;
 	readonly input: Uint8Array;
 	readonly output: Uint8Array;
-	/** The chain before the turn, if it was read from another replica group. */
-	readonly ancestors?: readonly KeptTurn[];
+	/** The chain before the turn, oldest first; sent to holders that lack a part of it. */
+	readonly ancestors: readonly StoredTurn[];
+	/** Whether the chain was read from another replica group, so that no holder of the program's own group is expected to have it. */
+	readonly isFromOtherGroup: boolean;
 };
 
 /** The software that began a stream. */
--- a/packages/turns/src/disk/create-copy-index.ts
+++ b/packages/turns/src/disk/create-copy-index.ts
@@ -24,22 +24,20 @@
 	// Incremented whenever records may have been removed from `arrivals`, which invalidates offsets into it.
 	let generation = 1;
 
-	const addTurn = (turn: KeptTurn): boolean => {
-		const isNew = !turns.has(turn.id);
-		if (isNew) {
-			turns.set(turn.id, turn);
-		}
-
-		// A chain is kept as long as its newest turn, so the expiry is extended along the chain.
-		for (let stored = turns.get(turn.id); stored && stored.expiresAtMs < turn.expiresAtMs; stored = turns.get(stored.previous)) {
-			stored.expiresAtMs = turn.expiresAtMs;
-		}
-
-		for (let stored = turns.get(turn.previous); stored && stored.expiresAtMs < turn.expiresAtMs; stored = turns.get(stored.previous)) {
-			stored.expiresAtMs = turn.expiresAtMs;
+	/** A chain is kept as long as its newest turn, so the expiry of `turn` is extended to the turns before it. */
+	const extendChain = ({previous, expiresAtMs}: KeptTurn): void => {
+		for (let stored = turns.get(previous); stored && stored.expiresAtMs < expiresAtMs; stored = turns.get(stored.previous)) {
+			stored.expiresAtMs = expiresAtMs;
 		}
+	};
 
-		return isNew;
+	const addTurn = (turn: KeptTurn): boolean => {
+		const known = turns.get(turn.id);
+		const stored = known ?? turn;
+		turns.set(turn.id, stored);
+		stored.expiresAtMs = Math.max(stored.expiresAtMs, turn.expiresAtMs);
+		extendChain(stored);
+		return !known;
 	};
 
 	const addUse = ({program, use, expiresAtMs}: ProgramUse): boolean => {
@@ -147,6 +145,11 @@
 		/** Records from `offset` on, in the order of arrival. */
 		listRecordsFrom: (offset: number): readonly WireRecord[] => arrivals.slice(offset),
 		forgetExpired(now: number): void {
+			// Turns that arrived after those that continue them have not been extended yet.
+			for (const turn of turns.values()) {
+				extendChain(turn);
+			}
+
 			for (const turn of turns.values()) {
 				if (turn.expiresAtMs <= now) {
 					turns.delete(turn.id);
--- a/packages/turns/src/holder/create-copy-service.ts
+++ b/packages/turns/src/holder/create-copy-service.ts
@@ -6,13 +6,14 @@
 older list must adopt the newer one first, so that no write is counted under an
 outdated list.
 */
-import type {HolderList as WireHolderList, Record as WireRecord} from '@siskinhub/proto/gen/siskinhub/peer/v1/peer_pb.js';
+import type {HolderList as WireHolderList, KeptTurn, Record as WireRecord} from '@siskinhub/proto/gen/siskinhub/peer/v1/peer_pb.js';
 import type {MessageBody} from '@siskinhub/peer/message-body.js';
 import type {MessageBodyInit} from '@siskinhub/peer/message-body-init.js';
 import type {IncomingMessage} from '@siskinhub/peer/incoming-message.js';
 import type {CopyRecord} from '../disk/copy-record.js';
 import type {CopyStore} from '../disk/copy-store.js';
 import type {GroupId} from '../membership/group-id.js';
+import type {CopyGap} from './copy-gap.js';
 import {readChain} from './read-chain.js';
 import type {SyncCopy} from './sync-copy.js';
 
@@ -20,6 +21,7 @@
 	readonly store: CopyStore;
 	readonly syncCopy: SyncCopy;
 	readonly onError: (message: string) => void;
+	readonly onGap: (gap: CopyGap) => void;
 };
 
 /** About how many bytes of records one answer holds, so that copying does not block the link. */
@@ -33,7 +35,7 @@
 const REFUSED: MessageBodyInit = {case: 'refused', value: {}};
 
 /** The returned function handles one message; it returns `false` if the message is not a request for copies. */
-export const createCopyService = ({store, syncCopy, onError}: CopyServiceOptions): (message: IncomingMessage) => boolean => {
+export const createCopyService = ({store, syncCopy, onError, onGap}: CopyServiceOptions): (message: IncomingMessage) => boolean => {
 	const getIndex = (group: number) => store.getIndex(group as GroupId);
 
 	/** Returns the answer to a request under another version of the group's list, or `undefined` if the version is the holder's. */
@@ -130,7 +132,22 @@
 		return failed.case === 'refused' ? failed : {case: 'tokensReserved', value: {uses: [...getIndex(group).listUses(program)]}};
 	};
 
-	const settle = async ({group, program, use, expiresAtMs, turn, ancestors}: Extract<MessageBody, {case: 'settleTurn'}>['value']): Promise<MessageBodyInit> => {
+	/** Returns the id of the newest turn of the chain before `turn` that neither the disk nor `ancestors` has; empty if there is none. */
+	const findMissing = (group: number, turn: KeptTurn, ancestors: readonly KeptTurn[]): string => {
+		const sent = new Map(ancestors.map(ancestor => [ancestor.id, ancestor]));
+		const {findTurn} = getIndex(group);
+		return readChain(id => findTurn(id) ?? sent.get(id), turn.previous).missing;
+	};
+
+	const settle = async ({group, program, use, expiresAtMs, turn, ancestors, requiresChain}: Extract<MessageBody, {case: 'settleTurn'}>['value']): Promise<MessageBodyInit> => {
+		const missing = turn && requiresChain ? findMissing(group, turn, ancestors) : '';
+		if (missing !== '') {
+			onGap({
+				group: group as GroupId, data: 'chain', writeOf: turn!.id, missing,
+			});
+			return {case: 'chainIncomplete', value: {missing}};
+		}
+
 		const facts: CopyRecord[] = [{case: 'use', value: {program, use, expiresAtMs}}, ...[...ancestors, ...(turn ? [turn] : [])].map(value => ({case: 'turn' as const, value}))];
 		const answers = await Promise.all(facts.map(async fact => answerWhenStored(store.add(group as GroupId, fact), {case: 'acknowledged', value: {}})));
 		return answers.find(each => each.case === 'refused') ?? {case: 'acknowledged', value: {}};
