fix(gateway): keep the beginning of a turn that its caller takes up elsewhere

Only on routes that are resumable and kept.

Cause: what was passed on of a turn is known to its gateway's process until the turn ends; the second gateway stored what it had passed on itself.

Change: on such routes each event goes to the holders of the program's group right before its caller gets it, in memory and without waiting. Who takes the turn up reads them up to Last-Event-Id, or refuses as not run if they are not whole. The attempt that took the stream up last is stored with its origin, by quorum, and only its events count; a holder no longer acknowledges an origin that it does not take. On routes that are not resumable Last-Event-Id is left out: a kept turn lost its beginning there too.

--- a/packages/gateway/src/forward/__tests__/prepare-turn.test.ts
+++ b/packages/gateway/src/forward/__tests__/prepare-turn.test.ts
@@ -19,6 +19,8 @@
 	settle: vi.fn<HolderClient['settle']>(async () => true),
 	recordOrigin: vi.fn<HolderClient['recordOrigin']>(async () => true),
 	readOrigin: vi.fn<HolderClient['readOrigin']>(async () => ({kind: 'unknown'})),
+	appendOutput: vi.fn<HolderClient['appendOutput']>(),
+	readOutput: vi.fn<HolderClient['readOutput']>(async () => undefined),
 	isReady: () => !isCutOff,
 	isCutOff: () => isCutOff,
 	cutOffForMs: () => isCutOff ? 1 : 0,
--- a/packages/gateway/src/forward/create-attempt-runner.ts
+++ b/packages/gateway/src/forward/create-attempt-runner.ts
@@ -11,12 +11,12 @@
 import {computeFingerprint} from '../crashes/compute-fingerprint.js';
 import type {AttemptResult} from './attempt-result.js';
 import type {CallerResponse} from './caller-response.js';
+import type {createTurnHandler} from './create-turn-handler.js';
 import type {CallPlan} from './call-plan.js';
 import {chooseUpstreamForCall} from './choose-upstream-for-call.js';
 import type {GatewayContext} from './gateway-context.js';
 import {judgeAttemptEnd} from './judge-attempt-end.js';
 import {runAttempt} from './run-attempt.js';
-import type {StreamProgress} from './stream-progress.js';
 
 const DEFAULT_PRIORITY = 4;
 const LEAST_URGENT_PRIORITY = 9;
@@ -27,16 +27,15 @@
 type AttemptRunnerOptions = {
 	readonly plan: CallPlan;
 	readonly response: CallerResponse;
-	readonly progress: StreamProgress;
-	readonly completeTurn: () => Promise<boolean>;
+	readonly turn: Pick<ReturnType<typeof createTurnHandler>, 'progress' | 'recordEvents' | 'completeTurn'>;
 };
 
 const passAtOnce = (): boolean => true;
 
 const describeResult = (result: AttemptResult): string => 'message' in result ? `${result.kind}: ${result.message}` : result.kind;
 
-/** Tries no upstream twice. `completeTurn` stores the turn before the response ends. */
-export const createAttemptRunner = (context: GatewayContext, {plan, response, progress, completeTurn}: AttemptRunnerOptions) => {
+/** Tries no upstream twice. */
+export const createAttemptRunner = (context: GatewayContext, {plan, response, turn: {progress, recordEvents, completeTurn}}: AttemptRunnerOptions) => {
 	const {directory, loads, limits, pools, codec, metrics, crashes, crashWatch, crashLog} = context;
 	const {call, route, service} = plan;
 	const excluded = new Set<string>();
@@ -134,6 +133,7 @@
 				response,
 				progress,
 				priority: call.prompt && Math.min(LEAST_URGENT_PRIORITY, DEFAULT_PRIORITY + route.rank),
+				recordEvents,
 				completeTurn,
 				confirmFirstEvent: origins?.confirm ?? passAtOnce,
 				onServed: activeCall.markAnswered,
--- a/packages/gateway/src/forward/create-stream-forwarder.ts
+++ b/packages/gateway/src/forward/create-stream-forwarder.ts
@@ -3,6 +3,7 @@
 once it may be passed on.
 */
 import {Buffer} from 'node:buffer';
+import type {EventSourceMessage} from 'eventsource-parser';
 import type {CallerResponse} from './caller-response.js';
 import {createEventSplitter} from './create-event-splitter.js';
 import type {StreamProgress} from './stream-progress.js';
@@ -10,6 +11,8 @@
 type ForwarderOptions = {
 	readonly progress: StreamProgress;
 	readonly response: Pick<CallerResponse, 'write' | 'onDrain'>;
+	/** Called with events right before they are passed on. */
+	readonly recordEvents: (events: readonly EventSourceMessage[]) => void;
 	/** Sends the head of the response unless it has been sent. */
 	readonly startResponse: () => void;
 	/** Returns whether the first event may be passed on. */
@@ -23,7 +26,7 @@
 /** Lines that belong to no event. */
 const isOutsideEvents = (line: string): boolean => line === '' || line.startsWith(':');
 
-export const createStreamForwarder = ({progress, response, startResponse, confirmFirstEvent, pause, resume, onRejected}: ForwarderOptions) => {
+export const createStreamForwarder = ({progress, response, recordEvents, startResponse, confirmFirstEvent, pause, resume, onRejected}: ForwarderOptions) => {
 	const splitter = createEventSplitter();
 	const held: Uint8Array[] = [];
 	let confirming: Promise<void> | undefined;
@@ -57,9 +60,9 @@
 
 		for (const event of events) {
 			progress.lastEventId = event.id ?? progress.lastEventId;
-			progress.output?.push(event.data, '\n');
 		}
 
+		recordEvents(events);
 		progress.events += events.length;
 		progress.firstEventAt ??= Date.now();
 		startResponse();
--- a/packages/gateway/src/forward/create-turn-handler.ts
+++ b/packages/gateway/src/forward/create-turn-handler.ts
@@ -5,7 +5,10 @@
 */
 import {Buffer} from 'node:buffer';
 import type {HolderClient} from '@siskinhub/turns/client/holder-client.js';
+import type {OutputEvent} from '@siskinhub/turns/client/output-event.js';
+import type {EventSourceMessage} from 'eventsource-parser';
 import type {CallHead} from '../call/call-head.js';
+import {isKeptTurn} from '../origins/is-kept-turn.js';
 import type {Route} from '../routes/route.js';
 import {prepareTurn} from './prepare-turn.js';
 import type {StreamProgress} from './stream-progress.js';
@@ -25,9 +28,10 @@
 /** Holds the state of one request. A request that is not a turn is passed through unchanged. */
 export const createTurnHandler = ({holderClient, call, route, body, tokensPerEvent}: TurnHandlerOptions) => {
 	const isTurn = route.kind === 'stream' && call.program !== undefined;
-	const progress: StreamProgress = {
-		lastEventId: undefined, events: 0, output: isTurn && route.keepsTurns ? [] : undefined, firstEventAt: undefined,
-	};
+	const isKept = isKeptTurn(call, route);
+	const progress: StreamProgress = {lastEventId: undefined, events: 0, firstEventAt: undefined};
+	// The data of each event, including those that the caller had before it took the stream up; only if the turn is kept.
+	const output: string[] = [];
 	let isReserved = false;
 	let chain: Extract<Awaited<ReturnType<typeof prepareTurn>>, {kind: 'ready'}>['chain'] = {ancestors: [], isFromOtherGroup: false};
 
@@ -49,6 +53,22 @@
 	return {
 		progress,
 		settleInBackground,
+		/** Adds events that the caller had from an earlier attempt. */
+		addBeginning(events: readonly OutputEvent[]): void {
+			output.push(...events.map(({data}) => data));
+		},
+		/** Must be called with events before they are passed on. */
+		recordEvents(events: readonly EventSourceMessage[]): void {
+			if (!isKept) {
+				return;
+			}
+
+			if (route.isResumable) {
+				holderClient.appendOutput({program: call.program!.id, attempt: call.id}, output.length, events.map(({id = '', data}) => ({id, data})));
+			}
+
+			output.push(...events.map(({data}) => data));
+		},
 		async prepare(remainingMs: number): ReturnType<typeof prepareTurn> {
 			if (!isTurn) {
 				return {
@@ -63,9 +83,9 @@
 		},
 		/** Must be called before the response ends; resolves to whether everything that has to be stored by then is stored. */
 		async completeTurn(): Promise<boolean> {
-			if (progress.output) {
+			if (isKept) {
 				return settle({
-					previous: call.program?.previousTurn ?? '', input: body, output: Buffer.from(progress.output.join('')), ...chain,
+					previous: call.program?.previousTurn ?? '', input: body, output: Buffer.from(output.map(data => `${data}\n`).join('')), ...chain,
 				});
 			}
 
--- a/packages/gateway/src/forward/run-attempt.ts
+++ b/packages/gateway/src/forward/run-attempt.ts
@@ -4,6 +4,7 @@
 request can be retried if one breaks off; events are forwarded as they arrive.
 */
 import {Buffer} from 'node:buffer';
+import type {EventSourceMessage} from 'eventsource-parser';
 import type {Dispatcher} from 'undici';
 import type {CallCodec} from '../call/call-codec.js';
 import type {ResponseHead} from '../call/response-head.js';
@@ -25,6 +26,8 @@
 	readonly response: CallerResponse;
 	readonly progress: StreamProgress;
 	readonly priority: number | undefined;
+	/** Called with events right before they are passed on to the caller. */
+	readonly recordEvents: (events: readonly EventSourceMessage[]) => void;
 	/** Stores the turn before the response ends; resolves to whether that succeeded. */
 	readonly completeTurn: () => Promise<boolean>;
 	/** Returns whether the first event of a stream may be passed on. */
@@ -40,7 +43,7 @@
 
 /** Resolves once the attempt has ended. The caller's response has ended too if the result says so. */
 export const runAttempt = async (options: AttemptOptions): Promise<AttemptResult> => new Promise(resolve => {
-	const {plan, upstream, pool, codec, response, progress, priority, completeTurn, confirmFirstEvent, onServed, onUpstreamHead} = options;
+	const {plan, upstream, pool, codec, response, progress, priority, recordEvents, completeTurn, confirmFirstEvent, onServed, onUpstreamHead} = options;
 	const {call, route, body, deadlineAt} = plan;
 	const isStream = route.kind === 'stream';
 	const bufferedChunks: Uint8Array[] = [];
@@ -87,6 +90,7 @@
 	const stream = createStreamForwarder({
 		progress,
 		response,
+		recordEvents,
 		startResponse,
 		confirmFirstEvent,
 		pause() {
@@ -198,7 +202,8 @@
 			upstreamId: upstream.id,
 			deadlineMs: Math.max(1, deadlineAt - Date.now()),
 			priority,
-			lastEventId: progress.lastEventId ?? call.lastEventId,
+			// A route that is not resumable has no streams to take up.
+			lastEventId: progress.lastEventId ?? (route.isResumable ? call.lastEventId : undefined),
 		}),
 		body,
 	}, {
--- a/packages/gateway/src/forward/run-call.ts
+++ b/packages/gateway/src/forward/run-call.ts
@@ -4,7 +4,7 @@
 */
 import type {CallHead} from '../call/call-head.js';
 import {chooseService} from '../routes/choose-service.js';
-import {findResumedOrigin} from '../origins/find-resumed-origin.js';
+import {takeUpStream} from '../origins/take-up-stream.js';
 import type {Route} from '../routes/route.js';
 import type {AttemptResult} from './attempt-result.js';
 import type {CallerResponse} from './caller-response.js';
@@ -25,6 +25,8 @@
 /** Time in which a quorum of holders must tell which software began a stream. */
 const ORIGIN_TIMEOUT_MS = 1200;
 
+const OUTCOME_BY_RESUMPTION = {unknown: 'origin-unknown', unavailable: 'origin-unavailable', 'unknown-output': 'output-unknown'} as const;
+
 const STATUS_BY_TURN_FAILURE = {'over-budget': 402, 'unknown-turn': 404, unavailable: 503} as const;
 
 /** `attempts` counts the upstreams that the request was sent to. */
@@ -81,7 +83,7 @@
 	});
 	const [prepared, resumption] = await Promise.all([
 		turn.prepare(deadlineAt - Date.now()),
-		findResumedOrigin(context.holderClient, call, route, {
+		takeUpStream(context.holderClient, call, route, {
 			timeoutMs: Math.min(ORIGIN_TIMEOUT_MS, deadlineAt - Date.now()),
 			hasSeveralVersions: () => new Set(context.directory.list(service).map(({softwareVersion}) => softwareVersion)).size > 1,
 		}),
@@ -111,20 +113,24 @@
 		context.metrics.countResumption(resumption.kind);
 	}
 
-	if (resumption.kind === 'unknown' || resumption.kind === 'unavailable') {
+	if (resumption.kind !== 'new' && resumption.kind !== 'resumed') {
 		turn.settleInBackground();
 		response.refuse(503, resumption.kind === 'unavailable' ? RETRY_OTHER_PROCESS_MS : undefined);
-		return {outcome: `origin-${resumption.kind}`, status: 503};
+		return {outcome: OUTCOME_BY_RESUMPTION[resumption.kind], status: 503};
 	}
 
 	const origin = resumption.kind === 'resumed' ? resumption.origin : undefined;
 	fields.softwareVersion = origin?.version;
-	const {progress, completeTurn} = turn;
+	if (resumption.kind === 'resumed') {
+		turn.addBeginning(resumption.beginning);
+	}
+
+	const {progress} = turn;
 	const plan = {
 		call, route, service: origin?.service ?? service, origin, body: prepared.body, arrivedAt, deadlineAt,
 	};
 	const attempts = createAttemptRunner(context, {
-		plan, response, progress, completeTurn,
+		plan, response, turn,
 	});
 	for (;;) {
 		if (response.isDisconnected()) {
--- a/packages/gateway/src/host/start-holder.ts
+++ b/packages/gateway/src/host/start-holder.ts
@@ -14,6 +14,7 @@
 import {openCopyStore} from '@siskinhub/turns/disk/open-copy-store.js';
 import {copyFromHolders} from '@siskinhub/turns/holder/copy-from-holders.js';
 import {createCopyService} from '@siskinhub/turns/holder/create-copy-service.js';
+import {createOutputBuffer} from '@siskinhub/turns/holder/create-output-buffer.js';
 import {runHolder} from '@siskinhub/turns/holder/run-holder.js';
 import type {SyncCopy} from '@siskinhub/turns/holder/sync-copy.js';
 import type {Holder} from '@siskinhub/turns/membership/holder.js';
@@ -103,7 +104,7 @@
 	});
 	const gapLog = createGapLog(log, metrics.countGap);
 	const answerCopies = createCopyService({
-		store: copies, syncCopy, onError: createRepeatedErrorLog(log, 'failed to write a record to the disk'), onGap: gapLog.record,
+		store: copies, syncCopy, outputs: createOutputBuffer(() => performance.now()), onError: createRepeatedErrorLog(log, 'failed to write a record to the disk'), onGap: gapLog.record,
 	});
 	const links = createHostLinks({
 		host: cfg.host,
--- a/packages/gateway/src/metrics/create-gateway-metrics.ts
+++ b/packages/gateway/src/metrics/create-gateway-metrics.ts
@@ -43,7 +43,7 @@
 		name: 'siskinhub_blocked_calls_total', help: 'Requests that were sent to no upstream because they crashed several.', registers,
 	});
 	const resumptions = new Counter({
-		name: 'siskinhub_resumptions_total', help: 'Streams that callers take up again, by whether the software that began them is known.', labelNames: ['outcome'], registers,
+		name: 'siskinhub_resumptions_total', help: 'Streams that callers take up again, by whether the software that began them is known and, of a kept turn, the events before.', labelNames: ['outcome'], registers,
 	});
 	const gaps = new Counter({
 		name: 'siskinhub_copy_gaps_total', help: 'Writes to a disk that lacked data in use and was sent it, by what it lacked.', labelNames: ['data'], registers,
--- a/packages/gateway/src/origins/__tests__/find-resumed-origin.test.ts
+++ b/packages/gateway/src/origins/__tests__/find-resumed-origin.test.ts
@@ -5,7 +5,9 @@
 import type {Route} from '../../routes/route.js';
 import {findResumedOrigin} from '../find-resumed-origin.js';
 
-const ORIGIN = {service: 's', version: 'v1'};
+const ORIGIN = {
+	service: 's', version: 'v1', sequence: 1, takenUpBy: '',
+};
 
 const holders: Pick<HolderClient, 'readOrigin'> = {readOrigin: async ({attempt}) => attempt === 'a' ? {kind: 'found', origin: ORIGIN} : {kind: 'unknown'}};
 
--- a/packages/gateway/src/origins/find-resumed-origin.ts
+++ b/packages/gateway/src/origins/find-resumed-origin.ts
@@ -4,10 +4,12 @@
 import type {HolderClient} from '@siskinhub/turns/client/holder-client.js';
 import type {CallHead} from '../call/call-head.js';
 import type {Route} from '../routes/route.js';
-import type {StreamOrigin} from './stream-origin.js';
+import {isKeptTurn} from './is-kept-turn.js';
+
+type OriginRecord = Extract<Awaited<ReturnType<HolderClient['readOrigin']>>, {kind: 'found'}>['origin'];
 
 /** `new`: the request begins a stream. `unknown`: nobody knows the origin, or the route leads to its service no more, so the stream must not go on. */
-type Resumption = {readonly kind: 'resumed'; readonly origin: StreamOrigin} | {readonly kind: 'new' | 'unknown' | 'unavailable'};
+type Resumption = {readonly kind: 'resumed'; readonly origin: OriginRecord} | {readonly kind: 'new' | 'unknown' | 'unavailable'};
 
 type FindOptions = {
 	readonly timeoutMs: number;
@@ -15,14 +17,14 @@
 	readonly hasSeveralVersions: () => boolean;
 };
 
-/** A caller that does not name the attempt that began its stream may go on only while all upstreams have one version. */
+/** A caller that does not name the attempt that began its stream may go on only while all upstreams have one version, and never in a turn that is kept, whose beginning could not be found. */
 export const findResumedOrigin = async (holderClient: Pick<HolderClient, 'readOrigin'>, call: CallHead, route: Route, {timeoutMs, hasSeveralVersions}: FindOptions): Promise<Resumption> => {
 	if (!route.isResumable || call.lastEventId === undefined) {
 		return {kind: 'new'};
 	}
 
 	if (call.resumes === undefined) {
-		return {kind: hasSeveralVersions() ? 'unknown' : 'new'};
+		return {kind: isKeptTurn(call, route) || hasSeveralVersions() ? 'unknown' : 'new'};
 	}
 
 	const read = await holderClient.readOrigin({program: call.program?.id ?? call.resumes, attempt: call.resumes}, timeoutMs);
--- a/packages/turns/src/__tests__/create-fake-cluster.ts
+++ b/packages/turns/src/__tests__/create-fake-cluster.ts
@@ -14,6 +14,7 @@
 import type {CopyStore} from '../disk/copy-store.js';
 import {createGroupIndexes} from '../disk/create-group-indexes.js';
 import {copyFromHolders} from '../holder/copy-from-holders.js';
+import {createOutputBuffer} from '../holder/create-output-buffer.js';
 import {createCopyService} from '../holder/create-copy-service.js';
 import {runHolder} from '../holder/run-holder.js';
 import type {SyncCopy} from '../holder/sync-copy.js';
@@ -146,7 +147,14 @@
 			remote: () => hosts.get(to)?.isUp && !isCut(from, to) ? create(HelloSchema, {dataFolderId: hosts.get(to)!.disk.diskId}) : undefined,
 			isOpen: () => true,
 			silentForMs: () => 0,
-			send() {/* Every message about copies is a request with an answer. */},
+			async send(init) {
+				await wait(LINK_DELAY_MS);
+				if (hosts.get(to)?.isUp && !isCut(from, to)) {
+					hosts.get(to)!.handle?.({
+						link: undefined as never, body: toBody(init), traceparent: '', reply() {/* Nothing is awaited. */},
+					});
+				}
+			},
 			request,
 			openCall: () => ({close() {/* Nothing is open. */}}),
 			reply() {/* The handler replies itself. */},
@@ -169,7 +177,7 @@
 			store, group, listVersion, losses, linkTo,
 		});
 		host.handle = createCopyService({
-			store, syncCopy, onError() {/* The test sees the error at the client. */}, onGap() {/* Same. */},
+			store, syncCopy, outputs: createOutputBuffer(Date.now), onError() {/* The test sees the error at the client. */}, onGap() {/* Same. */},
 		});
 		host.compact = store.compact;
 		host.stopping = new AbortController();
--- a/packages/turns/src/__tests__/origins.test.ts
+++ b/packages/turns/src/__tests__/origins.test.ts
@@ -16,6 +16,10 @@
 
 const read = async (client: Client) => advanceUntilSettled(client.readOrigin({program: 'p', attempt: 'a'}, TIMEOUT_MS));
 
+const originOf = (version: string, sequence: number, takenUpBy = '') => ({
+	service: 's', version, sequence, takenUpBy,
+});
+
 describe('origins of streams', () => {
 	let cluster: Cluster;
 
@@ -33,7 +37,7 @@
 		for (const holder of ['h1', 'h2', 'h3']) {
 			const reader = cluster.createClient(`reader-${holder}`);
 			cluster.cut(`reader-${holder}`, holder);
-			expect(await read(reader)).toEqual({kind: 'found', origin: {service: 's', version: 'v1'}});
+			expect(await read(reader)).toEqual({kind: 'found', origin: originOf('v1', 1)});
 		}
 	});
 
@@ -46,7 +50,29 @@
 		for (const holder of ['h1', 'h2', 'h3']) {
 			const reader = cluster.createClient(`reader-${holder}`);
 			cluster.cut(`reader-${holder}`, holder);
-			expect(await read(reader)).toEqual({kind: 'found', origin: {service: 's', version: 'v2'}});
+			expect(await read(reader)).toEqual({kind: 'found', origin: originOf('v2', 2)});
+		}
+	});
+
+	it('let at most one of two attempts take a stream up that do so at the same time', async () => {
+		await record(cluster.createClient('g1'), 'v1');
+		const takeUp = async (name: string, holder: string) => {
+			cluster.cut(name, holder);
+			return cluster.createClient(name).recordOrigin({
+				program: 'p', attempt: 'a', ...originOf('v1', 2, name),
+			}, TIMEOUT_MS);
+		};
+
+		const results = await advanceUntilSettled(Promise.all([takeUp('g2', 'h1'), takeUp('g3', 'h2'), takeUp('g4', 'h3')]));
+		expect(results.filter(Boolean).length).toBeLessThanOrEqual(1);
+		const winner = ['g2', 'g3', 'g4'][results.indexOf(true)];
+		for (const holder of ['h1', 'h2', 'h3']) {
+			const reader = cluster.createClient(`reader-${holder}`);
+			cluster.cut(`reader-${holder}`, holder);
+			const found = await read(reader);
+			if (found.kind === 'found') {
+				expect(found.origin).toEqual(originOf('v1', 2, winner));
+			}
 		}
 	});
 
@@ -70,6 +96,6 @@
 
 		cluster.wipe('h2');
 		await vi.advanceTimersByTimeAsync(SETTLE_TIME_MS);
-		expect(await read(cluster.createClient('g2'))).toEqual({kind: 'found', origin: {service: 's', version: 'v1'}});
+		expect(await read(cluster.createClient('g2'))).toEqual({kind: 'found', origin: originOf('v1', 1)});
 	});
 });
--- a/packages/turns/src/client/create-holder-client.ts
+++ b/packages/turns/src/client/create-holder-client.ts
@@ -35,6 +35,7 @@
 import {createGroupMonitors} from '../client/create-group-monitors.js';
 import {createHedgeDelay} from '../client/create-hedge-delay.js';
 import {createOriginClient} from '../client/create-origin-client.js';
+import {createOutputClient} from '../client/create-output-client.js';
 import {createSpentBudgetCache} from '../client/create-spent-budget-cache.js';
 import {tokenUses} from './token-uses.js';
 import type {HolderClient} from './holder-client.js';
@@ -236,8 +237,9 @@
 	};
 
 	const origins = createOriginClient({askQuorum, losses, slackMs: CLOCK_SLACK_MS});
+	const outputs = createOutputClient({askQuorum, readList, linkTo});
 
 	return {
-		reserve, readTurns, settle, ...origins, isReady: monitors.isReady, isCutOff: monitors.isCutOff, cutOffForMs: program => monitors.cutOffForMs(findGroup(program)),
+		reserve, readTurns, settle, ...origins, ...outputs, isReady: monitors.isReady, isCutOff: monitors.isCutOff, cutOffForMs: program => monitors.cutOffForMs(findGroup(program)),
 	};
 };
--- a/packages/turns/src/client/create-origin-client.ts
+++ b/packages/turns/src/client/create-origin-client.ts
@@ -21,10 +21,10 @@
 };
 
 export const createOriginClient = ({askQuorum, losses, slackMs}: OriginClientOptions): Pick<HolderClient, 'recordOrigin' | 'readOrigin'> => {
-	const recordOrigin: HolderClient['recordOrigin'] = async ({program, attempt, service, version, sequence}, timeoutMs) => {
+	const recordOrigin: HolderClient['recordOrigin'] = async ({program, attempt, service, version, sequence, takenUpBy = ''}, timeoutMs) => {
 		const group = findGroup(program);
 		const origin = {
-			attempt, service, version, sequence, expiresAtMs: Date.now() + ORIGIN_RETENTION_MS + slackMs,
+			attempt, service, version, sequence, takenUpBy, expiresAtMs: Date.now() + ORIGIN_RETENTION_MS + slackMs,
 		};
 		return askQuorum({program, group}, listVersion => ({case: 'recordOrigin', value: {group, listVersion, origin}}), 'write', timeoutMs, list => {
 			const stored = new Set<string>();
@@ -41,23 +41,39 @@
 	const readOrigin: HolderClient['readOrigin'] = async ({program, attempt}, timeoutMs) => {
 		const group = findGroup(program);
 		let latest: StreamOrigin | undefined;
+		// Two attempts that took the stream up at the same time; at most one of them has a write quorum.
+		let isContested = false;
 		const isAnswered = await askQuorum({program, group}, listVersion => ({case: 'readOrigin', value: {group, listVersion, attempt}}), 'write', timeoutMs, list => {
 			const answered = new Set<string>();
 			return ({diskId}, answer) => {
 				if (answer.case === 'origin') {
 					answered.add(diskId);
 					const {origin} = answer.value;
-					latest = origin && origin.sequence >= (latest?.sequence ?? 0) ? origin : latest;
+					if (origin && origin.sequence > (latest?.sequence ?? -1)) {
+						latest = origin;
+						isContested = false;
+					} else if (origin?.sequence === latest?.sequence && origin?.takenUpBy !== latest?.takenUpBy) {
+						isContested = true;
+					}
 				}
 
 				return hasQuorum(list, 'read', answered, losses) ? 'enough' : 'more';
 			};
 		});
-		if (!isAnswered) {
+		if (!isAnswered || isContested) {
 			return {kind: 'unavailable'};
 		}
 
-		return latest ? {kind: 'found', origin: {service: latest.service, version: latest.version}} : {kind: 'unknown'};
+		if (!latest) {
+			return {kind: 'unknown'};
+		}
+
+		const {service, version, sequence, takenUpBy} = latest;
+		return {
+			kind: 'found', origin: {
+				service, version, sequence, takenUpBy,
+			},
+		};
 	};
 
 	return {recordOrigin, readOrigin};
--- a/packages/turns/src/client/holder-client.ts
+++ b/packages/turns/src/client/holder-client.ts
@@ -3,6 +3,7 @@
 on the holders.
 */
 import type {KeptTurn} from '@siskinhub/proto/gen/siskinhub/peer/v1/peer_pb.js';
+import type {OutputEvent} from './output-event.js';
 
 type Attempt = {
 	readonly program: string;
@@ -34,8 +35,11 @@
 /** `program` is that of the request, or the id of the attempt if it belongs to none. */
 type StreamAttempt = {readonly program: string; readonly attempt: string};
 
+/** Of several records of one stream the one with the highest `sequence` holds. `takenUpBy` is the attempt that took the stream up last; empty if none has. */
+type OriginRecord = Origin & {readonly sequence: number; readonly takenUpBy?: string};
+
 /** `unknown` is returned only if no holder can have it. */
-type OriginRead = {readonly kind: 'found'; readonly origin: Origin} | {readonly kind: 'unknown' | 'unavailable'};
+type OriginRead = {readonly kind: 'found'; readonly origin: Required<OriginRecord>} | {readonly kind: 'unknown' | 'unavailable'};
 
 /** Reserves tokens before a turn runs, reads the turns that precede it and stores its result. */
 export type HolderClient = {
@@ -45,10 +49,14 @@
 	readonly readTurns: (program: string, turn: string, timeoutMs: number) => Promise<TurnsRead>;
 	/** Stores the tokens that the attempt used and, if given, its turn; resolves to whether a write quorum has them on disk. */
 	readonly settle: (attempt: Attempt, turn: TurnContent | undefined, timeoutMs: number) => Promise<boolean>;
-	/** Stores which software runs an attempt that may begin a stream; of several the one with the highest `sequence` holds. Resolves to whether a write quorum has it on disk. */
-	readonly recordOrigin: (stream: StreamAttempt & Origin & {readonly sequence: number}, timeoutMs: number) => Promise<boolean>;
+	/** Stores which software runs an attempt that may begin a stream. Resolves to whether a write quorum has it on disk and nothing that holds instead. */
+	readonly recordOrigin: (stream: StreamAttempt & OriginRecord, timeoutMs: number) => Promise<boolean>;
 	/** Reads which software began the stream whose first event the attempt brought. */
 	readonly readOrigin: (stream: StreamAttempt, timeoutMs: number) => Promise<OriginRead>;
+	/** Passes events of an attempt to the holders, which keep them in memory for a while; `offset` is the number of its events before these. Does not wait. */
+	readonly appendOutput: (stream: StreamAttempt, offset: number, events: readonly OutputEvent[]) => void;
+	/** Reads the events that the attempt passed on, up to the one with the id `lastEventId`; `undefined` if no holder that answers has them all. */
+	readonly readOutput: (stream: StreamAttempt, lastEventId: string, timeoutMs: number) => Promise<readonly OutputEvent[] | undefined>;
 	/** Whether a write quorum of most replica groups is reachable now. */
 	readonly isReady: () => boolean;
 	/** Whether waiting for a write quorum is futile for most replica groups. */
--- a/packages/turns/src/holder/create-copy-service.ts
+++ b/packages/turns/src/holder/create-copy-service.ts
@@ -14,12 +14,14 @@
 import type {CopyStore} from '../disk/copy-store.js';
 import type {GroupId} from '../membership/group-id.js';
 import type {CopyGap} from './copy-gap.js';
+import type {createOutputBuffer} from './create-output-buffer.js';
 import {readChain} from './read-chain.js';
 import type {SyncCopy} from './sync-copy.js';
 
 type CopyServiceOptions = {
 	readonly store: CopyStore;
 	readonly syncCopy: SyncCopy;
+	readonly outputs: ReturnType<typeof createOutputBuffer>;
 	readonly onError: (message: string) => void;
 	readonly onGap: (gap: CopyGap) => void;
 };
@@ -35,7 +37,7 @@
 const REFUSED: MessageBodyInit = {case: 'refused', value: {}};
 
 /** The returned function handles one message; it returns `false` if the message is not a request for copies. */
-export const createCopyService = ({store, syncCopy, onError, onGap}: CopyServiceOptions): (message: IncomingMessage) => boolean => {
+export const createCopyService = ({store, syncCopy, outputs, onError, onGap}: CopyServiceOptions): (message: IncomingMessage) => boolean => {
 	const getIndex = (group: number) => store.getIndex(group as GroupId);
 
 	/** Returns the answer to a request under another version of the group's list, or `undefined` if the version is the holder's. */
@@ -108,6 +110,10 @@
 				return checkListVersion(body.value) ?? {case: 'origin', value: {origin: getIndex(group).findOrigin(attempt)}};
 			}
 
+			case 'readOutput': {
+				return checkListVersion(body.value) ?? {case: 'output', value: {events: [...outputs.read(body.value.attempt)]}};
+			}
+
 			case 'adoptHolders': {
 				return adopt(body.value.group, body.value.list);
 			}
@@ -153,13 +159,26 @@
 		return answers.find(each => each.case === 'refused') ?? {case: 'acknowledged', value: {}};
 	};
 
-	const recordOrigin = async ({group, origin}: Extract<MessageBody, {case: 'recordOrigin'}>['value']): Promise<MessageBodyInit> => origin
-		? answerWhenStored(store.add(group as GroupId, {case: 'origin', value: origin}), {case: 'acknowledged', value: {}})
-		: REFUSED;
+	/** Of two records with the same number that two processes wrote at the same time, each disk takes one, so at most one of them gets a write quorum. */
+	const recordOrigin = async ({group, origin}: Extract<MessageBody, {case: 'recordOrigin'}>['value']): Promise<MessageBodyInit> => {
+		if (!origin) {
+			return REFUSED;
+		}
+
+		const stored = store.add(group as GroupId, {case: 'origin', value: origin});
+		const held = getIndex(group).findOrigin(origin.attempt);
+		const isHeld = held?.sequence === origin.sequence && held.takenUpBy === origin.takenUpBy && held.version === origin.version;
+		return answerWhenStored(stored, isHeld ? {case: 'acknowledged', value: {}} : REFUSED);
+	};
 
 	const answerSync = async ({group, listVersion}: GroupRequest): Promise<MessageBodyInit> => await syncCopy(group as GroupId, listVersion) ? {case: 'acknowledged', value: {}} : REFUSED;
 
 	return ({body, reply}) => {
+		if (body.case === 'appendOutput') {
+			outputs.append(body.value.attempt, body.value.offset, body.value.events);
+			return true;
+		}
+
 		const answered = answer(body);
 		if (answered === undefined) {
 			return false;
