fix(turns): grant tokens only once a write quorum knows all uses of the program

Cause: uses go to two of three disks and extend the program's time only there. A disk that heard of none for the retention and 30 s forgets them all at a start, another one never had the early ones, and a quorum of these two adds up too little.

The scripted case of the fake cluster reads 30 of 240 tokens there after exactly these writes; without the pause nothing is lost, which rules out reservations that miss each other and a log that loses lines.

Change: the answers to a reservation show which holder lacks what. They are sent it in one more exchange before the tokens are granted, or with the write that settles. So what a granted program has used is on as many disks as a write needs, with its latest time. A compaction writes each use with the latest time of its program.

--- a/packages/turns/src/disk/create-copy-index.ts
+++ b/packages/turns/src/disk/create-copy-index.ts
@@ -134,9 +134,16 @@
 		listUses: (program: string): readonly TokenUse[] => [...programs.get(program)?.byAttempt.values() ?? []],
 		findOrigin: (attempt: string): StreamOrigin | undefined => origins.get(attempt),
 		list: (): HolderList | undefined => list,
-		/** Drops records that have expired or been superseded and returns the rest. */
+		/** Drops records that have expired or been superseded and returns the rest, each with the time until which it is kept now. */
 		records(): readonly WireRecord[] {
 			arrivals = arrivals.filter(record => isRetained(record));
+			for (const {fact} of arrivals) {
+				if (fact.case === 'use') {
+					// The record that brought the latest time may have been superseded.
+					fact.value.expiresAtMs = programs.get(fact.value.program)!.expiresAtMs;
+				}
+			}
+
 			generation++;
 			return arrivals;
 		},
--- a/packages/turns/src/holder/copy-gap.ts
+++ b/packages/turns/src/holder/copy-gap.ts
@@ -5,10 +5,10 @@
 
 export type CopyGap = {
 	readonly group: GroupId;
-	/** `chain`: turns before the one that was to be stored. */
-	readonly data: 'chain';
-	/** Id of the turn that was to be stored. */
+	/** `chain`: turns before the one that was to be stored. `uses`: what the attempts of its program had used. */
+	readonly data: 'chain' | 'uses';
+	/** Id of the turn or attempt that was to be stored. */
 	readonly writeOf: string;
-	/** Id of the newest turn that was missing. */
+	/** Id of one turn or attempt that was missing. */
 	readonly missing: string;
 };
--- a/packages/turns/src/holder/create-copy-service.ts
+++ b/packages/turns/src/holder/create-copy-service.ts
@@ -12,6 +12,7 @@
 import type {IncomingMessage} from '@siskinhub/peer/incoming-message.js';
 import type {CopyRecord} from '../disk/copy-record.js';
 import type {CopyStore} from '../disk/copy-store.js';
+import {shouldReplaceUse} from '../disk/should-replace-use.js';
 import type {GroupId} from '../membership/group-id.js';
 import type {CopyGap} from './copy-gap.js';
 import type {createOutputBuffer} from './create-output-buffer.js';
@@ -32,6 +33,8 @@
 
 const estimateSize = ({fact}: WireRecord): number => RECORD_OVERHEAD_BYTES + (fact.case === 'turn' ? fact.value.input.length + fact.value.output.length : 0);
 
+type UseRequest = Pick<Extract<MessageBody, {case: 'reserveTokens'}>['value'], 'group' | 'program' | 'use' | 'earlier' | 'expiresAtMs'>;
+
 type GroupRequest = {readonly group: number; readonly listVersion: number};
 
 const REFUSED: MessageBodyInit = {case: 'refused', value: {}};
@@ -132,10 +135,27 @@
 		}
 	};
 
-	const reserve = async ({group, program, use, expiresAtMs}: Extract<MessageBody, {case: 'reserveTokens'}>['value']): Promise<MessageBodyInit> => {
-		const stored = store.add(group as GroupId, {case: 'use', value: {program, use, expiresAtMs}});
-		const failed = await answerWhenStored(stored, {case: 'acknowledged', value: {}});
-		return failed.case === 'refused' ? failed : {case: 'tokensReserved', value: {uses: [...getIndex(group).listUses(program)]}};
+	const storeAll = async (group: number, facts: readonly CopyRecord[]): Promise<MessageBodyInit> => {
+		const answers = await Promise.all(facts.map(async fact => answerWhenStored(store.add(group as GroupId, fact), {case: 'acknowledged', value: {}})));
+		return answers.find(each => each.case === 'refused') ?? {case: 'acknowledged', value: {}};
+	};
+
+	/** Returns the records of a use and of the earlier ones that were sent with it. */
+	const listUseFacts = ({group, program, use, earlier, expiresAtMs}: UseRequest): readonly CopyRecord[] => {
+		const known = new Map(getIndex(group).listUses(program).map(each => [each.attempt, each]));
+		const missing = earlier.filter(each => shouldReplaceUse(known.get(each.attempt), each));
+		if (missing.length > 0) {
+			onGap({
+				group: group as GroupId, data: 'uses', writeOf: use?.attempt ?? '', missing: missing[0]!.attempt,
+			});
+		}
+
+		return [...missing, use].map(each => ({case: 'use', value: {program, use: each, expiresAtMs}}));
+	};
+
+	const reserve = async (request: Extract<MessageBody, {case: 'reserveTokens'}>['value']): Promise<MessageBodyInit> => {
+		const stored = await storeAll(request.group, listUseFacts(request));
+		return stored.case === 'refused' ? stored : {case: 'tokensReserved', value: {uses: [...getIndex(request.group).listUses(request.program)]}};
 	};
 
 	/** Returns the id of the newest turn of the chain before `turn` that neither the disk nor `ancestors` has; empty if there is none. */
@@ -145,7 +165,8 @@
 		return readChain(id => findTurn(id) ?? sent.get(id), turn.previous).missing;
 	};
 
-	const settle = async ({group, program, use, expiresAtMs, turn, ancestors, requiresChain}: Extract<MessageBody, {case: 'settleTurn'}>['value']): Promise<MessageBodyInit> => {
+	const settle = async (request: Extract<MessageBody, {case: 'settleTurn'}>['value']): Promise<MessageBodyInit> => {
+		const {group, turn, ancestors, requiresChain} = request;
 		const missing = turn && requiresChain ? findMissing(group, turn, ancestors) : '';
 		if (missing !== '') {
 			onGap({
@@ -154,9 +175,8 @@
 			return {case: 'chainIncomplete', value: {missing}};
 		}
 
-		const facts: CopyRecord[] = [{case: 'use', value: {program, use, expiresAtMs}}, ...[...ancestors, ...(turn ? [turn] : [])].map(value => ({case: 'turn' as const, value}))];
-		const answers = await Promise.all(facts.map(async fact => answerWhenStored(store.add(group as GroupId, fact), {case: 'acknowledged', value: {}})));
-		return answers.find(each => each.case === 'refused') ?? {case: 'acknowledged', value: {}};
+		const turns = [...ancestors, ...(turn ? [turn] : [])];
+		return storeAll(group, [...listUseFacts(request), ...turns.map(value => ({case: 'turn' as const, value}))]);
 	};
 
 	/** Of two records with the same number that two processes wrote at the same time, each disk takes one, so at most one of them gets a write quorum. */
