--- a/packages/turns/src/__tests__/retention.test.ts
+++ b/packages/turns/src/__tests__/retention.test.ts
@@ -114,6 +114,22 @@
 		});
 	});
 
+	// Guards against the kin of review case 4: refusals that no holder heard of did not keep what the program had used.
+	it('counts all uses of a program that was only refused for longer than the retention', async () => {
+		const {cluster, client} = await startCluster();
+		for (let turn = 1; turn <= 8; turn++) {
+			expect(await runTurn(client, `a${turn}`)).toBe('reserved');
+		}
+
+		for (let refusal = 1; refusal <= 5; refusal++) {
+			expect(['over-budget', 'spent']).toContain(await runTurn(client, `b${refusal}`));
+			await vi.advanceTimersByTimeAsync(RETENTION_MS - (HOLDERS.length * CATCH_UP_MS) - 1000);
+			await restartInTurn(cluster);
+		}
+
+		expect(await runTurn(cluster.createClient('g2'), 'c')).toBe('over-budget');
+	});
+
 	type Step = {readonly away: number; readonly branch: number; readonly after: 'nothing' | 'restart' | 'restart-all' | 'compact' | 'wipe'; readonly pauseMs: number};
 
 	const step: fc.Arbitrary<Step> = fc.record({
--- a/packages/turns/src/client/__tests__/create-spent-budget-cache.test.ts
+++ b/packages/turns/src/client/__tests__/create-spent-budget-cache.test.ts
@@ -21,6 +21,17 @@
 		expect(cache.isSpent('p', 11, 100)).toBe(true);
 	});
 
+	it('refuses only for a while, so that the holders hear of the program again', () => {
+		vi.useFakeTimers();
+		const cache = createSpentBudgetCache();
+		cache.update('p', 90);
+		vi.advanceTimersByTime(9999);
+		expect(cache.isSpent('p', 11, 100)).toBe(true);
+		vi.advanceTimersByTime(1);
+		expect(cache.isSpent('p', 11, 100)).toBe(false);
+		vi.useRealTimers();
+	});
+
 	it('evicts the oldest program when it is full', () => {
 		const cache = createSpentBudgetCache();
 		for (let index = 0; index <= 5000; index++) {
