feat(gateway): send nothing new to an upstream that says in an answer that it leaves

A worker that leaves says `Server-Leaving: 1` in all its answers, and a gateway that has passed one on sends it nothing later than drainMs after, in touch or not. Upstreams were left out on the word of the list only, which is late or missing while the platform's service is away.

Change: the codec reads the header; any answer that comes from the upstream itself, a refusal and the head of a stream included, marks that start of the upstream as leaving in the directory, from which every choice is made. The mark outlives a late entry that says ready, and a removal after which the entry comes back. Another start under the same id is not leaving. Log line and metric. The line about changed upstreams says what the directory holds now, or it would come with every heartbeat of such an upstream.

--- a/packages/gateway/src/call/response-head.ts
+++ b/packages/gateway/src/call/response-head.ts
@@ -14,6 +14,8 @@
 	readonly hasNotRun: boolean;
 	/** The upstream at this address is not the expected one. */
 	readonly isOtherUpstream: boolean;
+	/** The upstream says that it is leaving, so that it must get no new request. */
+	readonly isLeaving: boolean;
 	/** Requests a second that the upstream says it takes from all processes together; absent if it names no limit. */
 	readonly limitPerSecond?: number;
 	/** The body has a length or is chunked, so its end is known without the end of the connection. */
--- a/packages/gateway/src/forward/__tests__/classify-response-head.test.ts
+++ b/packages/gateway/src/forward/__tests__/classify-response-head.test.ts
@@ -3,7 +3,7 @@
 import {classifyResponseHead} from '../classify-response-head.js';
 
 const head = (changes: Partial<ResponseHead>): ResponseHead => ({
-	status: 200, headers: [], answeredRequestId: 'a', isSigned: true, hasNotRun: false, isOtherUpstream: false, isFramed: true, ...changes,
+	status: 200, headers: [], answeredRequestId: 'a', isSigned: true, hasNotRun: false, isOtherUpstream: false, isLeaving: false, isFramed: true, ...changes,
 });
 
 describe('classifyResponseHead', () => {
--- a/packages/gateway/src/forward/create-attempt-runner.ts
+++ b/packages/gateway/src/forward/create-attempt-runner.ts
@@ -36,7 +36,7 @@
 
 /** Tries no upstream twice. */
 export const createAttemptRunner = (context: GatewayContext, {plan, response, turn: {progress, recordEvents, completeTurn}}: AttemptRunnerOptions) => {
-	const {directory, loads, limits, pools, codec, metrics, crashes, crashWatch, crashLog} = context;
+	const {directory, loads, limits, pools, codec, metrics, crashes, crashWatch, crashLog, onLeaving} = context;
 	const {call, route, service} = plan;
 	const excluded = new Set<string>();
 	const trail: string[] = [];
@@ -137,8 +137,11 @@
 				completeTurn,
 				confirmFirstEvent: origins?.confirm ?? passAtOnce,
 				onServed: activeCall.markAnswered,
-				onUpstreamHead({limitPerSecond}) {
+				onUpstreamHead({limitPerSecond, isLeaving}) {
 					limits.recordAnswer(upstream, limitPerSecond, sentAt);
+					if (isLeaving && directory.markLeaving(upstream)) {
+						onLeaving(upstream);
+					}
 				},
 			});
 			const isUpstreamOk = result.kind === 'done' || result.kind === 'gone';
--- a/packages/gateway/src/forward/gateway-context.ts
+++ b/packages/gateway/src/forward/gateway-context.ts
@@ -11,6 +11,7 @@
 import type {createCrashLog} from '../crashes/create-crash-log.js';
 import type {createCrashWatch} from '../crashes/create-crash-watch.js';
 import type {CrashTracker} from '../crashes/crash-tracker.js';
+import type {Upstream} from '../upstreams/upstream.js';
 import type {CallLog} from './call-log.js';
 import type {UpstreamPools} from './upstream-pools.js';
 
@@ -28,6 +29,8 @@
 	readonly crashLog: Pick<ReturnType<typeof createCrashLog>, 'recordBlock'>;
 	readonly metrics: GatewayMetrics;
 	readonly calls: CallLog;
+	/** Called once with each start of an upstream that says in an answer that it is leaving. */
+	readonly onLeaving: (upstream: Upstream) => void;
 	/** Uniformly distributed in [0, 1). */
 	readonly random: () => number;
 };
--- a/packages/gateway/src/host/apply-declared-state.ts
+++ b/packages/gateway/src/host/apply-declared-state.ts
@@ -40,8 +40,11 @@
 				} else if (upstream.isOk()) {
 					const held = directory.get(id);
 					directory.update(upstream.value);
-					if (held?.isLeaving !== upstream.value.isLeaving || held.bornAtMs !== upstream.value.bornAtMs) {
-						log.info('upstream added or changed', {upstream: id, isLeaving: upstream.value.isLeaving, revision: entry.revision});
+					const current = directory.get(id);
+					if (held?.isLeaving !== current?.isLeaving || held?.bornAtMs !== current?.bornAtMs) {
+						log.info('upstream added or changed', {
+							upstream: id, isLeaving: current?.isLeaving, bornAtMs: current?.bornAtMs, revision: entry.revision,
+						});
 					}
 				}
 
--- a/packages/gateway/src/host/start-gateway.ts
+++ b/packages/gateway/src/host/start-gateway.ts
@@ -23,6 +23,7 @@
 import {runCall} from '../forward/run-call.js';
 import {createLimitBook} from '../limits/create-limit-book.js';
 import {createLimitGate} from '../limits/create-limit-gate.js';
+import type {Upstream} from '../upstreams/upstream.js';
 import {identifyStart} from '../upstreams/identify-start.js';
 import {createLimitLog} from '../limits/create-limit-log.js';
 import {createGatewayServer} from '../http/create-gateway-server.js';
@@ -125,7 +126,10 @@
 	const calls = createCallLog(log);
 	const loop = createLoopMonitor({schedule: setImmediate, now: () => performance.now(), measureUtilization: performance.eventLoopUtilization.bind(performance)});
 	const parts = {
-		codec, routes, directory, loads, limits, pools, holderClient, crashes, crashWatch, crashLog, metrics, calls, random: Math.random,
+		codec, routes, directory, loads, limits, pools, holderClient, crashes, crashWatch, crashLog, metrics, calls, random: Math.random, onLeaving(upstream: Upstream) {
+			log.info('upstream says that it is leaving', {upstream: identifyStart(upstream)});
+			metrics.countLeaving();
+		},
 	};
 	await createPeerServer({ip: cfg.peers.ip, port: cfg.peers.port, settings: links.settings});
 	const server = await createGatewayServer({
--- a/packages/gateway/src/metrics/create-gateway-metrics.ts
+++ b/packages/gateway/src/metrics/create-gateway-metrics.ts
@@ -45,6 +45,9 @@
 	const resumptions = new Counter({
 		name: 'siskinhub_resumptions_total', help: 'Streams that callers take up again, by whether the software that began them is known and, of a kept turn, the events before.', labelNames: ['outcome'], registers,
 	});
+	const leaving = new Counter({
+		name: 'siskinhub_leaving_upstreams_total', help: 'Starts of upstreams that said in an answer that they are leaving.', registers,
+	});
 	const gaps = new Counter({
 		name: 'siskinhub_copy_gaps_total', help: 'Writes to a disk that lacked data in use and was sent it, by what it lacked.', labelNames: ['data'], registers,
 	});
@@ -62,6 +65,9 @@
 		countBlocked() {
 			blocked.inc();
 		},
+		countLeaving() {
+			leaving.inc();
+		},
 		countResumption(outcome) {
 			resumptions.inc({outcome});
 		},
--- a/packages/gateway/src/metrics/gateway-metrics.ts
+++ b/packages/gateway/src/metrics/gateway-metrics.ts
@@ -14,6 +14,8 @@
 	readonly countCrash: (source: 'attempt' | 'process') => void;
 	/** Counts a request that was sent to no upstream because it crashed several. */
 	readonly countBlocked: () => void;
+	/** Counts a start of an upstream that said in an answer that it is leaving. */
+	readonly countLeaving: () => void;
 	/** Counts a stream that its caller takes up again, by whether the software that began it is known and, of a kept turn, the events before. */
 	readonly countResumption: (outcome: 'resumed' | 'unknown' | 'unavailable' | 'unknown-output') => void;
 	/** Counts a write to a disk that lacked data in use, by what it lacked. */
--- a/packages/gateway/src/upstreams/__tests__/create-upstream-directory.test.ts
+++ b/packages/gateway/src/upstreams/__tests__/create-upstream-directory.test.ts
@@ -26,6 +26,40 @@
 		expect(directory.list('s')).toEqual([]);
 	});
 
+	it('does not list an upstream that said itself that it is leaving, whatever its entry says later', () => {
+		const directory = createUpstreamDirectory({graceUntil: () => 0});
+		directory.update(upstream());
+		expect(directory.markLeaving(upstream())).toBe(true);
+		expect(directory.markLeaving(upstream())).toBe(false);
+		expect(directory.list('s')).toEqual([]);
+		directory.update(upstream({sequence: 2}));
+		expect(directory.list('s')).toEqual([]);
+		directory.remove('u1');
+		directory.update(upstream({sequence: 3}));
+		expect(directory.list('s')).toEqual([]);
+	});
+
+	it('keeps what one start of an upstream said of itself from the next one', () => {
+		const directory = createUpstreamDirectory({graceUntil: () => 0});
+		directory.update(upstream());
+		directory.update(upstream({bornAtMs: 20, sequence: 0}));
+		directory.markLeaving(upstream());
+		expect(directory.list('s').length).toBe(1);
+		directory.markLeaving(upstream({bornAtMs: 20}));
+		expect(directory.list('s')).toEqual([]);
+		directory.update(upstream({bornAtMs: 30, sequence: 0}));
+		expect(directory.list('s').length).toBe(1);
+	});
+
+	it('removes an upstream at once that said that it is leaving, also after an outage', () => {
+		const graceUntil = Date.now() + 2000;
+		const directory = createUpstreamDirectory({graceUntil: () => graceUntil});
+		directory.update(upstream());
+		directory.markLeaving(upstream());
+		directory.remove('u1');
+		expect(directory.get('u1')).toBeUndefined();
+	});
+
 	it('lists a leaving upstream again after a restart under the same id', () => {
 		const directory = createUpstreamDirectory({graceUntil: () => 0});
 		directory.update(upstream({sequence: 5, isLeaving: true}));
--- a/packages/gateway/src/upstreams/create-upstream-directory.ts
+++ b/packages/gateway/src/upstreams/create-upstream-directory.ts
@@ -2,13 +2,18 @@
 Keeps the list of upstreams by service.
 
 Reports may arrive late or out of order. So, within one start of an upstream, the
-report with the higher sequence wins, and an upstream that is leaving stays so.
+report with the higher sequence wins, and an upstream that is leaving stays so, also
+if it only said so in an answer and its entry lapses and comes back.
 Entries that expired while the list of upstreams could not be written return
 shortly after the outage, so removals are delayed until `graceUntil`.
 */
+import {identifyStart} from './identify-start.js';
 import type {Upstream} from './upstream.js';
 import type {UpstreamDirectory} from './upstream-directory.js';
 
+/** Starts that said that they are leaving; beyond this the earliest are forgotten, which have long ended. */
+const MAX_LEAVING_STARTS = 10_000;
+
 type DirectoryOptions = {
 	/** Wall-clock time in milliseconds until which removals are delayed; 0 if they take effect at once. */
 	readonly graceUntil: () => number;
@@ -22,6 +27,8 @@
 	const byId = new Map<string, Upstream>();
 	const byService = new Map<string, Upstream[]>();
 	const pendingRemovals = new Map<string, NodeJS.Timeout>();
+	// Starts that have said so in an answer, as `identifyStart` names them.
+	const leavingStarts = new Set<string>();
 	const listeners: Array<(upstream: Upstream) => void> = [];
 
 	const refreshService = (service: string): void => {
@@ -56,7 +63,8 @@
 			}
 
 			const isSameStart = known?.bornAtMs === next.bornAtMs;
-			byId.set(next.id, isSameStart && known.isLeaving ? {...next, isLeaving: true} : next);
+			const isLeaving = next.isLeaving || (isSameStart && known.isLeaving) || leavingStarts.has(identifyStart(next));
+			byId.set(next.id, {...next, isLeaving});
 			if (known && known.service !== next.service) {
 				refreshService(known.service);
 			}
@@ -74,6 +82,26 @@
 				pendingRemovals.set(id, setTimeout(removeNow, waitMs, id).unref());
 			}
 		},
+		markLeaving(upstream) {
+			const start = identifyStart(upstream);
+			if (leavingStarts.has(start)) {
+				return false;
+			}
+
+			leavingStarts.add(start);
+			const [earliest] = leavingStarts;
+			if (leavingStarts.size > MAX_LEAVING_STARTS && earliest !== undefined) {
+				leavingStarts.delete(earliest);
+			}
+
+			const known = byId.get(upstream.id);
+			if (known && identifyStart(known) === start) {
+				byId.set(known.id, {...known, isLeaving: true});
+				refreshService(known.service);
+			}
+
+			return true;
+		},
 		list: service => byService.get(service) ?? [],
 		get: id => byId.get(id),
 		onEnd(listener) {
--- a/packages/gateway/src/upstreams/upstream-directory.ts
+++ b/packages/gateway/src/upstreams/upstream-directory.ts
@@ -8,6 +8,8 @@
 	/** Adds an upstream or updates it, unless the report is older than the known one. */
 	readonly update: (upstream: Upstream) => void;
 	readonly remove: (id: string) => void;
+	/** Notes that this start of an upstream has said itself that it is leaving, whatever its entry says from now on. Returns whether that is news. */
+	readonly markLeaving: (upstream: Upstream) => boolean;
 	/** The upstreams of a service that are not leaving. */
 	readonly list: (service: string) => readonly Upstream[];
 	readonly get: (id: string) => Upstream | undefined;
