fix(gateway): break off a kept turn that grows without end

Cause: the events of a turn that is kept are collected until it ends; an upstream that sends valid events without end was bounded by the route's time only.

Change: a turn of more than 1 MiB is broken off.

--- a/packages/gateway/src/forward/create-stream-forwarder.ts
+++ b/packages/gateway/src/forward/create-stream-forwarder.ts
@@ -11,8 +11,8 @@
 type ForwarderOptions = {
 	readonly progress: StreamProgress;
 	readonly response: Pick<CallerResponse, 'write' | 'onDrain'>;
-	/** Called with events right before they are passed on. */
-	readonly recordEvents: (events: readonly EventSourceMessage[]) => void;
+	/** Called with events right before they are passed on; returns `false` if they must not be. */
+	readonly recordEvents: (events: readonly EventSourceMessage[]) => boolean;
 	/** Sends the head of the response unless it has been sent. */
 	readonly startResponse: () => void;
 	/** Returns whether the first event may be passed on. */
@@ -58,11 +58,15 @@
 			return;
 		}
 
+		if (!recordEvents(events)) {
+			reject('the upstream sent more events than a turn may have');
+			return;
+		}
+
 		for (const event of events) {
 			progress.lastEventId = event.id ?? progress.lastEventId;
 		}
 
-		recordEvents(events);
 		progress.events += events.length;
 		progress.firstEventAt ??= Date.now();
 		startResponse();
--- a/packages/gateway/src/forward/create-turn-handler.ts
+++ b/packages/gateway/src/forward/create-turn-handler.ts
@@ -15,6 +15,8 @@
 
 /** Time in which a quorum of holders must store a finished turn while the caller waits. */
 const SETTLE_TIMEOUT_MS = 2000;
+/** Far above any real turn. What is kept of a stream without end would fill the memory. */
+const MAX_OUTPUT_BYTES = 1024 * 1024;
 
 type TurnHandlerOptions = {
 	readonly holderClient: HolderClient;
@@ -32,9 +34,17 @@
 	const progress: StreamProgress = {lastEventId: undefined, events: 0, firstEventAt: undefined};
 	// The data of each event, including those that the caller had before it took the stream up; only if the turn is kept.
 	const output: string[] = [];
+	let outputBytes = 0;
 	let isReserved = false;
 	let chain: Extract<Awaited<ReturnType<typeof prepareTurn>>, {kind: 'ready'}>['chain'] = {ancestors: [], isFromOtherGroup: false};
 
+	const addOutput = (events: ReadonlyArray<{readonly data: string}>): void => {
+		for (const {data} of events) {
+			output.push(data);
+			outputBytes += data.length;
+		}
+	};
+
 	const settle = async (turn?: Parameters<HolderClient['settle']>[1]): Promise<boolean> => {
 		isReserved = false;
 		const tokens = Math.min(call.prompt?.maxTokens ?? Infinity, progress.events * tokensPerEvent);
@@ -55,19 +65,20 @@
 		settleInBackground,
 		/** Adds events that the caller had from an earlier attempt. */
 		addBeginning(events: readonly OutputEvent[]): void {
-			output.push(...events.map(({data}) => data));
+			addOutput(events);
 		},
-		/** Must be called with events before they are passed on. */
-		recordEvents(events: readonly EventSourceMessage[]): void {
+		/** Must be called with events before they are passed on; returns `false` if the turn becomes too long to be kept. */
+		recordEvents(events: readonly EventSourceMessage[]): boolean {
 			if (!isKept) {
-				return;
+				return true;
 			}
 
 			if (route.isResumable) {
 				holderClient.appendOutput({program: call.program!.id, attempt: call.id}, output.length, events.map(({id = '', data}) => ({id, data})));
 			}
 
-			output.push(...events.map(({data}) => data));
+			addOutput(events);
+			return outputBytes <= MAX_OUTPUT_BYTES;
 		},
 		async prepare(remainingMs: number): ReturnType<typeof prepareTurn> {
 			if (!isTurn) {
--- a/packages/gateway/src/forward/run-attempt.ts
+++ b/packages/gateway/src/forward/run-attempt.ts
@@ -26,8 +26,8 @@
 	readonly response: CallerResponse;
 	readonly progress: StreamProgress;
 	readonly priority: number | undefined;
-	/** Called with events right before they are passed on to the caller. */
-	readonly recordEvents: (events: readonly EventSourceMessage[]) => void;
+	/** Called with events right before they are passed on to the caller; returns `false` if they must not be. */
+	readonly recordEvents: (events: readonly EventSourceMessage[]) => boolean;
 	/** Stores the turn before the response ends; resolves to whether that succeeded. */
 	readonly completeTurn: () => Promise<boolean>;
 	/** Returns whether the first event of a stream may be passed on. */
