fix(gateway): refuse what comes too late in a planned stop

Cause: after the port is closed a connection that has sent nothing yet stays open, as Node takes it for active, and no time-out of Node's closes it any more; a body may also take long. What came on them was served like any other request.

--- a/packages/gateway/src/host/start-gateway.ts
+++ b/packages/gateway/src/host/start-gateway.ts
@@ -42,6 +42,7 @@
 import {followStore} from './follow-store.js';
 import type {HostConfig} from './host-config.js';
 import {listNeighbourAddresses} from './list-neighbour-addresses.js';
+import {refuseLate} from './refuse-late.js';
 import {serveText} from './serve-text.js';
 import {registerGatewayGauges} from './register-gateway-gauges.js';
 
@@ -151,6 +152,9 @@
 				metrics, calls, loop, waitMs: readEngineWait(call, routes.match(call.host, call.path), loads.meanWaitMs),
 			});
 		},
+		onLate(call, response) {
+			refuseLate(call, response, {metrics, calls});
+		},
 		async onCall(call, body, response, arrivedAt) {
 			await runCall(parts, call, body, response, arrivedAt);
 		},
--- a/packages/gateway/src/http/__tests__/create-gateway-server.test.ts
+++ b/packages/gateway/src/http/__tests__/create-gateway-server.test.ts
@@ -2,6 +2,9 @@
 Load: one request in a thousand meets an error that nobody expected, while others
 are under way.
 */
+import {Buffer} from 'node:buffer';
+import {once} from 'node:events';
+import {connect, type Socket} from 'node:net';
 import {ok} from 'neverthrow';
 import {request} from 'undici';
 import {expect, it} from 'vitest';
@@ -10,12 +13,13 @@
 
 const IP = '127.0.0.1';
 const PORT = 23_871;
+const LATE_PORT = 23_872;
 
 const codec: Pick<CallCodec, 'decodeCall' | 'encodeRefusal'> = {
 	decodeCall: ({url, method}) => ok({
 		id: 'r1' as never, method: method!, path: url!, host: 'h', headers: [], deadlineMs: undefined, affinityKey: undefined, lastEventId: undefined,
 	}),
-	encodeRefusal: () => ({}),
+	encodeRefusal: (_call, retryAfterMs) => ({'retry-after': String((retryAfterMs ?? 0) / 1000)}),
 };
 
 it('ends one request after an unexpected error, promises nothing, and serves all others', async () => {
@@ -29,6 +33,7 @@
 		onArrival: () => 0,
 		isAdmitted: () => true,
 		onRefused() {/* Nothing is refused. */},
+		onLate() {/* Nothing is late. */},
 		async onCall({path}, _body, response) {
 			if (path === '/broken') {
 				throw new Error('nobody expected this');
@@ -61,3 +66,48 @@
 	expect(server.countActive()).toBe(0);
 	server.stopListening();
 });
+
+// Guards against LOST at a planned stop: a request that came late on a connection that was open was passed on, and cut at the end of the grace.
+it('refuses requests as not run that come after it has stopped listening, on connections that are still open', async () => {
+	const called: string[] = [];
+	const server = await createGatewayServer({
+		ip: IP,
+		port: LATE_PORT,
+		codec: codec as CallCodec,
+		limits: () => undefined,
+		shouldKeepConnections: () => true,
+		onArrival: () => 0,
+		isAdmitted: () => true,
+		onRefused() {/* Nothing is refused for load. */},
+		onLate(_call, response) {
+			response.refuse(503, 100);
+		},
+		async onCall({path}, _body, response) {
+			called.push(path);
+			response.start(200, ['content-length', '0']);
+			response.finish();
+		},
+		onFailed() {/* Nothing fails. */},
+		onRejected() {/* Every request here is well formed. */},
+	});
+	const open = async (): Promise<Socket> => {
+		const socket = connect(LATE_PORT, IP);
+		await once(socket, 'connect');
+		return socket;
+	};
+
+	const [fresh, slow, early] = await Promise.all([open(), open(), open()]);
+	slow.write('POST /slow HTTP/1.1\r\nhost: h\r\ncontent-length: 2\r\n\r\n1');
+	server.drain();
+	early.write('GET /early HTTP/1.1\r\nhost: h\r\n\r\n');
+	const readAnswer = async (socket: Socket): Promise<string> => String(Buffer.concat(await socket.toArray() as Uint8Array[]));
+	expect(await readAnswer(early)).toMatch(/^HTTP\/1\.1 200 .*connection: close/isv);
+	server.stopListening();
+	fresh.write('POST /late HTTP/1.1\r\nhost: h\r\ncontent-length: 1\r\n\r\n1');
+	slow.write('2');
+	for (const answer of await Promise.all([readAnswer(fresh), readAnswer(slow)])) {
+		expect(answer).toMatch(/^HTTP\/1\.1 503 .*retry-after: 0\.1.*connection: close/isv);
+	}
+
+	expect(called).toEqual(['/early']);
+});
--- a/packages/gateway/src/http/__tests__/listen-early.test.ts
+++ b/packages/gateway/src/http/__tests__/listen-early.test.ts
@@ -45,7 +45,7 @@
 		earlyListener,
 		codec: codec as CallCodec,
 		limits: () => undefined,
-		shouldKeepConnections: () => true, onArrival: () => 0, isAdmitted: () => true, onRefused() {/* Nothing is refused. */},
+		shouldKeepConnections: () => true, onArrival: () => 0, isAdmitted: () => true, onRefused() {/* Nothing is refused. */}, onLate() {/* Nothing is late. */},
 		async onCall({path}, body, response) {
 			response.start(200, ['x-path', path, 'content-length', String(body.length)]);
 			response.finish(body);
--- a/packages/gateway/src/http/create-gateway-server.ts
+++ b/packages/gateway/src/http/create-gateway-server.ts
@@ -29,6 +29,8 @@
 	/** Called before the body is read; a request that is not admitted must be refused with `onRefused`. */
 	readonly isAdmitted: (call: CallHead) => boolean;
 	readonly onRefused: (call: CallHead, response: CallerResponse) => void;
+	/** Called with a request that has come too late in a planned stop to be sure of its answer; it must be refused as not run. */
+	readonly onLate: (call: CallHead, response: CallerResponse) => void;
 	/** `arrivedAt`: by `Date.now()`, when the request reached this host, as far as can be told. */
 	readonly onCall: (call: CallHead, body: Uint8Array, response: CallerResponse, arrivedAt: number) => Promise<void>;
 	/** Called with the reason after an unexpected error, which ends only the one request. */
@@ -42,7 +44,7 @@
 	readonly countActive: () => number;
 	/** From now on, closes each connection after its current response. */
 	readonly drain: () => void;
-	/** Closes the port and the idle connections. */
+	/** Closes the port and the idle connections. Requests that are read whole from now on are late. */
 	readonly stopListening: () => void;
 };
 
@@ -92,10 +94,11 @@
 
 /** Resolves once the server listens; rejects only if the address cannot be bound. */
 export const createGatewayServer = async ({
-	codec, limits, shouldKeepConnections, onArrival, isAdmitted, onRefused, onCall, onFailed, onRejected, ...address
+	codec, limits, shouldKeepConnections, onArrival, isAdmitted, onRefused, onLate, onCall, onFailed, onRejected, ...address
 }: GatewayServerOptions): Promise<GatewayServer> => {
 	let active = 0;
 	let isDraining = false;
+	let hasStopped = false;
 
 	const handle = async (req: IncomingMessage, res: ServerResponse): Promise<void> => {
 		const arrivedAt = Date.now() - onArrival();
@@ -131,6 +134,13 @@
 		}
 
 		const body = await readBody(req, limits()?.maxBodyBytes ?? DEFAULT_MAX_BODY_BYTES);
+		if (body.kind === 'whole' && hasStopped) {
+			// The connection may have been kept for later, or the request may have begun before.
+			res.shouldKeepAlive = false;
+			onLate(call.value, response);
+			return;
+		}
+
 		if (body.kind === 'whole') {
 			await onCall(call.value, body.bytes, response, arrivedAt);
 			return;
@@ -166,6 +176,7 @@
 			isDraining = true;
 		},
 		stopListening() {
+			hasStopped = true;
 			server.close();
 			server.closeIdleConnections();
 		},
