fix(turns): compact the log of copies in parts

Cause: a compaction encoded every record at once and queued all lines, and each turn that was read from the log stayed decoded beside the segment it came from.

Change: about 1 MiB is encoded and written at a time, and a decoded turn is not kept.

--- a/packages/turns/src/disk/__tests__/open-copy-store.test.ts
+++ b/packages/turns/src/disk/__tests__/open-copy-store.test.ts
@@ -127,6 +127,23 @@
 		await second.close();
 	});
 
+	// Guards against review case 5: a compaction encoded and queued all records at once, which took several times the size of the log.
+	it('compacts in parts of about a mebibyte, each on the disk before the next is encoded', async () => {
+		const first = await open();
+		const input = new Uint8Array(256 * 1024);
+		const ids = Array.from({length: 40}, (_, index) => `t${index}`);
+		await Promise.all(ids.map(async id => first.add(GROUP, {case: 'turn', value: {...turn(id).value, input}})));
+		await first.close();
+		const second = await open();
+		const compacted = await second.compact();
+		expect(compacted.isOk()).toBe(true);
+		expect(second.syncs()).toBeGreaterThanOrEqual(10);
+		await second.close();
+		const third = await open();
+		expect(ids.filter(id => third.getIndex(GROUP).findTurn(id)?.input.length !== input.length)).toEqual([]);
+		await third.close();
+	});
+
 	it('keeps the records of different groups apart, also after a restart', async () => {
 		const first = await open();
 		await first.add(GROUP, turn('t1'));
--- a/packages/turns/src/disk/open-copy-store.ts
+++ b/packages/turns/src/disk/open-copy-store.ts
@@ -24,6 +24,8 @@
 
 const DEFAULT_SEGMENT_BYTES = 16 * 1024 * 1024;
 const LINE_BREAK = 0x0A;
+/** Records that a compaction encodes and writes at a time, so that it takes little memory beside the index. */
+const REWRITE_BATCH_BYTES = 1024 * 1024;
 
 type CopyStoreOptions = {
 	readonly segmentBytes?: number;
@@ -87,11 +89,33 @@
 		let closingOldWriter: Promise<void> = Promise.resolve();
 		let writer = openWriter((oldSegments.at(-1) ?? 0) + 1);
 
-		const write = async (record: WireRecord): Promise<Result<void, string>> => {
-			const done = await writer.append(recordCodec.encode(record));
+		const append = async (line: Uint8Array): Promise<Result<void, string>> => {
+			const done = await writer.append(line);
 			return done.mapErr(describeError);
 		};
 
+		const write = async (record: WireRecord): Promise<Result<void, string>> => append(recordCodec.encode(record));
+
+		const writeInBatches = async (records: readonly WireRecord[]): Promise<Result<void, string>> => {
+			let last: Promise<Result<void, string>> | undefined;
+			let batchBytes = 0;
+			for (const record of records) {
+				const line = recordCodec.encode(record);
+				batchBytes += line.length;
+				last = append(line);
+				if (batchBytes >= REWRITE_BATCH_BYTES) {
+					const written = await last;
+					if (written.isErr()) {
+						return written;
+					}
+
+					batchBytes = 0;
+				}
+			}
+
+			return last ?? ok();
+		};
+
 		/** Switches to a new writer first, so that records added during the rewrite go to new segments and none is missed. */
 		const rewriteLog = async (): Promise<Result<void, string>> => {
 			const old = writer;
@@ -102,10 +126,9 @@
 			await closingOldWriter;
 			const segments = await segmentFiles.list(folder);
 			oldSegments = segments.filter(segment => segment <= old.segment());
-			const written = await Promise.all(indexes.records().map(async record => write(record)));
-			const failed = written.find(result => result.isErr());
-			if (failed) {
-				return failed;
+			const written = await writeInBatches(indexes.records());
+			if (written.isErr()) {
+				return written;
 			}
 
 			for (const segment of oldSegments) {
--- a/packages/turns/src/disk/record-codec.ts
+++ b/packages/turns/src/disk/record-codec.ts
@@ -4,7 +4,7 @@
 Decoding is fast for the case that all holders restart at the same time: each
 reads ten thousand records on a fraction of a core while every turn waits for
 them. So a line starts with what the index needs, and the input and output of a
-turn, which are rarely read again, are decoded on first access.
+turn, which are rarely read again, are decoded when they are accessed.
 */
 import {Buffer} from 'node:buffer';
 import {fromBinary, toBinary} from '@bufbuild/protobuf';
@@ -36,10 +36,12 @@
 });
 
 const toTurn = ({id, previous, expiresAtMs}: TurnMeta, readBody: () => unknown): KeptTurn => {
-	let decoded: KeptTurn | undefined;
+	// Not kept alive: a compaction reads every turn once, and all of them would fill the memory.
+	let decoded: WeakRef<KeptTurn> | undefined;
 	const decode = (): KeptTurn => {
-		decoded ??= fromBinary(KeptTurnSchema, fromBase64(readBody()));
-		return decoded;
+		const turn = decoded?.deref() ?? fromBinary(KeptTurnSchema, fromBase64(readBody()));
+		decoded = new WeakRef(turn);
+		return turn;
 	};
 
 	return {
