fix(gateway): compact a log of many small records

Cause: records of expired programs stay in memory until a compaction, and only the bytes of the log counted towards one.

Change: a log is also compacted once it has 100,000 records, then whenever their number has doubled; in a module of its own.

--- a/packages/gateway/src/host/start-holder.ts
+++ b/packages/gateway/src/host/start-holder.ts
@@ -2,7 +2,6 @@
 Starts a copy holder: the process that stores copies of turns and of token uses
 on the disk of its host.
 */
-import {waitUnlessAborted} from '@siskinhub/core/time/wait-unless-aborted.js';
 import {createChangePublisher} from '@siskinhub/declared/create-change-publisher.js';
 import {createDeclaredView} from '@siskinhub/declared/create-declared-view.js';
 import type {DeclarationStore} from '@siskinhub/declared/declaration-store.js';
@@ -10,7 +9,6 @@
 import type {Logger} from '@siskinhub/observe/logger.js';
 import {createPeerServer} from '@siskinhub/peer/create-peer-server.js';
 import type {PeerLink} from '@siskinhub/peer/peer-link.js';
-import type {CopyStore} from '@siskinhub/turns/disk/copy-store.js';
 import {openCopyStore} from '@siskinhub/turns/disk/open-copy-store.js';
 import {copyFromHolders} from '@siskinhub/turns/holder/copy-from-holders.js';
 import {createCopyService} from '@siskinhub/turns/holder/create-copy-service.js';
@@ -25,6 +23,7 @@
 import {createLimitBook} from '../limits/create-limit-book.js';
 import {createPermitIssuer} from '../limits/create-permit-issuer.js';
 import {createLimitLog} from '../limits/create-limit-log.js';
+import {compactWhenLarge} from './compact-when-large.js';
 import {createGapLog} from './create-gap-log.js';
 import {createHolderRegistry} from './create-holder-registry.js';
 import {createHostLinks} from './create-host-links.js';
@@ -39,29 +38,6 @@
 
 /** Longer than a restart or a short network failure. A holder that is silent for this time is replaced if enough others are available. */
 const LOST_AFTER_MS = 3000;
-/** The log of copies is compacted at this size, and then whenever it has doubled since. */
-const MIN_COMPACTION_BYTES = 48 * 1024 * 1024;
-const COMPACTION_CHECK_INTERVAL_MS = 5000;
-
-const compactWhenLarge = async (copies: CopyStore, log: Logger, signal: AbortSignal): Promise<void> => {
-	let nextCompactionBytes = MIN_COMPACTION_BYTES;
-	while (!signal.aborted) {
-		await waitUnlessAborted(COMPACTION_CHECK_INTERVAL_MS, signal);
-		if (copies.bytes() < nextCompactionBytes) {
-			continue;
-		}
-
-		const before = copies.bytes();
-		const compacted = await copies.compact();
-		nextCompactionBytes = Math.max(MIN_COMPACTION_BYTES, copies.bytes() * 2);
-		if (compacted.isErr()) {
-			log.error('failed to compact the log of copies', {reason: compacted.error});
-		} else {
-			log.info('log of copies compacted', {before, after: copies.bytes()});
-		}
-	}
-};
-
 type HolderOptions = {
 	readonly keys: DeclaredKeys;
 	readonly store: DeclarationStore;
