fix(gateway): remove upstreams at once if only this process was turned away

Cause: a relay that the service had turned away for seconds takes its return for the end of an outage. It tells its followers that entries may have lapsed, and they defer removals for 2.6 s, also that of an upstream which left as planned.

Change: in its answers to neighbours a process says for how long removals are deferred, if it has heard from the service for 4 s without a pause, so that it knows. A process that was turned away and had such an answer in the last 0.9 s takes this over, in place of the 2.6 s. After an outage for all nobody can say so, and removals wait as before.

Measured: the new case of follow-store.test.ts fails without the change, two more bound when to trust a neighbour.

--- a/packages/declared/src/__tests__/follow-declarations.test.ts
+++ b/packages/declared/src/__tests__/follow-declarations.test.ts
@@ -32,7 +32,8 @@
 		const stopping = new AbortController();
 		const reachability: boolean[] = [];
 		void followDeclarations({
-			view, service, listNeighbours: () => neighbours, chooseRelay: () => undefined, intervalMs: INTERVAL_MS, relaySilenceMs: INTERVAL_MS * 2, onOwnRead() {/* Nobody follows. */}, onNews() {/* Not observed. */}, signal: stopping.signal, onReachable(isReachable) {
+			view, service, listNeighbours: () => neighbours, chooseRelay: () => undefined, intervalMs: INTERVAL_MS, relaySilenceMs: INTERVAL_MS * 2, onOwnRead() {/* Nobody follows. */}, onNeighbourNews() {/* Nothing depends on it here. */},
+			onNews() {/* Not observed. */}, signal: stopping.signal, onReachable(isReachable) {
 				reachability.push(isReachable);
 			},
 		});
--- a/packages/declared/src/__tests__/relays.test.ts
+++ b/packages/declared/src/__tests__/relays.test.ts
@@ -61,6 +61,7 @@
 		intervalMs: INTERVAL_MS,
 		relaySilenceMs: SILENCE_MS,
 		onOwnRead: publisher.publish,
+		onNeighbourNews() {/* Nothing depends on it here. */},
 		onNews() {/* Not observed. */},
 		onReachable(isReachable) {
 			state.reachability.push(isReachable);
--- a/packages/declared/src/declared-changes.ts
+++ b/packages/declared/src/declared-changes.ts
@@ -9,6 +9,6 @@
 	readonly revision: number;
 	/** Whether `entries` is the whole state, so that no other keys exist at `revision`. */
 	readonly isWhole: boolean;
-	/** Milliseconds for which entries may still be missing because they lapsed in an outage of the platform's service; set only by relays, which saw the outage or its absence. */
+	/** Milliseconds for which entries may still be missing because they lapsed in an outage of the platform's service; set by relays, and by neighbours that have heard from the service without a pause. */
 	readonly lapseGraceMs?: number;
 };
--- a/packages/declared/src/follow-declarations.ts
+++ b/packages/declared/src/follow-declarations.ts
@@ -31,6 +31,8 @@
 	readonly onOwnRead: () => void;
 	/** Called before the changes that a relay or the service told are applied, and after `onReachable`. */
 	readonly onNews: (changes: DeclaredChanges) => void;
+	/** Called with what a neighbour told, before it is applied. */
+	readonly onNeighbourNews: (changes: DeclaredChanges) => void;
 	/** Called after the first read, and whenever the service stops or resumes answering. */
 	readonly onReachable: (isReachable: boolean, reason: string) => void;
 	readonly signal: AbortSignal;
@@ -41,11 +43,12 @@
 /** How many neighbours are asked in one round while the service does not answer. */
 const NEIGHBOURS_PER_ROUND = 2;
 
-const readFromNeighbours = async ({view, listNeighbours}: FollowOptions): Promise<void> => {
+const readFromNeighbours = async ({view, listNeighbours, onNeighbourNews}: FollowOptions): Promise<void> => {
 	const asked = listNeighbours().slice(0, NEIGHBOURS_PER_ROUND);
 	const answers = await Promise.all(asked.map(async neighbour => neighbour.readChanges(view.revision())));
 	for (const answer of answers) {
 		if (answer.isOk()) {
+			onNeighbourNews(answer.value);
 			view.apply(answer.value);
 		}
 	}
--- a/packages/gateway/src/host/__tests__/follow-store.test.ts
+++ b/packages/gateway/src/host/__tests__/follow-store.test.ts
@@ -26,7 +26,7 @@
 });
 
 const start = () => {
-	const state = {isTurnedAway: false, hasRelay: false};
+	const state: {isTurnedAway: boolean; hasRelay: boolean; vouchedGraceMs: number | undefined} = {isTurnedAway: false, hasRelay: false, vouchedGraceMs: undefined};
 	let tell: ((changes: DeclaredChanges) => void) | undefined;
 	const store: DeclarationStore = {
 		readChanges: async () => state.isTurnedAway ? err({kind: 'unavailable', message: 'turned away'}) : ok({entries: [], revision: 7, isWhole: false}),
@@ -44,13 +44,18 @@
 		store,
 		publisher: {publish() {/* Nobody follows. */}},
 		chooseRelay: () => state.hasRelay ? relay : undefined,
-		listNeighbours: () => [],
+		listNeighbours: () => [{
+			readChanges: async () => ok({
+				entries: [], revision: 7, isWhole: false, ...(state.vouchedGraceMs !== undefined && {lapseGraceMs: state.vouchedGraceMs}),
+			}),
+		}],
 		cfg: {relistMs: RELIST_MS, applyWithinMs: 2000},
 		log: silentLog,
 		signal: stopping.signal,
 	});
 	return {
 		state,
+		vouchedGraceMs: follower.vouchedGraceMs,
 		graceMs: () => Math.max(0, follower.graceUntil() - Date.now()),
 		tell(lapseGraceMs: number) {
 			tell!({
@@ -91,3 +96,45 @@
 	expect(process.graceMs()).toBeGreaterThan(RELIST_MS - 800);
 	process.stop();
 });
+
+// Guards against DRAIN: a relay that was turned away alone had its followers defer removals after its return, as after an outage.
+it('defers no removal after it was turned away alone, if a neighbour was served all the time', async () => {
+	const process = start();
+	await vi.advanceTimersByTimeAsync(100);
+	process.state.isTurnedAway = true;
+	process.state.vouchedGraceMs = 0;
+	await vi.advanceTimersByTimeAsync(5000);
+	process.state.isTurnedAway = false;
+	await vi.advanceTimersByTimeAsync(750);
+	expect(process.graceMs()).toBe(0);
+	process.stop();
+});
+
+it('defers removals if no neighbour was served right before its return', async () => {
+	const process = start();
+	await vi.advanceTimersByTimeAsync(100);
+	process.state.isTurnedAway = true;
+	process.state.vouchedGraceMs = 0;
+	await vi.advanceTimersByTimeAsync(1000);
+	process.state.vouchedGraceMs = undefined;
+	await vi.advanceTimersByTimeAsync(4000);
+	process.state.isTurnedAway = false;
+	await vi.advanceTimersByTimeAsync(750);
+	expect(process.graceMs()).toBeGreaterThan(RELIST_MS - 800);
+	process.stop();
+});
+
+it('vouches for the service only after it has heard from it for seconds without a pause', async () => {
+	const process = start();
+	await vi.advanceTimersByTimeAsync(3900);
+	expect(process.vouchedGraceMs()).toBeUndefined();
+	await vi.advanceTimersByTimeAsync(1000);
+	expect(process.vouchedGraceMs()).toBe(0);
+	process.state.isTurnedAway = true;
+	await vi.advanceTimersByTimeAsync(800);
+	expect(process.vouchedGraceMs()).toBeUndefined();
+	process.state.isTurnedAway = false;
+	await vi.advanceTimersByTimeAsync(3900);
+	expect(process.vouchedGraceMs()).toBeUndefined();
+	process.stop();
+});
