fix(build): draw the ports of a build from more than four blocks

Cause: the build runs the daemons briefly on loopback, on one of four blocks of ports.

Change: one of 90 blocks. Two builds at once still meet in one of 90 cases.

--- a/scripts/build-platform.ts
+++ b/scripts/build-platform.ts
@@ -18,7 +18,10 @@
 const HASH_CHARACTERS = 16;
 const WARM_UP_CALLS = 300;
 const WARM_UP_CALLS_AT_ONCE = 10;
-const FIRST_PORTS = [23_000, 24_000, 25_000, 26_000];
+/** Each build draws a block of ports, since several may run at the same time on one machine. */
+const FIRST_PORT = 23_000;
+const PORTS_PER_BUILD = 100;
+const PORT_BLOCKS = 90;
 
 const useUndiciParts: Plugin = {
 	name: 'undici-parts',
@@ -61,7 +64,7 @@
 
 const writeBytecode = async (): Promise<void> => {
 	const system = await startLocalSystem({
-		firstPort: FIRST_PORTS[Math.floor(Math.random() * FIRST_PORTS.length)]!,
+		firstPort: FIRST_PORT + (PORTS_PER_BUILD * Math.floor(Math.random() * PORT_BLOCKS)),
 		getNodeFlags: name => readNodeFlags(name.startsWith('holder') ? 'siskinhub-holder' : 'siskinhub-gateway'),
 		env: {SISKINHUB_KEEP_BYTECODE: '1'},
 	});
