--- a/packages/gateway/src/host/__tests__/follow-store.test.ts
+++ b/packages/gateway/src/host/__tests__/follow-store.test.ts
@@ -26,7 +26,7 @@
 });
 
 const start = () => {
-	const state: {isTurnedAway: boolean; hasRelay: boolean; vouchedGraceMs: number | undefined} = {isTurnedAway: false, hasRelay: false, vouchedGraceMs: undefined};
+	const state: {isTurnedAway: boolean; hasRelay: boolean; knownGraceMs: number | undefined} = {isTurnedAway: false, hasRelay: false, knownGraceMs: undefined};
 	let tell: ((changes: DeclaredChanges) => void) | undefined;
 	const store: DeclarationStore = {
 		readChanges: async () => state.isTurnedAway ? err({kind: 'unavailable', message: 'turned away'}) : ok({entries: [], revision: 7, isWhole: false}),
@@ -46,7 +46,7 @@
 		chooseRelay: () => state.hasRelay ? relay : undefined,
 		listNeighbours: () => [{
 			readChanges: async () => ok({
-				entries: [], revision: 7, isWhole: false, ...(state.vouchedGraceMs !== undefined && {lapseGraceMs: state.vouchedGraceMs}),
+				entries: [], revision: 7, isWhole: false, ...(state.knownGraceMs !== undefined && {lapseGraceMs: state.knownGraceMs}),
 			}),
 		}],
 		cfg: {relistMs: RELIST_MS, applyWithinMs: 2000},
@@ -55,7 +55,7 @@
 	});
 	return {
 		state,
-		vouchedGraceMs: follower.vouchedGraceMs,
+		knownGraceMs: follower.knownGraceMs,
 		graceMs: () => Math.max(0, follower.graceUntil() - Date.now()),
 		tell(lapseGraceMs: number) {
 			tell!({
@@ -102,7 +102,7 @@
 	const process = start();
 	await vi.advanceTimersByTimeAsync(100);
 	process.state.isTurnedAway = true;
-	process.state.vouchedGraceMs = 0;
+	process.state.knownGraceMs = 0;
 	await vi.advanceTimersByTimeAsync(5000);
 	process.state.isTurnedAway = false;
 	await vi.advanceTimersByTimeAsync(750);
@@ -114,9 +114,9 @@
 	const process = start();
 	await vi.advanceTimersByTimeAsync(100);
 	process.state.isTurnedAway = true;
-	process.state.vouchedGraceMs = 0;
+	process.state.knownGraceMs = 0;
 	await vi.advanceTimersByTimeAsync(1000);
-	process.state.vouchedGraceMs = undefined;
+	process.state.knownGraceMs = undefined;
 	await vi.advanceTimersByTimeAsync(4000);
 	process.state.isTurnedAway = false;
 	await vi.advanceTimersByTimeAsync(750);
@@ -124,17 +124,17 @@
 	process.stop();
 });
 
-it('vouches for the service only after it has heard from it for seconds without a pause', async () => {
+it('tells neighbours for how long removals are deferred only after it has heard from it for seconds without a pause', async () => {
 	const process = start();
 	await vi.advanceTimersByTimeAsync(3900);
-	expect(process.vouchedGraceMs()).toBeUndefined();
+	expect(process.knownGraceMs()).toBeUndefined();
 	await vi.advanceTimersByTimeAsync(1000);
-	expect(process.vouchedGraceMs()).toBe(0);
+	expect(process.knownGraceMs()).toBe(0);
 	process.state.isTurnedAway = true;
 	await vi.advanceTimersByTimeAsync(800);
-	expect(process.vouchedGraceMs()).toBeUndefined();
+	expect(process.knownGraceMs()).toBeUndefined();
 	process.state.isTurnedAway = false;
 	await vi.advanceTimersByTimeAsync(3900);
-	expect(process.vouchedGraceMs()).toBeUndefined();
+	expect(process.knownGraceMs()).toBeUndefined();
 	process.stop();
 });
--- a/packages/gateway/src/host/create-host-links.ts
+++ b/packages/gateway/src/host/create-host-links.ts
@@ -40,7 +40,7 @@
 	/** Passes own reads of the platform's service on to other processes; absent in processes that do not read it. */
 	readonly publisher?: ReturnType<typeof createChangePublisher<PeerLink>>;
 	/** Returns the `lapseGraceMs` for neighbours that ask for changes; see `followStore`. */
-	readonly readVouchedGraceMs?: () => number | undefined;
+	readonly readKnownGraceMs?: () => number | undefined;
 	/** Id of this host's disk; absent on hosts that hold no copies. */
 	readonly diskId?: string;
 	/** Handles every message except those about the declared state. Returns whether it answers the message; if not, the message is refused. */
@@ -50,7 +50,7 @@
 };
 
 /** The links answer neighbours that ask for changes of the declared state, and tell each other new upstream crashes and limits with each heartbeat. */
-export const createHostLinks = ({host, dataCentre, view, crashes, limits, publisher, readVouchedGraceMs = () => undefined, diskId = '', onMessage = () => false, onPause}: HostLinksOptions) => {
+export const createHostLinks = ({host, dataCentre, view, crashes, limits, publisher, readKnownGraceMs = () => undefined, diskId = '', onMessage = () => false, onPause}: HostLinksOptions) => {
 	// The newest crash and limit that were sent on each link; a new link gets all of them.
 	const sentCrashes = new WeakMap<PeerLink, CrashCursor>();
 	const sentLimits = new WeakMap<PeerLink, number>();
@@ -79,7 +79,7 @@
 		onMessage(message) {
 			const {link, body, reply} = message;
 			if (body.case === 'changesSince') {
-				reply({case: 'changes', value: toWireChanges({...view.changesSince(body.value.revision), lapseGraceMs: readVouchedGraceMs()})});
+				reply({case: 'changes', value: toWireChanges({...view.changesSince(body.value.revision), lapseGraceMs: readKnownGraceMs()})});
 			} else if (body.case === 'followChanges' && publisher) {
 				publisher.follow(link, body.value.revision, changes => {
 					reply({case: 'changes', value: toWireChanges(changes)});
--- a/packages/gateway/src/host/create-service-witness.ts
+++ b/packages/gateway/src/host/create-service-uptime.ts
@@ -12,20 +12,20 @@
 const MAX_PAUSE_MS = 1500;
 
 /** `now` returns monotonic milliseconds. */
-export const createServiceWitness = (now: () => number) => {
+export const createServiceUptime = (now: () => number) => {
 	let servedSince = Infinity;
 	let lastNewsAt = -Infinity;
 	return {
 		/** The service was read, by this process or by the relay that it follows. */
-		recordNews(): void {
+		recordRead(): void {
 			const at = now();
 			servedSince = at - lastNewsAt <= MAX_PAUSE_MS ? Math.min(servedSince, at) : at;
 			lastNewsAt = at;
 		},
 		/** The service did not answer this process. */
-		recordLoss(): void {
+		recordFailure(): void {
 			lastNewsAt = -Infinity;
 		},
-		hasSeenAll: (): boolean => now() - lastNewsAt <= MAX_PAUSE_MS && now() - servedSince >= MIN_SERVED_MS,
+		hasBeenUp: (): boolean => now() - lastNewsAt <= MAX_PAUSE_MS && now() - servedSince >= MIN_SERVED_MS,
 	};
 };
--- a/packages/gateway/src/host/follow-store.ts
+++ b/packages/gateway/src/host/follow-store.ts
@@ -10,12 +10,12 @@
 import type {DeclaredView} from '@siskinhub/declared/declared-view.js';
 import {followDeclarations} from '@siskinhub/declared/follow-declarations.js';
 import type {Logger} from '@siskinhub/observe/logger.js';
-import {createServiceWitness} from './create-service-witness.js';
+import {createServiceUptime} from './create-service-uptime.js';
 import type {HostConfig} from './host-config.js';
 import {deriveReadTimes} from './derive-read-times.js';
 
 /** Entries lapse more than two seconds after the service has failed, so with the pause that a neighbour may have made nothing has lapsed within this time. */
-const VOUCHED_WITHIN_MS = 900;
+const NEIGHBOUR_GRACE_MAX_AGE_MS = 900;
 
 type FollowStoreOptions = {
 	readonly view: DeclaredView;
@@ -28,15 +28,15 @@
 	readonly signal: AbortSignal;
 };
 
-/** `graceUntil` returns the time, by `Date.now()`, until which a removal may be an entry that lapsed in an outage; `lastReadAt` returns the time of the last news, by `performance.now()`; `vouchedGraceMs` returns for how many milliseconds removals are still deferred, and nothing unless this process has heard from the service for so long without a pause that it knows. */
-export const followStore = ({view, store, publisher, chooseRelay, listNeighbours, cfg, log, signal}: FollowStoreOptions): {readonly graceUntil: () => number; readonly lastReadAt: () => number; readonly vouchedGraceMs: () => number | undefined} => {
+/** `graceUntil` returns the time, by `Date.now()`, until which a removal may be an entry that lapsed in an outage; `lastReadAt` returns the time of the last news, by `performance.now()`; `knownGraceMs` returns for how many milliseconds removals are still deferred, and nothing unless this process has heard from the service for so long without a pause that it knows. */
+export const followStore = ({view, store, publisher, chooseRelay, listNeighbours, cfg, log, signal}: FollowStoreOptions): {readonly graceUntil: () => number; readonly lastReadAt: () => number; readonly knownGraceMs: () => number | undefined} => {
 	const {relistMs} = cfg;
 	let isReachable = true;
 	let graceEndsAt = -Infinity;
 	let lastReadAt = performance.now();
-	const witness = createServiceWitness(() => performance.now());
+	const uptime = createServiceUptime(() => performance.now());
 	// What a neighbour that heard from the service all the time said last, and when.
-	let vouched = {graceEndsAt: -Infinity, at: -Infinity};
+	let neighbourGrace = {graceEndsAt: -Infinity, at: -Infinity};
 	let relayId: string | undefined;
 	const chooseAndLog = (failed: ReadonlySet<string>): DeclarationRelay | undefined => {
 		const relay = chooseRelay(failed);
@@ -57,7 +57,7 @@
 		onOwnRead: publisher.publish,
 		onNews({lapseGraceMs}) {
 			lastReadAt = performance.now();
-			witness.recordNews();
+			uptime.recordRead();
 			// This process may have been turned away while the service served all others: nothing lapsed then, and a relay knows.
 			if (lapseGraceMs !== undefined) {
 				graceEndsAt = Date.now() + lapseGraceMs;
@@ -65,18 +65,18 @@
 		},
 		onNeighbourNews({lapseGraceMs}) {
 			if (lapseGraceMs !== undefined) {
-				vouched = {graceEndsAt: Date.now() + lapseGraceMs, at: performance.now()};
-				graceEndsAt = Math.min(graceEndsAt, vouched.graceEndsAt);
+				neighbourGrace = {graceEndsAt: Date.now() + lapseGraceMs, at: performance.now()};
+				graceEndsAt = Math.min(graceEndsAt, neighbourGrace.graceEndsAt);
 			}
 		},
 		onReachable(next, reason) {
 			if (next && !isReachable) {
-				const wasServed = performance.now() - vouched.at <= VOUCHED_WITHIN_MS;
-				graceEndsAt = wasServed ? vouched.graceEndsAt : Date.now() + relistMs;
+				const isKnown = performance.now() - neighbourGrace.at <= NEIGHBOUR_GRACE_MAX_AGE_MS;
+				graceEndsAt = isKnown ? neighbourGrace.graceEndsAt : Date.now() + relistMs;
 			}
 
 			if (!next) {
-				witness.recordLoss();
+				uptime.recordFailure();
 			}
 
 			isReachable = next;
@@ -87,6 +87,6 @@
 	return {
 		graceUntil: () => isReachable ? graceEndsAt : Date.now() + relistMs,
 		lastReadAt: () => lastReadAt,
-		vouchedGraceMs: () => witness.hasSeenAll() ? Math.max(0, graceEndsAt - Date.now()) : undefined,
+		knownGraceMs: () => uptime.hasBeenUp() ? Math.max(0, graceEndsAt - Date.now()) : undefined,
 	};
 };
--- a/packages/gateway/src/host/start-gateway.ts
+++ b/packages/gateway/src/host/start-gateway.ts
@@ -80,7 +80,7 @@
 	const limitBook = createLimitBook({now: () => performance.now(), onChange: limitLog.recordChange});
 	const publisher = createChangePublisher<PeerLink>(view, deriveReadTimes(cfg.applyWithinMs).intervalMs, () => Math.max(0, follower.graceUntil() - Date.now()));
 	const links = createHostLinks({
-		host: cfg.host, dataCentre: cfg.dataCentre, view, crashes, limits: limitBook, publisher, readVouchedGraceMs: () => follower.vouchedGraceMs(), onPause() {
+		host: cfg.host, dataCentre: cfg.dataCentre, view, crashes, limits: limitBook, publisher, readKnownGraceMs: () => follower.knownGraceMs(), onPause() {
 			log.warn('process was paused; reconnecting the peer links', {});
 		},
 	});
--- a/packages/gateway/src/host/start-holder.ts
+++ b/packages/gateway/src/host/start-holder.ts
@@ -89,7 +89,7 @@
 		crashes,
 		limits,
 		publisher,
-		readVouchedGraceMs: () => follower.vouchedGraceMs(),
+		readKnownGraceMs: () => follower.knownGraceMs(),
 		diskId: copies.diskId,
 		onMessage: message => answerPermit(message) || answerCopies(message),
 		onPause() {
