fix(platform): no control signal ends a gateway or a holder by its default action

Callers saw requests that an upstream had begun end without an answer when a gateway got SIGTERM a second time; processes that got SIGHUP while they started were gone, though they accepted callers already.

Cause: a control signal may come at any moment, again, and beside any other. SIGTERM was handled once (`process.once`), so that the second one had its default action again; until the settings were read and the daemon stood, no signal had a handler; SIGINT had none at all. Class: a control event that is handled as if it came once, in order, and late enough.

Change: packages/lifecycle takes over SIGTERM, SIGINT and SIGHUP in the loader, before the bundle is read, and keeps them until the daemon listens. One state machine decides: the first request to stop counts, later ones are logged and change nothing, one that comes in the start is met once the start is over, within the time since it came. Each signal and the end of the process give a line, with phase, reason, exit code and requests in flight. If a stop hangs, the process ends by itself shortly before the kill.

--- a/packages/cli/src/__tests__/system.test.ts
+++ b/packages/cli/src/__tests__/system.test.ts
@@ -56,7 +56,9 @@
 			const holder = await startHolder(cfg, {
 				keys: storeKeys, metrics, store: createStoreClient({address: storeAddress, onCall: metrics.countStoreCall}), log: createLogger({level: 'error', host: name, write() {/* The output is not needed. */}}),
 			});
-			cleanups.push(holder.stop);
+			cleanups.push(async () => {
+				await holder.stop(cfg.stopWithinMs);
+			});
 		}
 
 		cleanups.push(store.close, worker.close, async () => rm(folder, {recursive: true}));
--- a/packages/gateway/src/host/start-gateway.ts
+++ b/packages/gateway/src/host/start-gateway.ts
@@ -5,6 +5,7 @@
 import type {DeclarationStore} from '@siskinhub/declared/declaration-store.js';
 import {createChangePublisher} from '@siskinhub/declared/create-change-publisher.js';
 import {createDeclaredView} from '@siskinhub/declared/create-declared-view.js';
+import type {RunningDaemon} from '@siskinhub/lifecycle/running-daemon.js';
 import type {Logger} from '@siskinhub/observe/logger.js';
 import {createPeerServer} from '@siskinhub/peer/create-peer-server.js';
 import type {PeerLink} from '@siskinhub/peer/peer-link.js';
@@ -64,7 +65,7 @@
 };
 
 /** Resolves once the process listens. `stop` resolves once no request is active, or shortly before the process is killed. */
-export const startGateway = async (cfg: HostConfig, {codec, keys, store, metrics, log, earlyListener}: GatewayOptions): Promise<{readonly stop: () => Promise<void>}> => {
+export const startGateway = async (cfg: HostConfig, {codec, keys, store, metrics, log, earlyListener}: GatewayOptions): Promise<RunningDaemon> => {
 	const stopping = new AbortController();
 	const view = createDeclaredView();
 	const routes = createRouteTable();
@@ -194,10 +195,11 @@
 	log.info('gateway started', {dataCentre: cfg.dataCentre, callers: cfg.callers});
 
 	return {
-		async stop() {
+		countActive: server.countActive,
+		async stop(withinMs) {
 			log.info('gateway stopping', {active: server.countActive()});
 			stopping.abort();
-			await drainServer(server, cfg.stopWithinMs);
+			await drainServer(server, withinMs);
 			readiness?.close();
 			metricsServer.close();
 			links.close();
@@ -206,6 +208,7 @@
 			limitLog.close();
 			crashLog.close();
 			log.info('gateway stopped', {active: server.countActive()});
+			return 0;
 		},
 	};
 };
--- a/packages/gateway/src/host/start-holder.ts
+++ b/packages/gateway/src/host/start-holder.ts
@@ -5,6 +5,7 @@
 import {createChangePublisher} from '@siskinhub/declared/create-change-publisher.js';
 import {createDeclaredView} from '@siskinhub/declared/create-declared-view.js';
 import type {DeclarationStore} from '@siskinhub/declared/declaration-store.js';
+import type {RunningDaemon} from '@siskinhub/lifecycle/running-daemon.js';
 import {createRepeatedErrorLog} from '@siskinhub/observe/create-repeated-error-log.js';
 import type {Logger} from '@siskinhub/observe/logger.js';
 import {createPeerServer} from '@siskinhub/peer/create-peer-server.js';
@@ -46,7 +47,7 @@
 };
 
 /** Resolves once the process serves requests; rejects if its data folder cannot be used. */
-export const startHolder = async (cfg: HostConfig, {keys, store, metrics, log}: HolderOptions): Promise<{readonly stop: () => Promise<void>}> => {
+export const startHolder = async (cfg: HostConfig, {keys, store, metrics, log}: HolderOptions): Promise<RunningDaemon> => {
 	const opened = await openCopyStore(cfg.dataFolder!, {
 		onRecovering(reason) {
 			log.warn('the disk did not take a write; trying it again', {reason});
@@ -141,6 +142,7 @@
 			crashLog.close();
 			gapLog.close();
 			await copies.close();
+			return 0;
 		},
 	};
 };
--- a/packages/gateway/src/metrics/create-gateway-metrics.ts
+++ b/packages/gateway/src/metrics/create-gateway-metrics.ts
@@ -51,6 +51,12 @@
 	const gaps = new Counter({
 		name: 'siskinhub_copy_gaps_total', help: 'Writes to a disk that lacked data in use and was sent it, by what it lacked.', labelNames: ['data'], registers,
 	});
+	const signals = new Counter({
+		name: 'siskinhub_signals_total', help: 'Control signals by the phase of the process in which they came.', labelNames: ['signal', 'phase'], registers,
+	});
+	const uncaughtErrors = new Counter({
+		name: 'siskinhub_uncaught_errors_total', help: 'Errors that nobody caught and that end the process, by its phase.', labelNames: ['phase'], registers,
+	});
 	return {
 		countCall(outcome, status, durationMs) {
 			calls.inc({outcome, status: String(status)});
@@ -74,6 +80,12 @@
 		countGap(data) {
 			gaps.inc({data});
 		},
+		countSignal(signal, phase) {
+			signals.inc({signal, phase});
+		},
+		countUncaughtError(phase) {
+			uncaughtErrors.inc({phase});
+		},
 		countStoreCall(kind, outcome) {
 			storeCalls.inc({kind, outcome});
 		},
--- a/packages/gateway/src/metrics/gateway-metrics.ts
+++ b/packages/gateway/src/metrics/gateway-metrics.ts
@@ -20,6 +20,10 @@
 	readonly countResumption: (outcome: 'resumed' | 'unknown' | 'unavailable' | 'unknown-output') => void;
 	/** Counts a write to a disk that lacked data in use, by what it lacked. */
 	readonly countGap: (data: CopyGap['data']) => void;
+	/** Counts a control signal by the phase of the process in which it came. */
+	readonly countSignal: (signal: string, phase: string) => void;
+	/** Counts an error that nobody caught, which ends the process. */
+	readonly countUncaughtError: (phase: string) => void;
 	/** Counts a call to the platform's service. */
 	readonly countStoreCall: (kind: string, outcome: string) => void;
 	/** Counts the choice of an upstream; `prompt` is how many tokens of the prompt its cache is estimated to hold and to lack. */
