fix(entry, sidecar): no control signal ends a process by its default action

Callers could see calls in flight cut when an entry or a sidecar got SIGTERM a second time or SIGINT in its planned stop, or SIGHUP at any time.

Cause: as in the gateway and the holder, `process.once('SIGTERM')` and no other handler.

Evidence: signals-in-series.test.ts of the stand-ins runs both bundles; on the code before the entry had ended after SIGHUP (red), now both stop as planned with code 0 after SIGHUP, SIGTERM, SIGHUP, SIGINT and two more SIGTERMs.

Change: both run through packages/lifecycle. A stop that hangs (an entry waits for the platform's service to hand over its shards) now ends by itself 10 s after the time for requests in flight; before, it had no bound. The stand-ins keep their handler as well.

--- a/packages/entry/src/siskinhub-entry.ts
+++ b/packages/entry/src/siskinhub-entry.ts
@@ -2,7 +2,8 @@
 /**
 The daemon of an entry host. `SIGTERM` stops it gracefully.
 */
-import process from 'node:process';
+import {earlySignals} from '@siskinhub/lifecycle/early-signals.js';
+import {runDaemon} from '@siskinhub/lifecycle/run-daemon.js';
 import {createLogger} from '@siskinhub/observe/create-logger.js';
 import {createMetrics} from '@siskinhub/observe/create-metrics.js';
 import {createTracer} from '@siskinhub/observe/create-tracer.js';
@@ -15,6 +16,8 @@
 
 const VERSION = '0.1.0';
 const EXIT_CODE_STOP_TIMEOUT = 3;
+/** Beside the time for requests in flight; handing over the shards waits for the platform's service. */
+const LEAVE_TIMEOUT_MS = 10_000;
 
 await startFromCommandLine({
 	name: 'siskinhub-entry',
@@ -35,14 +38,23 @@
 		}
 
 		const platform = createPlatformClient({address: cfg.platform.address, callTimeoutMs: cfg.platform.timeoutMs});
-		const entry = await createEntry(cfg, {
-			version: VERSION, platform, holderService: holderService.value, log, metrics, tracer,
-		});
-		process.once('SIGTERM', async () => {
-			const isClean = await entry.stop();
-			await Promise.all([metrics.close(), tracer.close()]);
-			log.info('entry stopped', {isClean});
-			process.exit(isClean ? 0 : EXIT_CODE_STOP_TIMEOUT);
+		await runDaemon({
+			signals: earlySignals,
+			log,
+			stopWithinMs: cfg.gracefulStopMs + LEAVE_TIMEOUT_MS,
+			async start() {
+				const entry = await createEntry(cfg, {
+					version: VERSION, platform, holderService: holderService.value, log, metrics, tracer,
+				});
+				return {
+					async stop() {
+						const isClean = await entry.stop();
+						await Promise.all([metrics.close(), tracer.close()]);
+						log.info('entry stopped', {isClean});
+						return isClean ? 0 : EXIT_CODE_STOP_TIMEOUT;
+					},
+				};
+			},
 		});
 	},
 });
--- a/packages/sidecar/src/siskinhub-sidecar.ts
+++ b/packages/sidecar/src/siskinhub-sidecar.ts
@@ -2,7 +2,8 @@
 /**
 Command line entry point of the sidecar daemon, which runs beside one upstream.
 */
-import process from 'node:process';
+import {earlySignals} from '@siskinhub/lifecycle/early-signals.js';
+import {runDaemon} from '@siskinhub/lifecycle/run-daemon.js';
 import {createLogger} from '@siskinhub/observe/create-logger.js';
 import {createMetrics} from '@siskinhub/observe/create-metrics.js';
 import {createTracer} from '@siskinhub/observe/create-tracer.js';
@@ -13,6 +14,8 @@
 
 const VERSION = '0.1.0';
 const EXIT_STOP_TIMED_OUT = 3;
+/** Beside the time for runs in flight. */
+const CLOSE_TIMEOUT_MS = 10_000;
 
 await startFromCommandLine({
 	name: 'siskinhub-sidecar',
@@ -27,12 +30,21 @@
 		const tracer = await createTracer({
 			traces: cfg.traces, service: 'siskinhub-sidecar', host, dataCentre, log,
 		});
-		const sidecar = await createSidecar(cfg, {log, metrics, tracer});
-		process.once('SIGTERM', async () => {
-			const isClean = await sidecar.stop();
-			await Promise.all([metrics.close(), tracer.close()]);
-			log.info('sidecar stopped', {isClean});
-			process.exit(isClean ? 0 : EXIT_STOP_TIMED_OUT);
+		await runDaemon({
+			signals: earlySignals,
+			log,
+			stopWithinMs: cfg.gracefulStopMs + CLOSE_TIMEOUT_MS,
+			async start() {
+				const sidecar = await createSidecar(cfg, {log, metrics, tracer});
+				return {
+					async stop() {
+						const isClean = await sidecar.stop();
+						await Promise.all([metrics.close(), tracer.close()]);
+						log.info('sidecar stopped', {isClean});
+						return isClean ? 0 : EXIT_STOP_TIMED_OUT;
+					},
+				};
+			},
 		});
 	},
 });
--- a/packages/standins/src/http/serve-until-terminated.ts
+++ b/packages/standins/src/http/serve-until-terminated.ts
@@ -7,7 +7,7 @@
 
 /** Listens, prints `{"listening": "http://IP:PORT"}` on standard output, and exits with 0 on SIGTERM. */
 export const serveUntilTerminated = (server: Server, ip: string, port: number): void => {
-	process.once('SIGTERM', () => {
+	process.on('SIGTERM', () => {
 		process.exit(0);
 	});
 	server.listen(port, ip, () => {
--- a/packages/standins/src/platform-server.ts
+++ b/packages/standins/src/platform-server.ts
@@ -13,8 +13,12 @@
 	},
 });
 const server = await createPlatformServer({ip: values.ip, port: Number(values.port)});
-process.once('SIGTERM', async () => {
-	await server.close();
-	process.exitCode = 0;
+let isStopping = false;
+process.on('SIGTERM', async () => {
+	if (!isStopping) {
+		isStopping = true;
+		await server.close();
+		process.exit(0);
+	}
 });
 process.stdout.write(`${JSON.stringify({listening: server.address})}\n`);
