fix(platform): an error that nobody caught cuts no request in flight

Callers of one gateway saw all requests in flight end with a reset when one error was not caught; the supervisor saw a bare trace and code 1.

Cause: no handler for uncaught errors and rejected promises, so Node ended the process at once. Class: one request's trouble ends others that have no part in it.

The process still ends, since its state is not known any more.

--- a/packages/lifecycle/src/run-daemon.ts
+++ b/packages/lifecycle/src/run-daemon.ts
@@ -12,9 +12,11 @@
 	readonly start: () => Promise<RunningDaemon>;
 };
 
-/** Resolves once the daemon has started, or could not. The process ends on a signal to stop and if the start fails. */
+/** Resolves once the daemon has started, or could not. The process ends on a signal to stop, after an uncaught error and if the start fails. */
 export const runDaemon = async ({start, signals, ...options}: DaemonOptions): Promise<void> => {
 	const lifecycle = createLifecycle({...options, exit: process.exit.bind(process)});
+	// Rejected promises that nobody handles arrive here too.
+	process.on('uncaughtException', lifecycle.receiveError);
 	signals.listen(lifecycle.receiveSignal);
 	try {
 		lifecycle.markRunning(await start());
