fix(observe): a reader that stops reading does not hold up the end of a process

Cause: log lines were written on a thread of libuv's pool. A write to a full pipe blocks that thread; the flush before the exit waited for it without limit, and so did process.exit itself, which joins the threads.

Evidence: stopped-reader.test.ts: before, the process had not ended within 20 s of SIGTERM (grace 8 s); a plain script of fs.write to a full pipe and process.exit hung until it was killed. Tried first: only a limit for the flush, which does not help the exit.

Change: pipes and sockets are written through libuv's non-blocking streams; what is buffered stays bounded as before, and more is dropped and counted. Files and terminals are written as before.

--- a/packages/observe/src/create-stdout-writer.ts
+++ b/packages/observe/src/create-stdout-writer.ts
@@ -2,7 +2,7 @@
 Writes log lines to standard output without blocking the process when the reader
 is slow; lines that exceed the buffer are dropped.
 */
-import {write as writeFile} from 'node:fs';
+import {openOutput} from './open-output.js';
 
 const STDOUT = 1;
 /** Lines that would exceed this size of the buffer are dropped and counted. */
@@ -16,6 +16,7 @@
 
 /** Creates a writer to the file descriptor `fd`. Only one write runs at a time; lines that arrive during it are written together. */
 export const createStdoutWriter = (fd = STDOUT): StdoutWriter => {
+	const writeText = openOutput(fd);
 	let buffered: string[] = [];
 	let bufferedCharacters = 0;
 	let droppedLines = 0;
@@ -43,7 +44,7 @@
 		buffered = [];
 		bufferedCharacters = 0;
 		// An error is ignored: if the reader has closed the pipe, it could not be reported.
-		writeFile(fd, text, writeNext);
+		writeText(text, writeNext);
 	};
 
 	return {
