fix(gateway): a stop leaves answers alone that are not written out

What callers saw: around SIGTERM, an answer that was longer than the buffers of the two sockets ended early for a caller that read slowly.

Cause: stopListening() runs every 50 ms, and both server.close() and closeIdleConnections() of Node 20 destroy each connection whose parser is between messages and whose last answer has been *ended*, whether or not it has been written out. The request then no longer counts as active either, so the process ended as if it had been served.

Change: the port is closed by the method of node:net, which leaves connections alone, and track-connections.ts closes those whose answers have all been written out and on which nothing has been read since. The wait for a slow reader is bounded by drainServer as before.

--- a/packages/gateway/src/http/create-gateway-server.ts
+++ b/packages/gateway/src/http/create-gateway-server.ts
@@ -6,6 +6,7 @@
 import {
 	createServer, type IncomingMessage, type Server, type ServerResponse,
 } from 'node:http';
+import {Server as PortServer} from 'node:net';
 import type {CallCodec} from '../call/call-codec.js';
 import type {CallHead} from '../call/call-head.js';
 import type {CallerResponse} from '../forward/caller-response.js';
@@ -14,6 +15,7 @@
 import {countHeadBytes} from './count-head-bytes.js';
 import type {EarlyListener} from './early-listener.js';
 import {readBody} from './read-body.js';
+import {trackConnections} from './track-connections.js';
 
 type GatewayServerOptions = {
 	readonly ip: string;
@@ -167,6 +169,7 @@
 			endAfterFailure(res);
 		}
 	});
+	const connections = trackConnections(server);
 	applyLimits(server, undefined);
 	await listen(server, address);
 
@@ -177,8 +180,9 @@
 		},
 		stopListening() {
 			hasStopped = true;
-			server.close();
-			server.closeIdleConnections();
+			// The method of the HTTP server would also destroy connections whose last answer has not been written out.
+			PortServer.prototype.close.call(server);
+			connections.closeIdle();
 		},
 	};
 };
