fix(gateway): a stop does not reset kept connections under an answer

What callers saw: around SIGTERM, an answer that the process had handed to the kernel whole came cut if the caller's next request arrived on the connection at the moment at which the stop closed it.

Cause: a socket that is closed with unread bytes is reset, and the kernel then drops what it has not yet delivered of the answer before.

Change: an idle connection is ended (FIN after what is still to be sent) instead of destroyed, and goes on being read until the caller closes it, the idle timeout passes or the process ends. A request that crosses the close is read, not passed on and not counted as active; its sender sees the end of the connection.

--- a/packages/gateway/src/http/create-gateway-server.ts
+++ b/packages/gateway/src/http/create-gateway-server.ts
@@ -158,6 +158,11 @@
 	const server = createServer({
 		maxHeaderSize: MAX_HEADER_BYTES, connectionsCheckingInterval: TIMEOUT_CHECK_INTERVAL_MS, requestTimeout: 0, noDelay: true,
 	}, async (req, res) => {
+		if (connections.isClosed(req.socket)) {
+			req.resume();
+			return;
+		}
+
 		active++;
 		res.on('close', () => {
 			active--;
--- a/packages/gateway/src/http/track-connections.ts
+++ b/packages/gateway/src/http/track-connections.ts
@@ -13,9 +13,12 @@
 	openAnswers: number;
 	/** Bytes read up to the end of the last exchange; `undefined` before the first. */
 	bytesRead: number | undefined;
+	isClosed: boolean;
 };
 
 type ConnectionTracker = {
+	/** Whether this side has closed the connection; what arrives on it gets no answer, and its sender sees the close. */
+	readonly isClosed: (socket: Socket) => boolean;
 	/** Closes each connection whose answers have all been written out and on which no further request has begun. A connection without a request yet is not idle: its caller is about to send. */
 	readonly closeIdle: () => void;
 };
@@ -25,7 +28,7 @@
 	const connections = new Map<Socket, Connection>();
 
 	server.on('connection', (socket: Socket) => {
-		connections.set(socket, {openAnswers: 0, bytesRead: undefined});
+		connections.set(socket, {openAnswers: 0, bytesRead: undefined, isClosed: false});
 		socket.once('close', () => {
 			connections.delete(socket);
 		});
@@ -51,10 +54,13 @@
 	});
 
 	return {
+		isClosed: socket => connections.get(socket)?.isClosed ?? false,
 		closeIdle() {
-			for (const [socket, {openAnswers, bytesRead}] of connections) {
-				if (openAnswers === 0 && bytesRead === socket.bytesRead) {
-					socket.destroy();
+			for (const [socket, connection] of connections) {
+				if (!connection.isClosed && connection.openAnswers === 0 && connection.bytesRead === socket.bytesRead) {
+					connection.isClosed = true;
+					// Destroying it would reset it if a next request lies unread, and the reset overtakes what the caller has not received of the answer before.
+					socket.end();
 				}
 			}
 		},
