fix(gateway): a stop accepts and reads before it closes

What callers saw: around SIGTERM, a connection that stood (for the caller) was reset without an answer if the process had not come to accept it when its port closed; a request on a kept connection got no answer if it lay unread then.

Cause: stopListening() runs from a timer, that is, after a turn of the event loop that may have been long, and before the next reading. The kernel resets what is in the accept queue of a port that closes.

Evidence: stop-with-open-connections.test.ts. A connection made just before the close: ECONNRESET on the code before. A next request sent just before the close of a kept connection: no answer on the code before.

Failed try: a single setImmediate; it may run in the same turn, after the reading, and the reset remained.

--- a/packages/gateway/src/http/__tests__/stop-with-open-connections.test.ts
+++ b/packages/gateway/src/http/__tests__/stop-with-open-connections.test.ts
@@ -1,9 +1,11 @@
 /**
-Load pattern: a planned stop while callers read slowly.
+Load pattern: a planned stop while callers read slowly, send their next
+request or have just connected.
 */
 import {Buffer} from 'node:buffer';
 import {once} from 'node:events';
 import {connect, createServer, type Socket} from 'node:net';
+import process from 'node:process';
 import {setTimeout as delay} from 'node:timers/promises';
 import {ok} from 'neverthrow';
 import {afterEach, expect, it} from 'vitest';
@@ -13,6 +15,8 @@
 const IP = '127.0.0.1';
 /** More than the buffers of both sockets take up while the caller does not read. */
 const LARGE_BYTES = 32 * 1024 * 1024;
+/** Fits in the send buffer of the server, and is larger than what the caller takes without reading. */
+const BUFFERED_BYTES = 1024 * 1024;
 const STOP_CHECK_INTERVAL_MS = 50;
 const WRITING_MS = 200;
 
@@ -106,6 +110,22 @@
 	await expect.poll(server.countActive).toBe(0);
 });
 
+// Guards against cut callers at a planned stop: what the kernel held unread when the stop closed the connection got no answer.
+it('answers a next request that arrives before the close of its kept connection', async () => {
+	const {port, server} = await serve();
+	const socket = await open(port);
+	ask(socket, BUFFERED_BYTES);
+	await delay(WRITING_MS);
+	expect(server.countActive()).toBe(0);
+	server.drain();
+	ask(socket, 1);
+	server.stopListening();
+	await delay(STOP_CHECK_INTERVAL_MS);
+	const answers = Buffer.concat(await socket.toArray() as Uint8Array[]);
+	const late = answers.subarray(answers.indexOf('\r\n\r\n') + 4 + BUFFERED_BYTES);
+	expect(String(late)).toMatch(/^HTTP\/1\.1 503 .*connection: close/isv);
+});
+
 it('closes kept connections at once beside one whose caller does not read', async () => {
 	const {port, server} = await serve();
 	const slow = await open(port);
@@ -131,3 +151,18 @@
 	socket.write('t: h\r\n\r\n');
 	expect(String(Buffer.concat(await socket.toArray() as Uint8Array[]))).toMatch(/^HTTP\/1\.1 200 .*HTTP\/1\.1 503 /sv);
 });
+
+// Guards against cut callers at a planned stop: a connection that the kernel had accepted, and the process had not, was reset when the port closed.
+it('answers a caller that connects just before the port closes', async () => {
+	const {port, server} = await serve();
+	server.drain();
+	const socket = connect(port, IP);
+	sockets.push(socket);
+	// The connection is made in the next tick, before the server learns of it.
+	await new Promise<void>(resolve => {
+		process.nextTick(resolve);
+	});
+	server.stopListening();
+	ask(socket, 1);
+	expect(String(Buffer.concat(await socket.toArray() as Uint8Array[]))).toMatch(/^HTTP\/1\.1 (?:200|503) /v);
+});
--- a/packages/gateway/src/http/create-gateway-server.ts
+++ b/packages/gateway/src/http/create-gateway-server.ts
@@ -15,6 +15,7 @@
 import {countHeadBytes} from './count-head-bytes.js';
 import type {EarlyListener} from './early-listener.js';
 import {readBody} from './read-body.js';
+import {runAfterReading} from './run-after-reading.js';
 import {trackConnections} from './track-connections.js';
 
 type GatewayServerOptions = {
@@ -185,9 +186,11 @@
 		},
 		stopListening() {
 			hasStopped = true;
-			// The method of the HTTP server would also destroy connections whose last answer has not been written out.
-			PortServer.prototype.close.call(server);
-			connections.closeIdle();
+			runAfterReading(() => {
+				// The method of the HTTP server would also destroy connections whose last answer has not been written out.
+				PortServer.prototype.close.call(server);
+				connections.closeIdle();
+			});
 		},
 	};
 };
