fix(gateway): a stop reads once more before it ends

What callers saw: a request that had reached the host, and that the process had not read yet when it found no request active, was cut by the end of the process.

Cause: drainServer resolved in the timer in which it counted, before the reading of that turn of the event loop, and in the same turn in which the port closed.

Evidence: drain-server.test.ts, a request that is read right after the port has been closed: on the code before, the drain had ended before it was read.

Change: with no request active it accepts and reads once more, and counts again.

What arrives between this and the exit of the process is still cut; the caller of drainServer decides how long that is.

--- a/packages/gateway/src/host/__tests__/drain-server.test.ts
+++ b/packages/gateway/src/host/__tests__/drain-server.test.ts
@@ -46,3 +46,29 @@
 it('ends before the kill even if requests are still active', async () => {
 	expect(await drain(60_000)).toBeCloseTo(7600, -2);
 });
+
+// Guards against cut callers at a planned stop: the process ended while a request that it had not yet read lay in the kernel.
+it('waits for a request that is read right after the port was closed', async () => {
+	let active = 0;
+	const server = {
+		countActive: () => active,
+		drain: vi.fn<() => void>(),
+		stopListening: vi.fn<() => void>().mockImplementationOnce(() => {
+			setImmediate(() => {
+				active = 1;
+			});
+		}),
+	};
+	const onEnd = vi.fn<() => void>();
+	const waitForEnd = async () => {
+		await drainServer(server, STOP_WITHIN_MS);
+		onEnd();
+	};
+
+	void waitForEnd();
+	await vi.advanceTimersByTimeAsync(4000);
+	expect(onEnd).not.toHaveBeenCalled();
+	active = 0;
+	await vi.advanceTimersByTimeAsync(100);
+	expect(onEnd).toHaveBeenCalledOnce();
+});
--- a/packages/gateway/src/host/drain-server.ts
+++ b/packages/gateway/src/host/drain-server.ts
@@ -3,6 +3,7 @@
 is active or the process is about to be killed.
 */
 import type {createGatewayServer} from '../http/create-gateway-server.js';
+import {runAfterReading} from '../http/run-after-reading.js';
 import {LEAVE_ROTATION_MS} from './leave-rotation-ms.js';
 
 /** Time reserved between the end of draining and the kill. */
@@ -16,6 +17,11 @@
 	// A monotonic clock, since the system time may be set while the process stops.
 	const startedAt = performance.now();
 	server.drain();
+	const end = (): void => {
+		clearInterval(timer);
+		resolve();
+	};
+
 	const timer = setInterval(() => {
 		const passedMs = performance.now() - startedAt;
 		const hasLeftRotation = passedMs >= LEAVE_ROTATION_MS;
@@ -23,9 +29,20 @@
 			server.stopListening();
 		}
 
-		if ((hasLeftRotation && server.countActive() === 0) || passedMs >= stopWithinMs - STOP_MARGIN_MS) {
-			clearInterval(timer);
-			resolve();
+		if (passedMs >= stopWithinMs - STOP_MARGIN_MS) {
+			end();
+			return;
+		}
+
+		if (hasLeftRotation && server.countActive() === 0) {
+			// The first reading accepts what the port still held, and the second reads its requests.
+			runAfterReading(() => {
+				runAfterReading(() => {
+					if (server.countActive() === 0) {
+						end();
+					}
+				});
+			});
 		}
 	}, STOP_CHECK_INTERVAL_MS);
 });
