fix(gateway): a start waits for addresses that are still in use

What was seen: FAULT, a process that ended by itself. A host that starts a process while the one before is in its grace, or while another socket holds a port for a moment, got a process that ended at once: with a rejected start for callers and peers, with an uncaught exception for readiness and metrics (serveText had no handler for errors at all).

Cause: listenEarly passes over a failed bind, and nothing tried again.

The default is one try.

--- /dev/null
+++ b/packages/gateway/src/host/__tests__/serve-text.test.ts
@@ -0,0 +1,35 @@
+import {once} from 'node:events';
+import {createServer, type AddressInfo} from 'node:net';
+import {setTimeout as delay} from 'node:timers/promises';
+import {request} from 'undici';
+import {expect, it} from 'vitest';
+import {serveText} from '../serve-text.js';
+
+const IP = '127.0.0.1';
+const HELD_MS = 100;
+const WAIT_MS = 5000;
+const answer = () => ({status: 200, text: 'fine'});
+
+const holdPort = async () => {
+	const holder = createServer().listen(0, IP);
+	await once(holder, 'listening');
+	return {holder, port: (holder.address() as AddressInfo).port};
+};
+
+// Guards against FAULT at a start: an address in use was an error that nobody caught, and the process ended.
+it('serves once the process before has given the address free', async () => {
+	const {holder, port} = await holdPort();
+	const serving = serveText({ip: IP, port, waitMs: WAIT_MS}, answer);
+	await delay(HELD_MS);
+	holder.close();
+	const server = await serving;
+	const res = await request(`http://${IP}:${port}/ready`);
+	expect([res.statusCode, await res.body.text()]).toEqual([200, 'fine']);
+	server.close();
+});
+
+it('rejects if the address stays in use', async () => {
+	const {holder, port} = await holdPort();
+	await expect(serveText({ip: IP, port}, answer)).rejects.toThrow(`${IP}:${port}`);
+	holder.close();
+});
--- a/packages/gateway/src/host/serve-text.ts
+++ b/packages/gateway/src/host/serve-text.ts
@@ -2,16 +2,20 @@
 Serves one short text over HTTP, such as the readiness or the metrics.
 */
 import {createServer, type Server} from 'node:http';
+import {listenWhenFree} from '@siskinhub/peer/listen-when-free.js';
 
 type TextAnswer = {readonly status: number; readonly text: string};
 
-/** Calls `answer` for every request, whatever its path and method. */
-export const serveText = ({ip, port}: {readonly ip: string; readonly port: number}, answer: () => TextAnswer | Promise<TextAnswer>): Server => {
+type TextServerOptions = Parameters<typeof listenWhenFree>[1];
+
+/** Calls `answer` for every request, whatever its path and method. Resolves once the server listens; rejects if the address is in use for longer than `waitMs` or cannot be bound. */
+export const serveText = async (address: TextServerOptions, answer: () => TextAnswer | Promise<TextAnswer>): Promise<Server> => {
 	const server = createServer(async (req, res) => {
 		req.resume();
 		const {status, text} = await answer();
 		res.writeHead(status, {'content-type': 'text/plain', 'content-length': new TextEncoder().encode(text).length});
 		res.end(text);
 	});
-	return server.listen(port, ip);
+	await listenWhenFree(server, address);
+	return server;
 };
--- a/packages/gateway/src/host/start-gateway.ts
+++ b/packages/gateway/src/host/start-gateway.ts
@@ -67,6 +67,8 @@
 /** Resolves once the process listens. `stop` resolves once no request is active, or shortly before the process is killed. */
 export const startGateway = async (cfg: HostConfig, {codec, keys, store, metrics, log, earlyListener}: GatewayOptions): Promise<RunningDaemon> => {
 	const stopping = new AbortController();
+	// The process before may hold its addresses until the end of its grace.
+	const waiting = {waitMs: cfg.stopWithinMs, log};
 	const view = createDeclaredView();
 	const routes = createRouteTable();
 	const crashLog = createCrashLog(log);
@@ -133,10 +135,11 @@
 			metrics.countLeaving();
 		},
 	};
-	await createPeerServer({ip: cfg.peers.ip, port: cfg.peers.port, settings: links.settings});
+	await createPeerServer({...cfg.peers, ...waiting, settings: links.settings});
 	const server = await createGatewayServer({
 		ip: cfg.callers!.ip,
 		port: cfg.callers!.port,
+		...waiting,
 		earlyListener,
 		codec,
 		limits: () => routes.current()?.limits,
@@ -178,7 +181,7 @@
 		}
 	}, STARTUP_DIAL_INTERVAL_MS);
 	let wasReady = false;
-	const readiness = cfg.readiness && serveText(cfg.readiness, () => {
+	const readiness = cfg.readiness && await serveText({...cfg.readiness, ...waiting}, () => {
 		const ready = isReady();
 		if (ready !== wasReady) {
 			wasReady = ready;
@@ -191,7 +194,7 @@
 	registerGatewayGauges(metrics, {
 		routes, view, holderClient, registry, loop, countActive: server.countActive, lastReadAt: follower.lastReadAt,
 	});
-	const metricsServer = serveText(cfg.metrics, async () => ({status: 200, text: await metrics.render()}));
+	const metricsServer = await serveText({...cfg.metrics, ...waiting}, async () => ({status: 200, text: await metrics.render()}));
 	log.info('gateway started', {dataCentre: cfg.dataCentre, callers: cfg.callers});
 
 	return {
--- a/packages/gateway/src/host/start-holder.ts
+++ b/packages/gateway/src/host/start-holder.ts
@@ -10,6 +10,7 @@
 import type {Logger} from '@siskinhub/observe/logger.js';
 import {createPeerServer} from '@siskinhub/peer/create-peer-server.js';
 import type {PeerLink} from '@siskinhub/peer/peer-link.js';
+import {waitUntilFree} from '@siskinhub/peer/wait-until-free.js';
 import {openCopyStore} from '@siskinhub/turns/disk/open-copy-store.js';
 import {copyFromHolders} from '@siskinhub/turns/holder/copy-from-holders.js';
 import {createCopyService} from '@siskinhub/turns/holder/create-copy-service.js';
@@ -48,6 +49,9 @@
 
 /** Resolves once the process serves requests; rejects if its data folder cannot be used. */
 export const startHolder = async (cfg: HostConfig, {keys, store, metrics, log}: HolderOptions): Promise<RunningDaemon> => {
+	// The process before may hold its addresses until the end of its grace, and write to the data folder as long.
+	const waiting = {waitMs: cfg.stopWithinMs, log};
+	await waitUntilFree({...cfg.peers, ...waiting});
 	const opened = await openCopyStore(cfg.dataFolder!, {
 		onRecovering(reason) {
 			log.warn('the disk did not take a write; trying it again', {reason});
@@ -100,7 +104,7 @@
 	const self: Holder = {
 		diskId: copies.diskId, host: cfg.host, address: `http://${cfg.peers.ip}:${cfg.peers.port}`, dataCentre: cfg.dataCentre,
 	};
-	await createPeerServer({ip: cfg.peers.ip, port: cfg.peers.port, settings: links.settings});
+	await createPeerServer({...cfg.peers, ...waiting, settings: links.settings});
 	const retiring = followRetireRequests(view, keys);
 	const follower = followStore({
 		view,
@@ -129,7 +133,7 @@
 		signal: stopping.signal,
 	});
 	void compactWhenLarge(copies, log, stopping.signal);
-	const metricsServer = serveText(cfg.metrics, async () => ({status: 200, text: await metrics.render()}));
+	const metricsServer = await serveText({...cfg.metrics, ...waiting}, async () => ({status: 200, text: await metrics.render()}));
 	log.info('copy holder started', {diskId: copies.diskId, isNewDisk: copies.isNew, records: copies.size()});
 
 	return {
--- a/packages/gateway/src/http/__tests__/listen-early.test.ts
+++ b/packages/gateway/src/http/__tests__/listen-early.test.ts
@@ -15,6 +15,7 @@
 
 const IP = '127.0.0.1';
 const LOADING_MS = 50;
+const WAIT_MS = 5000;
 
 const closers: Array<() => void> = [];
 afterEach(() => {
@@ -38,10 +39,11 @@
 	encodeRefusal: () => ({}),
 };
 
-const serve = async (port: number, earlyListener: Awaited<ReturnType<typeof listenEarly>>) => {
+const serve = async (port: number, earlyListener: Awaited<ReturnType<typeof listenEarly>>, waitMs = 0) => {
 	const server = await createGatewayServer({
 		ip: IP,
 		port,
+		waitMs,
 		earlyListener,
 		codec: codec as CallCodec,
 		limits: () => undefined,
@@ -118,3 +120,20 @@
 	expect(await listenEarly({ip: IP, port})).toBeUndefined();
 	await expect(serve(port, undefined)).rejects.toThrow('EADDRINUSE');
 });
+
+// Guards against FAULT at a start: the process before still held the address for callers, and the new one ended.
+it('serves callers once the process before has given the address free', async () => {
+	const taken = createServer().listen(0, IP);
+	await once(taken, 'listening');
+	const address = taken.address();
+	const port = typeof address === 'object' ? address!.port : 0;
+	const earlyListener = await listenEarly({ip: IP, port});
+	expect(earlyListener).toBeUndefined();
+	const serving = serve(port, earlyListener, WAIT_MS);
+	await delay(LOADING_MS);
+	taken.close();
+	await serving;
+	const {socket, received} = await dial(port);
+	send(socket, '/one', 'whole');
+	await expect.poll(received).toMatch(/whole$/v);
+});
--- a/packages/gateway/src/http/create-gateway-server.ts
+++ b/packages/gateway/src/http/create-gateway-server.ts
@@ -7,6 +7,7 @@
 	createServer, type IncomingMessage, type Server, type ServerResponse,
 } from 'node:http';
 import {Server as PortServer} from 'node:net';
+import {listenWhenFree} from '@siskinhub/peer/listen-when-free.js';
 import type {CallCodec} from '../call/call-codec.js';
 import type {CallHead} from '../call/call-head.js';
 import type {CallerResponse} from '../forward/caller-response.js';
@@ -21,6 +22,9 @@
 type GatewayServerOptions = {
 	readonly ip: string;
 	readonly port: number;
+	/** Milliseconds for which the address may be in use; 0 by default. */
+	readonly waitMs?: number;
+	readonly log?: Parameters<typeof listenWhenFree>[1]['log'];
 	/** Set if the process already listens on the address. */
 	readonly earlyListener?: EarlyListener | undefined;
 	readonly codec: CallCodec;
@@ -66,15 +70,17 @@
 	server.headersTimeout = limits?.headerTimeoutMs ?? DEFAULT_HEADER_TIMEOUT_MS;
 };
 
-const listen = async (server: Server, {ip, port, earlyListener}: Pick<GatewayServerOptions, 'ip' | 'port' | 'earlyListener'>): Promise<void> => {
-	const listening = once(server, 'listening');
+type AddressOptions = Pick<GatewayServerOptions, 'ip' | 'port' | 'waitMs' | 'log' | 'earlyListener'>;
+
+const listen = async (server: Server, {earlyListener, ...address}: AddressOptions): Promise<void> => {
 	if (earlyListener) {
+		const listening = once(server, 'listening');
 		server.listen(earlyListener.server);
+		await listening;
 	} else {
-		server.listen(port, ip);
+		await listenWhenFree(server, address);
 	}
 
-	await listening;
 	earlyListener?.onConnection(socket => {
 		server.emit('connection', socket);
 		socket.resume();
@@ -95,7 +101,7 @@
 	res.end();
 };
 
-/** Resolves once the server listens; rejects only if the address cannot be bound. */
+/** Resolves once the server listens; rejects only if the address is in use for longer than `waitMs` or cannot be bound. */
 export const createGatewayServer = async ({
 	codec, limits, shouldKeepConnections, onArrival, isAdmitted, onRefused, onLate, onCall, onFailed, onRejected, ...address
 }: GatewayServerOptions): Promise<GatewayServer> => {
--- a/packages/peer/src/__tests__/create-peer-pool.test.ts
+++ b/packages/peer/src/__tests__/create-peer-pool.test.ts
@@ -84,3 +84,19 @@
 	const reply = await pool.get('http://127.0.0.1:9').request({case: 'getProgram', value: {}}, {timeoutMs: 5000});
 	expect(reply._unsafeUnwrapErr().kind).toBe('lost');
 });
+
+// Guards against FAULT at a start: the process before still held the address for peers, and the new one ended.
+test('serves links once the process before has given the address free', async () => {
+	const settings = createSettings('b', () => {/* Nothing is sent. */});
+	const holder = await createPeerServer({ip: '127.0.0.1', port: 0, settings});
+	const port = Number(new URL(holder.address).port);
+	await expect(createPeerServer({ip: '127.0.0.1', port, settings})).rejects.toThrow(holder.address.slice('http://'.length));
+	const serving = createPeerServer({
+		ip: '127.0.0.1', port, settings, waitMs: 5000,
+	});
+	await delay(HEARTBEAT_INTERVAL_MS);
+	await holder.close();
+	const server = await serving;
+	cleanups.push(server.close);
+	expect(server.address).toBe(holder.address);
+});
--- a/packages/peer/src/create-peer-server.ts
+++ b/packages/peer/src/create-peer-server.ts
@@ -1,10 +1,10 @@
 /**
 Serves links to other processes over TCP.
 */
-import {once} from 'node:events';
 import {createServer, type AddressInfo} from 'node:net';
 import {attachLink} from './attach-link.js';
 import type {LinkSettings} from './link-settings.js';
+import {listenWhenFree} from './listen-when-free.js';
 import type {PeerLink} from './peer-link.js';
 import type {PeerServer} from './peer-server.js';
 
@@ -14,10 +14,13 @@
 	readonly port: number;
 	readonly settings: LinkSettings;
 	readonly onLink?: (link: PeerLink) => void;
+	/** Milliseconds for which the address may be in use; 0 by default. */
+	readonly waitMs?: number;
+	readonly log?: Parameters<typeof listenWhenFree>[1]['log'];
 };
 
-/** Starts to listen; rejects if the address cannot be bound. */
-export const createPeerServer = async ({ip, port, settings, onLink}: PeerServerOptions): Promise<PeerServer> => {
+/** Starts to listen; rejects if the address is in use for longer than `waitMs` or cannot be bound. */
+export const createPeerServer = async ({ip, port, settings, onLink, waitMs, log}: PeerServerOptions): Promise<PeerServer> => {
 	const links = new Set<PeerLink>();
 	const server = createServer(socket => {
 		const link = attachLink(socket, settings);
@@ -27,8 +30,9 @@
 		});
 		onLink?.(link);
 	});
-	server.listen(port, ip);
-	await once(server, 'listening');
+	await listenWhenFree(server, {
+		ip, port, waitMs, log,
+	});
 	const {port: boundPort} = server.address() as AddressInfo;
 
 	return {
