feat(gateway): name the requests that the end of a planned stop cuts

Callers saw requests end without an answer around planned stops, and no line of any log named them: a gateway logs a request when it ends, so what is in flight when the process ends leaves no trace.

Change: a registry holds each well-formed request from its head until its response is over or its caller has gone, with its age, what it waits for and whether it was passed on. Nothing about the stop itself changes.

--- a/packages/gateway/src/forward/__tests__/send-to-upstream.test.ts
+++ b/packages/gateway/src/forward/__tests__/send-to-upstream.test.ts
@@ -41,13 +41,18 @@
 /** `pauseMs`: for how long reading stops after each chunk. */
 const send = async (pool: Awaited<ReturnType<typeof startUpstream>>, pauseMs = 0) => new Promise<{readonly end: 'whole' | 'failed'; readonly wasSent: boolean; readonly text: string}>(resolve => {
 	const chunks: Uint8Array[] = [];
+	let sentCount = 0;
 	const finish = (end: 'whole' | 'failed', wasSent: boolean): void => {
+		expect(sentCount).toBe(wasSent ? 1 : 0);
 		resolve({end, wasSent, text: Buffer.concat(chunks).toString()});
 	};
 
 	const exchange = sendToUpstream(pool, {
 		method: 'GET', path: '/', headers: [], body: new Uint8Array(),
 	}, {
+		onSent() {
+			sentCount++;
+		},
 		onHead() {/* Every response here has the same head. */},
 		onData(chunk) {
 			chunks.push(chunk);
--- a/packages/gateway/src/forward/create-attempt-runner.ts
+++ b/packages/gateway/src/forward/create-attempt-runner.ts
@@ -9,6 +9,7 @@
 import {identifyStart} from '../upstreams/identify-start.js';
 import type {Crash} from '../crashes/crash.js';
 import {computeFingerprint} from '../crashes/compute-fingerprint.js';
+import type {ActiveCall} from './active-call.js';
 import type {AttemptResult} from './attempt-result.js';
 import type {CallerResponse} from './caller-response.js';
 import type {createTurnHandler} from './create-turn-handler.js';
@@ -27,6 +28,7 @@
 type AttemptRunnerOptions = {
 	readonly plan: CallPlan;
 	readonly response: CallerResponse;
+	readonly active: ActiveCall;
 	readonly turn: Pick<ReturnType<typeof createTurnHandler>, 'progress' | 'recordEvents' | 'completeTurn'>;
 };
 
@@ -35,7 +37,7 @@
 const describeResult = (result: AttemptResult): string => 'message' in result ? `${result.kind}: ${result.message}` : result.kind;
 
 /** Tries no upstream twice. */
-export const createAttemptRunner = (context: GatewayContext, {plan, response, turn: {progress, recordEvents, completeTurn}}: AttemptRunnerOptions) => {
+export const createAttemptRunner = (context: GatewayContext, {plan, response, active, turn: {progress, recordEvents, completeTurn}}: AttemptRunnerOptions) => {
 	const {directory, loads, limits, pools, codec, metrics, crashes, crashWatch, crashLog, onLeaving} = context;
 	const {call, route, service} = plan;
 	const excluded = new Set<string>();
@@ -81,6 +83,7 @@
 
 	/** Chooses an upstream that the request may be sent to now; `undefined` if there is none. */
 	const chooseNext = async (): Promise<UpstreamLoad | undefined> => {
+		active.phase = 'waiting-for-permit';
 		const chosen = chooseUpstreamForCall(context, plan, isUsable);
 		if (!chosen || await limits.acquire(chosen.upstream)) {
 			return chosen;
@@ -125,6 +128,7 @@
 			const activeCall = loads.beginCall(upstream, call);
 			origins?.begin(upstream);
 			const sentAt = limits.now();
+			active.phase = 'waiting-for-connection';
 			const result = await runAttempt({
 				plan,
 				upstream,
@@ -136,6 +140,10 @@
 				recordEvents,
 				completeTurn,
 				confirmFirstEvent: origins?.confirm ?? passAtOnce,
+				onSent() {
+					active.phase = 'passed-on';
+					active.wasPassedOn = true;
+				},
 				onServed: activeCall.markAnswered,
 				onUpstreamHead({limitPerSecond, isLeaving}) {
 					limits.recordAnswer(upstream, limitPerSecond, sentAt);
@@ -164,6 +172,8 @@
 				runs++;
 			}
 
+			active.wasPassedOn = runs > 0;
+
 			return result;
 		},
 	};
--- a/packages/gateway/src/forward/run-attempt.ts
+++ b/packages/gateway/src/forward/run-attempt.ts
@@ -32,6 +32,8 @@
 	readonly completeTurn: () => Promise<boolean>;
 	/** Returns whether the first event of a stream may be passed on. */
 	readonly confirmFirstEvent: () => boolean | Promise<boolean>;
+	/** Called right before the first byte of the request is sent. */
+	readonly onSent: () => void;
 	/** Called when the upstream begins to serve the request: with the head of a plain response, with the first bytes of a stream. */
 	readonly onServed: () => void;
 	/** Called with the head of an answer that comes from the upstream itself. */
@@ -43,7 +45,7 @@
 
 /** Resolves once the attempt has ended. The caller's response has ended too if the result says so. */
 export const runAttempt = async (options: AttemptOptions): Promise<AttemptResult> => new Promise(resolve => {
-	const {plan, upstream, pool, codec, response, progress, priority, recordEvents, completeTurn, confirmFirstEvent, onServed, onUpstreamHead} = options;
+	const {plan, upstream, pool, codec, response, progress, priority, recordEvents, completeTurn, confirmFirstEvent, onSent, onServed, onUpstreamHead} = options;
 	const {call, route, body, deadlineAt} = plan;
 	const isStream = route.kind === 'stream';
 	const bufferedChunks: Uint8Array[] = [];
@@ -207,6 +209,7 @@
 		}),
 		body,
 	}, {
+		onSent,
 		onHead: handleHead,
 		onData(chunk) {
 			if (isSettled) {
--- a/packages/gateway/src/forward/run-call.ts
+++ b/packages/gateway/src/forward/run-call.ts
@@ -6,6 +6,7 @@
 import {chooseService} from '../routes/choose-service.js';
 import {takeUpStream} from '../origins/take-up-stream.js';
 import type {Route} from '../routes/route.js';
+import type {ActiveCall} from './active-call.js';
 import type {AttemptResult} from './attempt-result.js';
 import type {CallerResponse} from './caller-response.js';
 import {chooseTurnRetryDelay} from './choose-turn-retry-delay.js';
@@ -36,8 +37,7 @@
 	readonly call: CallHead;
 	readonly body: Uint8Array;
 	readonly response: CallerResponse;
-	/** Wall-clock time, in milliseconds. */
-	readonly arrivedAt: number;
+	readonly active: ActiveCall;
 	readonly route: Route;
 	readonly service: string;
 };
@@ -75,7 +75,8 @@
 
 /** Adds to `fields` the log fields that explain the outcome. */
 const serveCall = async (context: GatewayContext, routed: RoutedCall, fields: LogFields): Promise<CallReport> => {
-	const {call, body, response, arrivedAt, route, service} = routed;
+	const {call, body, response, active, route, service} = routed;
+	const {arrivedAt} = active;
 	const deadlineAt = arrivedAt + Math.min(call.deadlineMs ?? route.timeoutMs, route.timeoutMs);
 	const tokensPerEvent = context.routes.current()?.services.get(service)?.engine?.tokensPerEvent ?? 1;
 	const turn = createTurnHandler({
@@ -130,7 +131,7 @@
 		call, route, service: origin?.service ?? service, origin, body: prepared.body, arrivedAt, deadlineAt,
 	};
 	const attempts = createAttemptRunner(context, {
-		plan, response, turn,
+		plan, response, active, turn,
 	});
 	for (;;) {
 		if (response.isDisconnected()) {
@@ -158,8 +159,9 @@
 };
 
 /** Resolves once the response to the caller has ended. */
-export const runCall = async (context: GatewayContext, call: CallHead, body: Uint8Array, response: CallerResponse, arrivedAt: number): Promise<void> => {
+export const runCall = async (context: GatewayContext, call: CallHead, body: Uint8Array, response: CallerResponse, active: ActiveCall): Promise<void> => {
 	const {routes, metrics, calls, random} = context;
+	active.phase = 'preparing';
 	if (!routes.current()) {
 		await routes.waitForFirst(Math.min(FIRST_ROUTES_TIMEOUT_MS, call.deadlineMs ?? FIRST_ROUTES_TIMEOUT_MS));
 	}
@@ -184,12 +186,12 @@
 		}
 
 		return serveCall(context, {
-			call, body, response, arrivedAt, route, service,
+			call, body, response, active, route, service,
 		}, fields);
 	};
 
 	const {outcome, status, attempts, firstEventMs} = await serve();
-	const durationMs = Date.now() - arrivedAt;
+	const durationMs = Date.now() - active.arrivedAt;
 	metrics.countCall(outcome, status, durationMs);
 	const isInTime = (firstEventMs ?? durationMs) <= (route?.objectiveMs ?? 0);
 	calls.write({
--- a/packages/gateway/src/forward/send-to-upstream.ts
+++ b/packages/gateway/src/forward/send-to-upstream.ts
@@ -12,6 +12,8 @@
 
 /** Either `onEnd` or `onFailed` is called last. `wasSent` is false only if no byte of the request left this process. */
 type SendObserver = {
+	/** Called right before the first byte is sent. */
+	readonly onSent: () => void;
 	readonly onHead: (status: number, headers: Record<string, string | string[] | undefined>) => void;
 	readonly onData: (chunk: Uint8Array) => void;
 	readonly onEnd: () => void;
@@ -45,6 +47,7 @@
 			}
 
 			wasSent = true;
+			observer.onSent();
 		},
 		onResponseStart(_controller, status, responseHeaders) {
 			if (!isFinished && status >= MIN_FINAL_STATUS) {
--- a/packages/gateway/src/host/start-gateway.ts
+++ b/packages/gateway/src/host/start-gateway.ts
@@ -16,11 +16,13 @@
 import {readEngineWait} from '../admission/read-engine-wait.js';
 import {refuseOverloaded} from '../admission/refuse-overloaded.js';
 import type {CallCodec} from '../call/call-codec.js';
+import {createActiveCalls} from '../forward/create-active-calls.js';
 import {createCallLog} from '../forward/create-call-log.js';
 import {createCrashLog} from '../crashes/create-crash-log.js';
 import {createCrashWatch} from '../crashes/create-crash-watch.js';
 import {createCrashTracker} from '../crashes/create-crash-tracker.js';
 import {createUpstreamPools} from '../forward/create-upstream-pools.js';
+import {logCutCalls} from '../forward/log-cut-calls.js';
 import {runCall} from '../forward/run-call.js';
 import {createLimitBook} from '../limits/create-limit-book.js';
 import {createLimitGate} from '../limits/create-limit-gate.js';
@@ -127,6 +129,7 @@
 	const holderClient = createHolderClient({
 		readList: lists.read, adoptList: lists.adopt, linkTo: holder => links.linkTo(holder.address), losses: cfg.losses, dataCentre: cfg.dataCentre,
 	});
+	const activeCalls = createActiveCalls();
 	const calls = createCallLog(log);
 	const loop = createLoopMonitor({schedule: setImmediate, now: () => performance.now(), measureUtilization: performance.eventLoopUtilization.bind(performance)});
 	const parts = {
@@ -142,6 +145,7 @@
 		...waiting,
 		earlyListener,
 		codec,
+		activeCalls,
 		limits: () => routes.current()?.limits,
 		shouldKeepConnections: () => !holderClient.isCutOff(),
 		onArrival() {
@@ -159,8 +163,8 @@
 		onLate(call, response) {
 			refuseLate(call, response, {metrics, calls});
 		},
-		async onCall(call, body, response, arrivedAt) {
-			await runCall(parts, call, body, response, arrivedAt);
+		async onCall(call, body, response, active) {
+			await runCall(parts, call, body, response, active);
 		},
 		onFailed(reason) {
 			log.error('failed to handle a request because of an unexpected error', {reason});
@@ -203,6 +207,7 @@
 			log.info('gateway stopping', {active: server.countActive()});
 			stopping.abort();
 			await drainServer(server, withinMs);
+			logCutCalls(activeCalls.list(), {log, metrics});
 			readiness?.close();
 			metricsServer.close();
 			links.close();
--- a/packages/gateway/src/http/__tests__/create-gateway-server.test.ts
+++ b/packages/gateway/src/http/__tests__/create-gateway-server.test.ts
@@ -7,13 +7,15 @@
 import {connect, type Socket} from 'node:net';
 import {ok} from 'neverthrow';
 import {request} from 'undici';
-import {expect, it} from 'vitest';
+import {expect, it, vi} from 'vitest';
 import type {CallCodec} from '../../call/call-codec.js';
+import {createActiveCalls} from '../../forward/create-active-calls.js';
 import {createGatewayServer} from '../create-gateway-server.js';
 
 const IP = '127.0.0.1';
 const PORT = 23_871;
 const LATE_PORT = 23_872;
+const TRACKED_PORT = 23_873;
 
 const codec: Pick<CallCodec, 'decodeCall' | 'encodeRefusal'> = {
 	decodeCall: ({url, method}) => ok({
@@ -28,6 +30,7 @@
 		ip: IP,
 		port: PORT,
 		codec: codec as CallCodec,
+		activeCalls: createActiveCalls(),
 		limits: () => undefined,
 		shouldKeepConnections: () => true,
 		onArrival: () => 0,
@@ -74,6 +77,7 @@
 		ip: IP,
 		port: LATE_PORT,
 		codec: codec as CallCodec,
+		activeCalls: createActiveCalls(),
 		limits: () => undefined,
 		shouldKeepConnections: () => true,
 		onArrival: () => 0,
@@ -111,3 +115,53 @@
 
 	expect(called).toEqual(['/early']);
 });
+
+it('holds each request from its head until its response is over or its caller has gone', async () => {
+	const activeCalls = createActiveCalls();
+	const answers: Array<() => void> = [];
+	const server = await createGatewayServer({
+		ip: IP,
+		port: TRACKED_PORT,
+		codec: codec as CallCodec,
+		activeCalls,
+		limits: () => undefined,
+		shouldKeepConnections: () => true,
+		onArrival: () => 0,
+		isAdmitted: () => true,
+		onRefused() {/* Nothing is refused. */},
+		onLate() {/* Nothing is late. */},
+		async onCall(_call, _body, response, active) {
+			active.phase = 'preparing';
+			answers.push(() => {
+				response.start(200, ['content-length', '1']);
+				response.finish(Buffer.from('1'));
+			});
+		},
+		onFailed() {/* Nothing fails. */},
+		onRejected() {/* Every request here is well formed. */},
+	});
+	const open = async (text: string): Promise<Socket> => {
+		const socket = connect(TRACKED_PORT, IP);
+		socket.write(text);
+		await once(socket, 'connect');
+		return socket;
+	};
+
+	const waitForPhases = async (...phases: readonly string[]): Promise<void> => {
+		await vi.waitFor(() => {
+			expect(activeCalls.list().map(({phase}) => phase)).toEqual(phases);
+		});
+	};
+
+	const leaving = await open('POST /leaves HTTP/1.1\r\nhost: h\r\ncontent-length: 2\r\n\r\n1');
+	await waitForPhases('reading-body');
+	const whole = await open('GET /whole HTTP/1.1\r\nhost: h\r\n\r\n');
+	await waitForPhases('reading-body', 'preparing');
+	leaving.destroy();
+	await waitForPhases('preparing');
+	answers[0]!();
+	await once(whole, 'data');
+	await waitForPhases();
+	whole.destroy();
+	server.stopListening();
+});
--- a/packages/gateway/src/http/__tests__/listen-early.test.ts
+++ b/packages/gateway/src/http/__tests__/listen-early.test.ts
@@ -10,6 +10,7 @@
 	afterEach, expect, it,
 } from 'vitest';
 import type {CallCodec} from '../../call/call-codec.js';
+import {createActiveCalls} from '../../forward/create-active-calls.js';
 import {createGatewayServer} from '../create-gateway-server.js';
 import {listenEarly} from '../listen-early.js';
 
@@ -46,6 +47,7 @@
 		waitMs,
 		earlyListener,
 		codec: codec as CallCodec,
+		activeCalls: createActiveCalls(),
 		limits: () => undefined,
 		shouldKeepConnections: () => true, onArrival: () => 0, isAdmitted: () => true, onRefused() {/* Nothing is refused. */}, onLate() {/* Nothing is late. */},
 		async onCall({path}, body, response) {
--- a/packages/gateway/src/http/__tests__/stop-with-open-connections.test.ts
+++ b/packages/gateway/src/http/__tests__/stop-with-open-connections.test.ts
@@ -10,6 +10,7 @@
 import {ok} from 'neverthrow';
 import {afterEach, expect, it} from 'vitest';
 import type {CallCodec} from '../../call/call-codec.js';
+import {createActiveCalls} from '../../forward/create-active-calls.js';
 import {createGatewayServer} from '../create-gateway-server.js';
 
 const IP = '127.0.0.1';
@@ -49,6 +50,7 @@
 		ip: IP,
 		port,
 		codec: codec as CallCodec,
+		activeCalls: createActiveCalls(),
 		limits: () => undefined,
 		shouldKeepConnections: () => true,
 		onArrival: () => 0,
--- a/packages/gateway/src/http/create-gateway-server.ts
+++ b/packages/gateway/src/http/create-gateway-server.ts
@@ -10,7 +10,9 @@
 import {listenWhenFree} from '@siskinhub/peer/listen-when-free.js';
 import type {CallCodec} from '../call/call-codec.js';
 import type {CallHead} from '../call/call-head.js';
+import type {ActiveCall} from '../forward/active-call.js';
 import type {CallerResponse} from '../forward/caller-response.js';
+import type {createActiveCalls} from '../forward/create-active-calls.js';
 import type {DeclaredRoutes} from '../routes/declared-routes.js';
 import {createCallerResponse} from './create-caller-response.js';
 import {countHeadBytes} from './count-head-bytes.js';
@@ -28,6 +30,8 @@
 	/** Set if the process already listens on the address. */
 	readonly earlyListener?: EarlyListener | undefined;
 	readonly codec: CallCodec;
+	/** Holds each well-formed request until its response is over. */
+	readonly activeCalls: Pick<ReturnType<typeof createActiveCalls>, 'begin' | 'end'>;
 	readonly limits: () => DeclaredRoutes['limits'] | undefined;
 	/** Returns `false` while other processes serve callers better: each connection is then closed after its current response. */
 	readonly shouldKeepConnections: () => boolean;
@@ -38,8 +42,7 @@
 	readonly onRefused: (call: CallHead, response: CallerResponse) => void;
 	/** Called with a request that has come too late in a planned stop to be sure of its answer; it must be refused as not run. */
 	readonly onLate: (call: CallHead, response: CallerResponse) => void;
-	/** `arrivedAt`: by `Date.now()`, when the request reached this host, as far as can be told. */
-	readonly onCall: (call: CallHead, body: Uint8Array, response: CallerResponse, arrivedAt: number) => Promise<void>;
+	readonly onCall: (call: CallHead, body: Uint8Array, response: CallerResponse, active: ActiveCall) => Promise<void>;
 	/** Called with the reason after an unexpected error, which ends only the one request. */
 	readonly onFailed: (reason: string) => void;
 	/** Called with each request that is answered with `status` because it is malformed or too large. */
@@ -103,9 +106,9 @@
 
 /** Resolves once the server listens; rejects only if the address is in use for longer than `waitMs` or cannot be bound. */
 export const createGatewayServer = async ({
-	codec, limits, shouldKeepConnections, onArrival, isAdmitted, onRefused, onLate, onCall, onFailed, onRejected, ...address
+	codec, activeCalls, limits, shouldKeepConnections, onArrival, isAdmitted, onRefused, onLate, onCall, onFailed, onRejected, ...address
 }: GatewayServerOptions): Promise<GatewayServer> => {
-	let active = 0;
+	let activeCount = 0;
 	let isDraining = false;
 	let hasStopped = false;
 
@@ -124,6 +127,10 @@
 			return;
 		}
 
+		const active = activeCalls.begin(call.value, response, arrivedAt);
+		res.on('close', () => {
+			activeCalls.end(active);
+		});
 		if (!hasChunks(req)) {
 			onRejected('the request is not of HTTP/1.1, and an older version cannot mark the end of a response', STATUS_VERSION_NOT_SUPPORTED);
 			response.refuse(STATUS_VERSION_NOT_SUPPORTED);
@@ -151,7 +158,7 @@
 		}
 
 		if (body.kind === 'whole') {
-			await onCall(call.value, body.bytes, response, arrivedAt);
+			await onCall(call.value, body.bytes, response, active);
 			return;
 		}
 
@@ -170,9 +177,9 @@
 			return;
 		}
 
-		active++;
+		activeCount++;
 		res.on('close', () => {
-			active--;
+			activeCount--;
 		});
 		try {
 			await handle(req, res);
@@ -186,7 +193,7 @@
 	await listen(server, address);
 
 	return {
-		countActive: () => active,
+		countActive: () => activeCount,
 		drain() {
 			isDraining = true;
 		},
--- a/packages/gateway/src/metrics/create-gateway-metrics.ts
+++ b/packages/gateway/src/metrics/create-gateway-metrics.ts
@@ -18,6 +18,9 @@
 	const durations = new Histogram({
 		name: 'siskinhub_call_duration_ms', help: 'Milliseconds from a request to the end of its answer.', labelNames: ['outcome'], buckets: LATENCY_BUCKETS_MS, registers,
 	});
+	const cuts = new Counter({
+		name: 'siskinhub_cut_calls_total', help: 'Requests that the end of the process cut, by what they waited for.', labelNames: ['phase'], registers,
+	});
 	const attempts = new Counter({
 		name: 'siskinhub_attempts_total', help: 'Requests sent to upstreams by how they ended.', labelNames: ['end'], registers,
 	});
@@ -62,6 +65,9 @@
 			calls.inc({outcome, status: String(status)});
 			durations.observe({outcome}, durationMs);
 		},
+		countCut(phase) {
+			cuts.inc({phase});
+		},
 		countAttempt(end) {
 			attempts.inc({end});
 		},
--- a/packages/gateway/src/metrics/gateway-metrics.ts
+++ b/packages/gateway/src/metrics/gateway-metrics.ts
@@ -2,12 +2,15 @@
 The metrics that gateways and copy holders record.
 */
 import type {CopyGap} from '@siskinhub/turns/holder/copy-gap.js';
+import type {CallPhase} from '../forward/call-phase.js';
 import type {UpstreamLoad} from '../placement/upstream-load.js';
 
 /** No method throws or waits. */
 export type GatewayMetrics = {
 	/** Counts a caller's request whose response has ended. */
 	readonly countCall: (outcome: string, status: number, durationMs: number) => void;
+	/** Counts a request that the end of the process cuts. */
+	readonly countCut: (phase: CallPhase) => void;
 	/** Counts a request to an upstream by how it ended. */
 	readonly countAttempt: (end: string) => void;
 	/** Counts a note that a request broke off at an upstream. */
