--- a/packages/turns/src/__tests__/create-fake-cluster.ts
+++ b/packages/turns/src/__tests__/create-fake-cluster.ts
@@ -60,14 +60,16 @@
 	readonly dataCentres?: readonly string[];
 };
 
-/** Starts `count` holders on empty disks. A test sets `isPlatformUp` to `false` to stop the platform's service. */
+/** Starts `count` holders on empty disks. A test sets `isPlatformUp` to `false` to stop the platform's service, and `maxSwaps` to have it refuse all swaps after that many. */
 export const createFakeCluster = (count: number, {losses = 1, dataCentres = ['']}: ClusterOptions = {}) => {
 	const hosts = new Map<string, FakeHost>();
 	const cut = new Set<string>();
 	const declared = new Map<GroupId, HolderList>();
 	const registered = new Map<string, Holder>();
 	let nextDisk = 1;
-	const cluster = {isPlatformUp: true, swaps: {taken: 0, refused: 0}, requests: 0};
+	const cluster = {
+		isPlatformUp: true, swaps: {taken: 0, refused: 0}, maxSwaps: Infinity, requests: 0,
+	};
 
 	const isCut = (from: string, to: string): boolean => cut.has(`${from} ${to}`) || cut.has(`${to} ${from}`);
 
@@ -191,7 +193,7 @@
 				async swap(proposals) {
 					await wait(LINK_DELAY_MS);
 					const isExpected = proposals.every(({group, list}) => list.version === (declared.get(group)?.version ?? 0) + 1);
-					if (!cluster.isPlatformUp || host.incarnation !== incarnation || !isExpected) {
+					if (!cluster.isPlatformUp || cluster.swaps.taken >= cluster.maxSwaps || host.incarnation !== incarnation || !isExpected) {
 						cluster.swaps.refused++;
 						return false;
 					}
--- a/packages/turns/src/__tests__/groups.test.ts
+++ b/packages/turns/src/__tests__/groups.test.ts
@@ -15,6 +15,8 @@
 const RETENTION_MS = 600_000;
 const SETTLE_TIME_MS = 8000;
 const TIMEOUT_MS = 1500;
+/** For so long a gateway has a request wait for its group's holders. */
+const REQUEST_WAIT_MS = 1200;
 const PROGRAMS = Array.from({length: 40}, (_, index) => `program-${index}`);
 
 type Client = ReturnType<ReturnType<typeof createFakeCluster>['createClient']>;
@@ -59,6 +61,56 @@
 		}
 	});
 
+	// The planner ended between its two writes, 200 ms apart, right after the first start. Half of the groups had no list for 3 s, and calls of their programs were refused after 1.2 s.
+	it('get their first lists all at once, so that a planner that ends then leaves none without', async () => {
+		const cluster = createFakeCluster(3, {dataCentres: DATA_CENTRES});
+		while (cluster.lists().size === 0) {
+			await vi.advanceTimersByTimeAsync(1);
+		}
+
+		cluster.kill('h1');
+		await vi.advanceTimersByTimeAsync(1);
+		expect(cluster.lists().size).toBe(GROUP_COUNT);
+	});
+
+	// The same failure where a write of the planner was refused, or where it ended before its first one.
+	it.each([0, 1])('get their first lists from another holder, before requests give up, if the planner ends after %i writes', async writes => {
+		const cluster = createFakeCluster(3, {dataCentres: DATA_CENTRES});
+		const client = cluster.createClient('g1');
+		cluster.maxSwaps = writes;
+		while (cluster.swaps.refused === 0) {
+			await vi.advanceTimersByTimeAsync(1);
+		}
+
+		expect(cluster.lists().size).toBe(writes * 16);
+		cluster.kill('h1');
+		cluster.maxSwaps = Infinity;
+		const results = await advanceUntilSettled(Promise.all(PROGRAMS.map(async program => client.reserve({
+			program, attempt: 'a', tokens: 10, retentionMs: RETENTION_MS, budget: 1000,
+		}, REQUEST_WAIT_MS))));
+		expect(new Set(results)).toEqual(new Set(['reserved']));
+		expect(cluster.lists().size).toBe(GROUP_COUNT);
+	});
+
+	// Guards the mend of the same failure: a holder that writes first lists in the planner's stead must have links to all others by then.
+	it('get first lists of full size from another holder if the planner of a large fleet ends', async () => {
+		const cluster = createFakeCluster(HOLDERS, {losses: 2, dataCentres: DATA_CENTRES});
+		cluster.maxSwaps = 0;
+		while (cluster.swaps.refused === 0) {
+			await vi.advanceTimersByTimeAsync(1);
+		}
+
+		const {refused} = cluster.swaps;
+		cluster.kill('h1');
+		cluster.maxSwaps = Infinity;
+		await vi.advanceTimersByTimeAsync(REQUEST_WAIT_MS);
+		expect(cluster.lists().size).toBe(GROUP_COUNT);
+		expect(cluster.swaps.refused).toBe(refused);
+		for (const {current} of cluster.lists().values()) {
+			expect(new Set(current.map(({dataCentre}) => dataCentre)).size).toBe(5);
+		}
+	});
+
 	it('need three messages for a reservation and three for a turn, however many holders there are', async () => {
 		const cluster = await startFleet();
 		const client = cluster.createClient('g1', 'z1');
--- a/packages/turns/src/client/create-holder-client.ts
+++ b/packages/turns/src/client/create-holder-client.ts
@@ -3,7 +3,6 @@
 No owner or leader is needed: a turn never changes once written and a program's
 uses only grow, so the holders need not agree on an order.
 */
-import {setTimeout as delay} from 'node:timers/promises';
 import type {PeerLink} from '@siskinhub/peer/peer-link.js';
 import {countQuorum} from '../membership/count-quorum.js';
 import type {Holder} from '../membership/holder.js';
@@ -39,6 +38,11 @@
 	readonly dataCentre: string;
 };
 
+/** Unlike the promises of `node:timers/promises`, this follows a clock that a test advances. */
+const wait = async (ms: number): Promise<void> => new Promise(resolve => {
+	setTimeout(resolve, ms);
+});
+
 /** A write quorum; all holders while the list is changing, since both lists then need a quorum. */
 const chooseFirstCount = (list: HolderList, losses: number): number => list.next ? Infinity : countQuorum(list.current.length, losses).write;
 
@@ -59,7 +63,7 @@
 			}
 
 			if (!list) {
-				await delay(Math.min(leftMs, FIRST_LIST_CHECK_INTERVAL_MS));
+				await wait(Math.min(leftMs, FIRST_LIST_CHECK_INTERVAL_MS));
 				continue;
 			}
 
