fix(turns): first lists wait for a full group if a holder starts late

Callers saw: right after the first start on a busy machine, all programs were refused with 503 after 1.4 s while one of three holders was stopped as planned.

Cause: one holder registered 1 s after the two others. The planner counted the disks as settled 0.7 s after the second and wrote lists of two members, whose quorum is both. When the third came, all groups were put into a joint list, which needs both old members too; one of them was stopped then.

Change: if fewer disks are registered than a group has members, the set has to stay the same for 2.5 s instead of 0.7 s before first lists are written.

Result: a new test (third holder 1.5 s late) fails before the change, since 32 groups begin with two members, and passes after it; another shows that a deployment of two still begins within 3 s.

--- a/packages/turns/src/__tests__/groups.test.ts
+++ b/packages/turns/src/__tests__/groups.test.ts
@@ -92,7 +92,23 @@
 		expect(cluster.lists().size).toBe(GROUP_COUNT);
 	});
 
-	// Guards the mend of the same failure: a holder that writes first lists in the planner's stead must have links to all others by then.
+	// One of three holders registered 1.1 s after the others. The groups began with two members and were about to grow when one of these was stopped as planned; all calls were refused until it was back.
+	it('begin with all members if one of the holders starts a second and a half later than the others', async () => {
+		const cluster = createFakeCluster(2, {dataCentres: DATA_CENTRES});
+		await vi.advanceTimersByTimeAsync(1500);
+		cluster.add('h3');
+		await vi.advanceTimersByTimeAsync(1500);
+		expect(cluster.lists().size).toBe(GROUP_COUNT);
+		expect([...cluster.lists().values()].filter(({version, current}) => version !== 1 || current.length !== 3)).toEqual([]);
+	});
+
+	it('begin without a holder that does not start', async () => {
+		const cluster = createFakeCluster(2, {dataCentres: DATA_CENTRES});
+		await vi.advanceTimersByTimeAsync(3000);
+		expect(cluster.lists().size).toBe(GROUP_COUNT);
+	});
+
+	// Guards the mend of the failure of a planner that ends before its writes: a holder that writes first lists in the planner's stead must have links to all others by then.
 	it('get first lists of full size from another holder if the planner of a large fleet ends', async () => {
 		const cluster = createFakeCluster(HOLDERS, {losses: 2, dataCentres: DATA_CENTRES});
 		cluster.maxSwaps = 0;
--- a/packages/turns/src/holder/create-group-planner.ts
+++ b/packages/turns/src/holder/create-group-planner.ts
@@ -9,6 +9,7 @@
 two holders that do so at once cannot overwrite each other's lists.
 */
 import {choosePlanner} from '../membership/choose-planner.js';
+import {countGroupSize} from '../membership/count-group-size.js';
 import {GROUP_COUNT} from '../membership/group-count.js';
 import type {GroupId} from '../membership/group-id.js';
 import type {GroupProposal} from '../membership/group-proposal.js';
@@ -34,7 +35,7 @@
 	const {registry, listRetiring, onRetiring, losses, log} = options;
 	const tracker = createReachabilityTracker(options);
 	const firstListTracker = createReachabilityTracker({...options, lostAfterMs: FIRST_LIST_AFTER_MS});
-	const isSettled = createSettledCheck(registry);
+	const isSettled = createSettledCheck(registry, countGroupSize(losses));
 	const writeLists = createListWriter(registry, log);
 	const completeGroups = createGroupCompleter(options);
 
