fix(gateway): give requests in flight a final answer at the end of a planned stop

Cause: the stop was over 0.4 s before the kill whatever was in flight, and the process ended.

Change: 0.6 s before the kill the registry of the requests in flight takes them all back. It ends what each waits for: an attempt ends as at the request's deadline, aborted before anything is answered, so that what was not passed on never is and gets 503 with 0.1 s to come back, and what was passed on gets 504 without a promise; the rest of a body, the first routes, tokens and earlier turns, and a permit are not waited for any longer, and the request is refused. Tokens whose reservation ends later are given back. An answer that has begun may still become whole until 0.4 s before the kill; then the process ends as before. It ends at once when all answers are sent, which leaves 0.2 s for it. Outcome in the log and in siskinhub_calls_total: stopping, with 503 or 504.

What is answered so costs 0.2 s of the grace: an upstream's answer that would have begun between 0.6 and 0.4 s before the kill is lost.

The permit is only waited for if the upstream has a limit, else a third one would come on top.

--- a/packages/gateway/src/forward/active-call.ts
+++ b/packages/gateway/src/forward/active-call.ts
@@ -16,4 +16,8 @@
 	phase: Exclude<CallPhase, 'answering'>;
 	/** Whether the request may have run or may yet run at an upstream. */
 	wasPassedOn: boolean;
+	/** Whether a planned stop has taken the request back: it is sent to no upstream from now on. */
+	isStopped: boolean;
+	/** Ends what the request waits for. Called once, when the request is taken back. */
+	onStop: (() => void) | undefined;
 };
--- a/packages/gateway/src/forward/create-active-calls.ts
+++ b/packages/gateway/src/forward/create-active-calls.ts
@@ -1,6 +1,7 @@
 /**
-Keeps the requests in flight, so that those which the end of the process cuts can be
-named: a request is logged when it ends, and these never do.
+Keeps the requests in flight, so that the end of a planned stop can take them back and
+name those that the end of the process cuts: a request is logged when it ends, and these
+never do.
 */
 import type {ActiveCall} from './active-call.js';
 import type {CallPhase} from './call-phase.js';
@@ -18,10 +19,11 @@
 export const createActiveCalls = () => {
 	// In the order of their arrival.
 	const active = new Set<ActiveCall>();
+	let isStopped = false;
 	return {
 		begin(call: ActiveCall['call'], response: ActiveCall['response'], arrivedAt: number): ActiveCall {
 			const begun: ActiveCall = {
-				call, response, arrivedAt, beganAt: performance.now(), phase: 'reading-body', wasPassedOn: false,
+				call, response, arrivedAt, beganAt: performance.now(), phase: 'reading-body', wasPassedOn: false, isStopped, onStop: undefined,
 			};
 			active.add(begun);
 			return begun;
@@ -30,6 +32,14 @@
 		end(ended: ActiveCall): void {
 			active.delete(ended);
 		},
+		/** Takes all requests back, also those that are yet to come: what has not been sent to an upstream never is, and what has no answer yet gets a final one at once. */
+		stop(): void {
+			isStopped = true;
+			for (const each of active) {
+				each.isStopped = true;
+				each.onStop?.();
+			}
+		},
 		/** Oldest first. */
 		list(): readonly CallState[] {
 			const now = performance.now();
--- a/packages/gateway/src/forward/create-attempt-runner.ts
+++ b/packages/gateway/src/forward/create-attempt-runner.ts
@@ -18,6 +18,7 @@
 import type {GatewayContext} from './gateway-context.js';
 import {judgeAttemptEnd} from './judge-attempt-end.js';
 import {runAttempt} from './run-attempt.js';
+import {waitUnlessStopped} from './wait-unless-stopped.js';
 
 const DEFAULT_PRIORITY = 4;
 const LEAST_URGENT_PRIORITY = 9;
@@ -83,9 +84,14 @@
 
 	/** Chooses an upstream that the request may be sent to now; `undefined` if there is none. */
 	const chooseNext = async (): Promise<UpstreamLoad | undefined> => {
-		active.phase = 'waiting-for-permit';
 		const chosen = chooseUpstreamForCall(context, plan, isUsable);
-		if (!chosen || await limits.acquire(chosen.upstream)) {
+		if (!chosen || !limits.isLimited(chosen.upstream)) {
+			return chosen;
+		}
+
+		active.phase = 'waiting-for-permit';
+		const isPermitted = await waitUnlessStopped(active, limits.acquire(chosen.upstream));
+		if (isPermitted === true || active.isStopped) {
 			return chosen;
 		}
 
@@ -119,6 +125,10 @@
 				return refuseBlocked(block);
 			}
 
+			if (active.isStopped) {
+				return {kind: 'not-run', isFull: false, message: 'the process is stopping'};
+			}
+
 			if (!chosen) {
 				return {kind: 'not-run', isFull: true, message: denials > 0 ? 'the limits of the upstreams that are left allow no request now' : 'no upstream is left to try'};
 			}
@@ -135,6 +145,7 @@
 				pool: pools.get(upstream),
 				codec,
 				response,
+				active,
 				progress,
 				priority: call.prompt && Math.min(LEAST_URGENT_PRIORITY, DEFAULT_PRIORITY + route.rank),
 				recordEvents,
--- a/packages/gateway/src/forward/create-turn-handler.ts
+++ b/packages/gateway/src/forward/create-turn-handler.ts
@@ -36,6 +36,7 @@
 	const output: string[] = [];
 	let outputBytes = 0;
 	let isReserved = false;
+	let isOver = false;
 	let chain: Extract<Awaited<ReturnType<typeof prepareTurn>>, {kind: 'ready'}>['chain'] = {ancestors: [], isFromOtherGroup: false};
 
 	const addOutput = (events: ReadonlyArray<{readonly data: string}>): void => {
@@ -55,6 +56,7 @@
 
 	/** The caller does not wait for it. Until it is stored, the turn counts with all of its reserved tokens. */
 	const settleInBackground = (): void => {
+		isOver = true;
 		if (isReserved) {
 			void settle();
 		}
@@ -90,6 +92,11 @@
 			const prepared = await prepareTurn(holderClient, call, route, {body, remainingMs});
 			isReserved = prepared.isReserved;
 			chain = prepared.kind === 'ready' ? prepared.chain : chain;
+			// The request may have been given up meanwhile.
+			if (isOver) {
+				settleInBackground();
+			}
+
 			return prepared;
 		},
 		/** Must be called before the response ends; resolves to whether everything that has to be stored by then is stored. */
--- a/packages/gateway/src/forward/run-attempt.ts
+++ b/packages/gateway/src/forward/run-attempt.ts
@@ -9,6 +9,7 @@
 import type {CallCodec} from '../call/call-codec.js';
 import type {ResponseHead} from '../call/response-head.js';
 import type {Upstream} from '../upstreams/upstream.js';
+import type {ActiveCall} from './active-call.js';
 import type {AttemptResult} from './attempt-result.js';
 import type {CallerResponse} from './caller-response.js';
 import type {CallPlan} from './call-plan.js';
@@ -24,6 +25,7 @@
 	readonly pool: Pick<Dispatcher, 'dispatch'>;
 	readonly codec: CallCodec;
 	readonly response: CallerResponse;
+	readonly active: Pick<ActiveCall, 'onStop'>;
 	readonly progress: StreamProgress;
 	readonly priority: number | undefined;
 	/** Called with events right before they are passed on to the caller; returns `false` if they must not be. */
@@ -45,7 +47,7 @@
 
 /** Resolves once the attempt has ended. The caller's response has ended too if the result says so. */
 export const runAttempt = async (options: AttemptOptions): Promise<AttemptResult> => new Promise(resolve => {
-	const {plan, upstream, pool, codec, response, progress, priority, recordEvents, completeTurn, confirmFirstEvent, onSent, onServed, onUpstreamHead} = options;
+	const {plan, upstream, pool, codec, response, active, progress, priority, recordEvents, completeTurn, confirmFirstEvent, onSent, onServed, onUpstreamHead} = options;
 	const {call, route, body, deadlineAt} = plan;
 	const isStream = route.kind === 'stream';
 	const bufferedChunks: Uint8Array[] = [];
@@ -241,10 +243,18 @@
 		},
 	});
 
-	const timer = setTimeout(() => {
+	const timeOut = (): void => {
 		const wasSent = exchange.wasSent();
 		abortWith({kind: 'timed-out', wasSent});
-	}, Math.max(0, deadlineAt - Date.now()));
+	};
+
+	const timer = setTimeout(timeOut, Math.max(0, deadlineAt - Date.now()));
+	// An answer that has begun may still become whole before the process ends, unless it is yet to go on here.
+	active.onStop = () => {
+		if (!response.isStarted() || !exchange.wasSent()) {
+			timeOut();
+		}
+	};
 
 	response.onDisconnect(() => {
 		abortWith({kind: 'gone', wasSent: exchange.wasSent()});
--- a/packages/gateway/src/forward/run-call.ts
+++ b/packages/gateway/src/forward/run-call.ts
@@ -14,6 +14,7 @@
 import {createTurnHandler} from './create-turn-handler.js';
 import {decideNextStep} from './decide-next-step.js';
 import type {GatewayContext} from './gateway-context.js';
+import {waitUnlessStopped} from './wait-unless-stopped.js';
 
 /** Retry delays for callers; short if another process may serve them at once. */
 const RETRY_OTHER_PROCESS_MS = 100;
@@ -44,8 +45,14 @@
 
 type LogFields = Record<string, unknown>;
 
+type FinishOptions = {
+	readonly retryAfterMs: number;
+	/** Whether the planned stop of the process ended the request. */
+	readonly isStopped: boolean;
+};
+
 /** Ends the response as `step` says; returns the values to report. */
-const finishCall = (response: CallerResponse, result: AttemptResult, step: Exclude<ReturnType<typeof decideNextStep>, {kind: 'retry'}>, retryAfterMs: number): CallReport => {
+const finishCall = (response: CallerResponse, result: AttemptResult, step: Exclude<ReturnType<typeof decideNextStep>, {kind: 'retry'}>, {retryAfterMs, isStopped}: FinishOptions): CallReport => {
 	switch (step.kind) {
 		case 'none': {
 			return {outcome: result.kind, status: result.kind === 'done' ? result.status : 0};
@@ -68,7 +75,7 @@
 			}
 
 			response.refuse(step.status, step.isRefusal ? retryAfterMs : undefined);
-			return {outcome: step.isRefusal ? 'refused' : 'failed', status: step.status};
+			return {outcome: isStopped ? 'stopping' : (step.isRefusal ? 'refused' : 'failed'), status: step.status};
 		}
 	}
 };
@@ -82,13 +89,20 @@
 	const turn = createTurnHandler({
 		holderClient: context.holderClient, call, route, body, tokensPerEvent,
 	});
-	const [prepared, resumption] = await Promise.all([
+	const preparation = await waitUnlessStopped(active, Promise.all([
 		turn.prepare(deadlineAt - Date.now()),
 		takeUpStream(context.holderClient, call, route, {
 			timeoutMs: Math.min(ORIGIN_TIMEOUT_MS, deadlineAt - Date.now()),
 			hasSeveralVersions: () => new Set(context.directory.list(service).map(({softwareVersion}) => softwareVersion)).size > 1,
 		}),
-	]);
+	]));
+	if (!preparation) {
+		turn.settleInBackground();
+		response.refuse(503, RETRY_OTHER_PROCESS_MS);
+		return {outcome: 'stopping', status: 503};
+	}
+
+	const [prepared, resumption] = preparation;
 	const preparedMs = Date.now() - arrivedAt;
 	context.metrics.observePreparation(prepared.kind, preparedMs);
 	if (prepared.kind !== 'ready') {
@@ -140,7 +154,7 @@
 		}
 
 		const result = await attempts.next();
-		const isPastDeadline = Date.now() >= deadlineAt;
+		const isPastDeadline = active.isStopped || Date.now() >= deadlineAt;
 		const step = decideNextStep(route, {runs: attempts.runs(), refusals: attempts.refusals(), isPastDeadline}, result);
 		if (step.kind === 'retry') {
 			continue;
@@ -153,8 +167,9 @@
 		});
 		const withheldForMs = attempts.withheldForMs();
 		Object.assign(fields, attempts.denials() > 0 && {denials: attempts.denials(), withheldForMs});
-		const retryAfterMs = attempts.isBlocked() ? RETRY_BLOCKED_MS : Math.max(RETRY_OTHER_PROCESS_MS, withheldForMs ?? RETRY_WHEN_FULL_MS);
-		return {...finishCall(response, result, step, retryAfterMs), attempts: attempts.trail.length, firstEventMs};
+		const whenFullMs = active.isStopped ? RETRY_OTHER_PROCESS_MS : RETRY_WHEN_FULL_MS;
+		const retryAfterMs = attempts.isBlocked() ? RETRY_BLOCKED_MS : Math.max(RETRY_OTHER_PROCESS_MS, withheldForMs ?? whenFullMs);
+		return {...finishCall(response, result, step, {retryAfterMs, isStopped: active.isStopped}), attempts: attempts.trail.length, firstEventMs};
 	}
 };
 
@@ -163,7 +178,7 @@
 	const {routes, metrics, calls, random} = context;
 	active.phase = 'preparing';
 	if (!routes.current()) {
-		await routes.waitForFirst(Math.min(FIRST_ROUTES_TIMEOUT_MS, call.deadlineMs ?? FIRST_ROUTES_TIMEOUT_MS));
+		await waitUnlessStopped(active, routes.waitForFirst(Math.min(FIRST_ROUTES_TIMEOUT_MS, call.deadlineMs ?? FIRST_ROUTES_TIMEOUT_MS)));
 	}
 
 	const declared = routes.current();
@@ -177,6 +192,10 @@
 	};
 
 	const serve = async (): Promise<CallReport> => {
+		if (active.isStopped) {
+			return refuse(503, 'stopping', RETRY_OTHER_PROCESS_MS);
+		}
+
 		if (!declared) {
 			return refuse(503, 'no-routes', RETRY_OTHER_PROCESS_MS);
 		}
--- a/packages/gateway/src/host/__tests__/drain-server.test.ts
+++ b/packages/gateway/src/host/__tests__/drain-server.test.ts
@@ -13,14 +13,18 @@
 });
 
 /** Returns after how many milliseconds draining ended, with requests that stay active for `activeMs`. */
-const drain = async (activeMs: number) => {
+const drain = async (activeMs: number, areAnswered = false) => {
 	const startedAt = performance.now();
 	const server = {
-		countActive: () => performance.now() - startedAt < activeMs ? 1 : 0, drain: vi.fn<() => void>(), stopListening: vi.fn<() => void>(),
+		countActive: () => performance.now() - startedAt < activeMs && !(areAnswered && stoppedMs !== undefined) ? 1 : 0, drain: vi.fn<() => void>(), stopListening: vi.fn<() => void>(),
 	};
 	let endedMs: number | undefined;
+	let stoppedMs: number | undefined;
+	const stopCalls = vi.fn<() => void>(() => {
+		stoppedMs = performance.now() - startedAt;
+	});
 	const waitForEnd = async () => {
-		await drainServer(server, STOP_WITHIN_MS);
+		await drainServer(server, STOP_WITHIN_MS, stopCalls);
 		endedMs = performance.now() - startedAt;
 	};
 
@@ -32,19 +36,49 @@
 	vi.setSystemTime(Date.now() + 60_000);
 	await vi.advanceTimersByTimeAsync(STOP_WITHIN_MS);
 	expect(server.stopListening).toHaveBeenCalled();
-	return endedMs!;
+	return {endedMs: endedMs!, stoppedMs, stops: stopCalls.mock.calls.length};
 };
 
 it('keeps listening until the balancer has taken the process out, even without requests', async () => {
-	expect(await drain(0)).toBeCloseTo(2300, -2);
+	const {endedMs, stops} = await drain(0);
+	expect(endedMs).toBeCloseTo(2300, -2);
+	expect(stops).toBe(0);
 });
 
 it('ends when the last request ends', async () => {
-	expect(await drain(5000)).toBeCloseTo(5000, -2);
+	const {endedMs, stops} = await drain(5000);
+	expect(endedMs).toBeCloseTo(5000, -2);
+	expect(stops).toBe(0);
 });
 
 it('ends before the kill even if requests are still active', async () => {
-	expect(await drain(60_000)).toBeCloseTo(7600, -2);
+	const {endedMs, stops} = await drain(60_000);
+	expect(endedMs).toBeCloseTo(7600, -2);
+	expect(stops).toBe(1);
+});
+
+it('stops the requests that are left a little before, and ends as soon as they are answered', async () => {
+	const {endedMs, stoppedMs, stops} = await drain(60_000, true);
+	expect(stops).toBe(1);
+	expect(stoppedMs).toBeCloseTo(7400, -2);
+	expect(endedMs - stoppedMs!).toBeLessThanOrEqual(50);
+});
+
+// Guards against answers that are lost when a busy process comes to its end late.
+it('leaves the answers a turn of the loop even if it is past its time', async () => {
+	const stopCalls = vi.fn<() => void>();
+	let isOver = false;
+	const waitForEnd = async () => {
+		await drainServer({countActive: () => 1, drain() {/* Nothing is checked. */}, stopListening() {/* Nothing is checked. */}}, 0, stopCalls);
+		isOver = true;
+	};
+
+	void waitForEnd();
+	await vi.advanceTimersByTimeAsync(50);
+	expect(stopCalls).toHaveBeenCalledOnce();
+	expect(isOver).toBe(false);
+	await vi.advanceTimersByTimeAsync(50);
+	expect(isOver).toBe(true);
 });
 
 // Guards against cut callers at a planned stop: the process ended while a request that it had not yet read lay in the kernel.
@@ -61,7 +95,7 @@
 	};
 	const onEnd = vi.fn<() => void>();
 	const waitForEnd = async () => {
-		await drainServer(server, STOP_WITHIN_MS);
+		await drainServer(server, STOP_WITHIN_MS, vi.fn<() => void>());
 		onEnd();
 	};
 
--- a/packages/gateway/src/host/start-gateway.ts
+++ b/packages/gateway/src/host/start-gateway.ts
@@ -206,7 +206,7 @@
 		async stop(withinMs) {
 			log.info('gateway stopping', {active: server.countActive()});
 			stopping.abort();
-			await drainServer(server, withinMs);
+			await drainServer(server, withinMs, activeCalls.stop);
 			logCutCalls(activeCalls.list(), {log, metrics});
 			readiness?.close();
 			metricsServer.close();
--- a/packages/gateway/src/http/create-gateway-server.ts
+++ b/packages/gateway/src/http/create-gateway-server.ts
@@ -14,6 +14,7 @@
 import type {CallerResponse} from '../forward/caller-response.js';
 import type {createActiveCalls} from '../forward/create-active-calls.js';
 import type {DeclaredRoutes} from '../routes/declared-routes.js';
+import {waitUnlessStopped} from '../forward/wait-unless-stopped.js';
 import {createCallerResponse} from './create-caller-response.js';
 import {countHeadBytes} from './count-head-bytes.js';
 import type {EarlyListener} from './early-listener.js';
@@ -149,8 +150,8 @@
 			return;
 		}
 
-		const body = await readBody(req, limits()?.maxBodyBytes ?? DEFAULT_MAX_BODY_BYTES);
-		if (body.kind === 'whole' && hasStopped) {
+		const body = await waitUnlessStopped(active, readBody(req, limits()?.maxBodyBytes ?? DEFAULT_MAX_BODY_BYTES));
+		if (!body || (body.kind === 'whole' && hasStopped)) {
 			// The connection may have been kept for later, or the request may have begun before.
 			res.shouldKeepAlive = false;
 			onLate(call.value, response);
