fix(peer): a message that cannot be encoded does not end the process

Callers of one gateway lost all requests in flight when one caller sent a turn whose count of tokens is no whole number of 32 bits: X-Token-Usage 1460,80.5 or 1460,-5; the process ended by its own error, code 1 (FAULT, and LOST for what was in flight). A declared tokensPerEvent of 2.5 did the same at the end of an ordinary turn, and by reading an age of over 49.7 days would. Whether the users' callers sent such numbers is not known.

Cause: frames are encoded in setImmediate, where an error reaches nobody; the numbers were taken unchecked from callers and configuration. Class: input that is valid where it enters and cannot be expressed where it leaves, with nobody to catch it.

Change: an envelope that cannot be encoded is left out and logged, those beside it are sent. Ages in heartbeats stop at what the field holds.

--- a/packages/entry/src/create-entry.ts
+++ b/packages/entry/src/create-entry.ts
@@ -11,6 +11,7 @@
 import type {ProgramId} from '@siskinhub/core/ids/program-id.js';
 import type {ShardId} from '@siskinhub/core/ids/shard-id.js';
 import {parseShardId} from '@siskinhub/core/ids/parse-shard-id.js';
+import {createRepeatedErrorLog} from '@siskinhub/observe/create-repeated-error-log.js';
 import type {Logger} from '@siskinhub/observe/logger.js';
 import type {Metrics} from '@siskinhub/observe/metrics.js';
 import type {Tracer} from '@siskinhub/observe/tracer.js';
@@ -182,6 +183,7 @@
 			upstreams.receiveHeartbeat(link, heartbeat);
 			tableExchange.receiveRevision(link, Number(heartbeat.tableRevision));
 		},
+		onUnsendable: createRepeatedErrorLog(log, 'a message to another process could not be encoded and was not sent'),
 		pauseDetector: createPauseDetector(cfg.heartbeat.silenceMs, () => {
 			log.warn('process was paused; reconnecting the peer links');
 		}),
--- a/packages/gateway/src/forward/create-turn-handler.ts
+++ b/packages/gateway/src/forward/create-turn-handler.ts
@@ -48,7 +48,7 @@
 
 	const settle = async (turn?: Parameters<HolderClient['settle']>[1]): Promise<boolean> => {
 		isReserved = false;
-		const tokens = Math.min(call.prompt?.maxTokens ?? Infinity, progress.events * tokensPerEvent);
+		const tokens = Math.ceil(Math.min(call.prompt?.maxTokens ?? Infinity, progress.events * tokensPerEvent));
 		return holderClient.settle({
 			program: call.program!.id, attempt: call.id, tokens, retentionMs: route.retentionMs,
 		}, turn, SETTLE_TIMEOUT_MS);
--- a/packages/gateway/src/host/create-host-links.ts
+++ b/packages/gateway/src/host/create-host-links.ts
@@ -24,6 +24,7 @@
 import {toWireLimit} from '../limits/to-wire-limit.js';
 import {fromWireChanges} from './from-wire-changes.js';
 import {toWireChanges} from './to-wire-changes.js';
+import {toWireMs} from './to-wire-ms.js';
 
 /** Not shorter, because each heartbeat wakes both processes. */
 const HEARTBEAT_INTERVAL_MS = 800;
@@ -47,10 +48,12 @@
 	readonly onMessage?: (message: IncomingMessage) => boolean;
 	/** Called after the process did not run for so long that others may have closed their links to it. */
 	readonly onPause: () => void;
+	/** Called with the reason for each message that cannot be encoded. */
+	readonly onUnsendable: (reason: string) => void;
 };
 
 /** The links answer neighbours that ask for changes of the declared state, and tell each other new upstream crashes and limits with each heartbeat. */
-export const createHostLinks = ({host, dataCentre, view, crashes, limits, publisher, readKnownGraceMs = () => undefined, diskId = '', onMessage = () => false, onPause}: HostLinksOptions) => {
+export const createHostLinks = ({host, dataCentre, view, crashes, limits, publisher, readKnownGraceMs = () => undefined, diskId = '', onMessage = () => false, onPause, onUnsendable}: HostLinksOptions) => {
 	// The newest crash and limit that were sent on each link; a new link gets all of them.
 	const sentCrashes = new WeakMap<PeerLink, CrashCursor>();
 	const sentLimits = new WeakMap<PeerLink, number>();
@@ -66,8 +69,8 @@
 			const unsentLimits = limits.listAfter(sentLimits.get(link) ?? 0);
 			sentLimits.set(link, unsentLimits.sequence);
 			return {
-				answered: unsentCrashes.answered.map(({fingerprint, ageMs}) => ({fingerprint, ageMs: Math.round(ageMs)})),
-				crashes: unsentCrashes.crashes.map(({fingerprint, upstream, ageMs}) => ({fingerprint, upstream, ageMs: Math.round(ageMs)})),
+				answered: unsentCrashes.answered.map(({fingerprint, ageMs}) => ({fingerprint, ageMs: toWireMs(ageMs)})),
+				crashes: unsentCrashes.crashes.map(({fingerprint, upstream, ageMs}) => ({fingerprint, upstream, ageMs: toWireMs(ageMs)})),
 				limits: unsentLimits.limits.map(limit => toWireLimit(limit)),
 			};
 		},
@@ -75,6 +78,7 @@
 			crashes.merge(heartbeat);
 			limits.merge(heartbeat.limits.map(limit => fromWireLimit(limit)));
 		},
+		onUnsendable,
 		pauseDetector: createPauseDetector(SILENCE_MS, onPause),
 		onMessage(message) {
 			const {link, body, reply} = message;
--- a/packages/gateway/src/host/start-gateway.ts
+++ b/packages/gateway/src/host/start-gateway.ts
@@ -6,6 +6,7 @@
 import {createChangePublisher} from '@siskinhub/declared/create-change-publisher.js';
 import {createDeclaredView} from '@siskinhub/declared/create-declared-view.js';
 import type {RunningDaemon} from '@siskinhub/lifecycle/running-daemon.js';
+import {createRepeatedErrorLog} from '@siskinhub/observe/create-repeated-error-log.js';
 import type {Logger} from '@siskinhub/observe/logger.js';
 import {createPeerServer} from '@siskinhub/peer/create-peer-server.js';
 import type {PeerLink} from '@siskinhub/peer/peer-link.js';
@@ -88,6 +89,7 @@
 		host: cfg.host, dataCentre: cfg.dataCentre, view, crashes, limits: limitBook, publisher, readKnownGraceMs: () => follower.knownGraceMs(), onPause() {
 			log.warn('process was paused; reconnecting the peer links', {});
 		},
+		onUnsendable: createRepeatedErrorLog(log, 'a message to another process could not be encoded and was not sent'),
 	});
 	const registry = createHolderRegistry({view, store, keys});
 	const lists = createListReader(registry.readList);
--- a/packages/gateway/src/host/start-holder.ts
+++ b/packages/gateway/src/host/start-holder.ts
@@ -100,6 +100,7 @@
 		onPause() {
 			log.warn('process was paused; reconnecting the peer links', {});
 		},
+		onUnsendable: createRepeatedErrorLog(log, 'a message to another process could not be encoded and was not sent'),
 	});
 	const self: Holder = {
 		diskId: copies.diskId, host: cfg.host, address: `http://${cfg.peers.ip}:${cfg.peers.port}`, dataCentre: cfg.dataCentre,
--- a/packages/peer/src/attach-link.ts
+++ b/packages/peer/src/attach-link.ts
@@ -45,8 +45,11 @@
 
 /** Creates a link over `socket`. Closing either one closes the other. */
 export const attachLink = (socket: Socket, settings: LinkSettings): PeerLink => {
-	const outbound = createOutboundQueue(bytes => {
-		socket.write(bytes);
+	const outbound = createOutboundQueue({
+		write(bytes) {
+			socket.write(bytes);
+		},
+		onUnsendable: settings.onUnsendable,
 	});
 	const link = createLink(settings, outbound, () => {
 		socket.destroy();
--- a/packages/peer/src/link-settings.ts
+++ b/packages/peer/src/link-settings.ts
@@ -17,5 +17,7 @@
 	readonly createHeartbeat: (link: PeerLink) => MessageInitShape<typeof HeartbeatSchema>;
 	readonly onMessage: (message: IncomingMessage) => void;
 	readonly onHeartbeat?: (link: PeerLink, heartbeat: Heartbeat) => void;
+	/** Called with the reason for each message that cannot be encoded; it is not sent, and a request gets no reply. */
+	readonly onUnsendable?: (reason: string) => void;
 	readonly pauseDetector: PauseDetector;
 };
--- a/packages/sidecar/src/create-sidecar.ts
+++ b/packages/sidecar/src/create-sidecar.ts
@@ -8,6 +8,7 @@
 import {chooseNextCall} from '@siskinhub/core/decide/choose-next-call.js';
 import type {InstanceId} from '@siskinhub/core/ids/instance-id.js';
 import {createGrantRegistry} from '@siskinhub/core/sidecar/create-grant-registry.js';
+import {createRepeatedErrorLog} from '@siskinhub/observe/create-repeated-error-log.js';
 import type {Logger} from '@siskinhub/observe/logger.js';
 import type {Metrics} from '@siskinhub/observe/metrics.js';
 import type {Tracer} from '@siskinhub/observe/tracer.js';
@@ -86,6 +87,7 @@
 		onMessage: createMessageHandler({
 			scheduler, registry, prefixReconciler, log, metrics, tracer,
 		}),
+		onUnsendable: createRepeatedErrorLog(log, 'a message to another process could not be encoded and was not sent'),
 		pauseDetector,
 	};
 	const expiryTimer = setInterval(scheduler.dropExpired, EXPIRY_CHECK_INTERVAL_MS);
