fix(gateway): a refusal before the body is read reaches its caller

What callers saw: a request with a long body that was refused before the body had been read (400, 413, 431, or 429 and 503 for load while connections are not kept, as in a planned stop) ended with EPIPE or a reset and no answer.

Cause: the connection was closed with the rest of the body unread, and a socket that is closed with unread bytes is reset.

Change: the refusal is sent at once, and the connection is closed when the rest of the request has been read and dropped, or after 1 s. Kept connections are read on by Node as before. The response counts as active meanwhile, so a stop lasts at most 1 s longer for a caller that does not send its body.

--- a/packages/gateway/src/http/create-caller-response.ts
+++ b/packages/gateway/src/http/create-caller-response.ts
@@ -3,6 +3,7 @@
 */
 import type {ServerResponse} from 'node:http';
 import type {CallerResponse} from '../forward/caller-response.js';
+import {endAfterRequest} from './end-after-request.js';
 
 /** `res` answers a request of HTTP/1.1, since chunks need it. `encodeRefusal` returns the headers of a refusal, which comes from the system itself and not from an upstream. */
 export const createCallerResponse = (res: ServerResponse, encodeRefusal: (retryAfterMs: number | undefined) => Record<string, string>): CallerResponse => {
@@ -48,7 +49,7 @@
 
 			isOver = true;
 			res.writeHead(status, {...encodeRefusal(retryAfterMs), 'content-length': 0});
-			res.end();
+			endAfterRequest(res);
 		},
 		start(status, headers) {
 			if (!isOver) {
--- a/packages/gateway/src/http/read-body.ts
+++ b/packages/gateway/src/http/read-body.ts
@@ -10,16 +10,19 @@
 export const readBody = async (req: IncomingMessage, maxBytes: number): Promise<ReadBody> => new Promise(resolve => {
 	const chunks: Uint8Array[] = [];
 	let bytes = 0;
-	req.on('data', (chunk: Uint8Array) => {
+	const onData = (chunk: Uint8Array): void => {
 		bytes += chunk.length;
 		if (bytes > maxBytes) {
+			req.off('data', onData);
 			req.pause();
 			resolve({kind: 'too-large'});
 			return;
 		}
 
 		chunks.push(chunk);
-	});
+	};
+
+	req.on('data', onData);
 	req.on('end', () => {
 		resolve({kind: 'whole', bytes: chunks.length === 1 ? chunks[0]! : Buffer.concat(chunks)});
 	});
