fix(gateway): an error while metrics are rendered does not end the process

What was seen: FAULT by reading; serveText awaited its answer in a handler whose rejection nobody caught, so an error of one gauge ended the process.

Evidence: serve-text.test.ts, an answer that is rejected: on the code before, an unhandled rejection and no answer.

Change: such a request is answered 500, and the reason is logged.

--- a/packages/gateway/src/host/__tests__/serve-text.test.ts
+++ b/packages/gateway/src/host/__tests__/serve-text.test.ts
@@ -2,7 +2,7 @@
 import {createServer, type AddressInfo} from 'node:net';
 import {setTimeout as delay} from 'node:timers/promises';
 import {request} from 'undici';
-import {expect, it} from 'vitest';
+import {expect, it, vi} from 'vitest';
 import {serveText} from '../serve-text.js';
 
 const IP = '127.0.0.1';
@@ -33,3 +33,17 @@
 	await expect(serveText({ip: IP, port}, answer)).rejects.toThrow(`${IP}:${port}`);
 	holder.close();
 });
+
+// Guards against FAULT: an error while the metrics were rendered was a rejection that nobody caught, and the process ended.
+it('answers 500 and logs the reason if there is no answer', async () => {
+	const warn = vi.fn<() => void>();
+	const server = await serveText({ip: IP, port: 0, log: {info() {/* It need not wait. */}, warn}}, async () => {
+		throw new Error('no gauge');
+	});
+	const {port} = server.address() as AddressInfo;
+	const res = await request(`http://${IP}:${port}/metrics`, {headersTimeout: WAIT_MS});
+	await res.body.dump();
+	expect(res.statusCode).toBe(500);
+	expect(warn).toHaveBeenCalledExactlyOnceWith(expect.any(String), expect.objectContaining({reason: 'no gauge'}));
+	server.close();
+});
--- a/packages/gateway/src/host/serve-text.ts
+++ b/packages/gateway/src/host/serve-text.ts
@@ -6,13 +6,24 @@
 
 type TextAnswer = {readonly status: number; readonly text: string};
 
+const STATUS_FAILED = 500;
+
 type TextServerOptions = Parameters<typeof listenWhenFree>[1];
 
-/** Calls `answer` for every request, whatever its path and method. Resolves once the server listens; rejects if the address is in use for longer than `waitMs` or cannot be bound. */
+/** Calls `answer` for every request, whatever its path and method; if that fails, the request is answered with 500 and the reason is logged. Resolves once the server listens; rejects if the address is in use for longer than `waitMs` or cannot be bound. */
 export const serveText = async (address: TextServerOptions, answer: () => TextAnswer | Promise<TextAnswer>): Promise<Server> => {
+	const answerSafely = async (): Promise<TextAnswer> => {
+		try {
+			return await answer();
+		} catch (error) {
+			address.log?.warn('failed to answer a request for a text', {port: address.port, reason: error instanceof Error ? error.message : String(error)});
+			return {status: STATUS_FAILED, text: ''};
+		}
+	};
+
 	const server = createServer(async (req, res) => {
 		req.resume();
-		const {status, text} = await answer();
+		const {status, text} = await answerSafely();
 		res.writeHead(status, {'content-type': 'text/plain', 'content-length': new TextEncoder().encode(text).length});
 		res.end(text);
 	});
