fix(gateway): holders are sent an event of a kept turn before its caller gets it

Cause: messages to the holders leave at the end of the event loop's turn (`createOutboundQueue`), so that those of many calls share a frame; Node wrote the event to the caller's connection before that, right after the task that handled it. A gateway killed in between had handed out events that no holder knew, and the refusal, since nobody can tell the beginning of the turn, was the intended one.

With fakes, the caller's bytes come before the holder's.

Change: what is written to a caller is held until the end of the same turn of the loop, behind the messages queued before. Node keeps the order, a response's end releases everything at once, and messages still share their frames.

Three of four new tests fail before the change; the one of writers that wait for a full buffer passes on both. 160 tests of gateway and peer pass.

--- a/packages/gateway/src/http/__tests__/create-caller-response.test.ts
+++ b/packages/gateway/src/http/__tests__/create-caller-response.test.ts
@@ -1,9 +1,17 @@
+import {Buffer} from 'node:buffer';
 import {spawn} from 'node:child_process';
 import {once} from 'node:events';
-import {get, type IncomingMessage} from 'node:http';
+import {
+	createServer, get, IncomingMessage, ServerResponse,
+} from 'node:http';
+import type {AddressInfo, Socket} from 'node:net';
 import path from 'node:path';
 import process from 'node:process';
-import {expect, it} from 'vitest';
+import {Duplex} from 'node:stream';
+import {setImmediate as endTurn} from 'node:timers/promises';
+import {createOutboundQueue} from '@siskinhub/peer/create-outbound-queue.js';
+import {describe, expect, it} from 'vitest';
+import {createCallerResponse} from '../create-caller-response.js';
 
 const FIXTURE = path.join(import.meta.dirname, 'serve-endless-answer.ts');
 
@@ -24,3 +32,103 @@
 		server.kill('SIGKILL');
 	}
 });
+
+/** Starts a response to a caller on a fake connection, which passes what reaches it to `onBytes`. */
+const startResponse = (onBytes: (text: string) => void) => {
+	const socket = new Duplex({
+		read() {/* The caller sends nothing more. */},
+		write(chunk: Uint8Array, _encoding, callback) {
+			onBytes(String(chunk));
+			callback();
+		},
+		writev(chunks, callback) {
+			onBytes(chunks.map(({chunk}) => String(chunk)).join(''));
+			callback();
+		},
+	}) as Socket;
+	const req = new IncomingMessage(socket);
+	req.httpVersionMajor = 1;
+	req.httpVersionMinor = 1;
+	const res = new ServerResponse(req);
+	res.assignSocket(socket);
+	const response = createCallerResponse(res, () => ({}));
+	response.start(200, ['content-type', 'text/event-stream']);
+	return {res, response};
+};
+
+describe('the order of messages and events', () => {
+	// Guards against a refused resumption: the gateway was killed right after an event had reached its caller, and the holders had not been sent the event.
+	it('sends the holders an event of a kept turn before the caller gets it', async () => {
+		const order: string[] = [];
+		const queue = createOutboundQueue(() => {
+			order.push('holder');
+		});
+		const {response} = startResponse(text => {
+			order.push(text.includes('one') ? 'caller' : text);
+		});
+		queue.push({id: 1});
+		response.write(Buffer.from('id: 1\ndata: one\n\n'));
+		await endTurn();
+		await endTurn();
+		expect(order).toEqual(['holder', 'caller']);
+	});
+
+	it('has the messages of several calls share a frame', async () => {
+		const order: string[] = [];
+		const queue = createOutboundQueue(() => {
+			order.push('holder');
+		});
+		// Each event is handled in a task of its own, as data from different connections is.
+		const responses = Array.from({length: 3}, () => startResponse(() => {
+			order.push('caller');
+		}));
+		await new Promise(resolve => {
+			process.nextTick(resolve);
+		});
+		for (const {response} of responses) {
+			queue.push({id: 1});
+			response.write(Buffer.from('data: one\n\n'));
+			await Promise.resolve();
+		}
+
+		await endTurn();
+		await endTurn();
+		expect(order).toEqual(['holder', 'caller', 'caller', 'caller']);
+	});
+
+	it('ends a response that still holds an event at once and whole, and leaves the next one on its connection alone', async () => {
+		let sent = '';
+		const {response, res} = startResponse(text => {
+			sent += text;
+		});
+		const {socket} = res;
+		response.write(Buffer.from('data: one\n\n'));
+		response.finish(Buffer.from('data: two\n\n'));
+		expect(sent).toMatch(/data: one\n\n[^]*data: two\n\n[^]*0\r\n\r\n$/);
+		socket!.cork();
+		await endTurn();
+		await endTurn();
+		expect(socket!.writableCorked).toBe(1);
+	});
+
+	it('tells a writer that it may go on after a full buffer, and sends everything', async () => {
+		const written = Buffer.alloc(4 * 1024 * 1024);
+		const results: boolean[] = [];
+		const server = createServer((_req, res) => {
+			const response = createCallerResponse(res, () => ({}));
+			response.start(200, ['content-type', 'text/event-stream']);
+			results.push(response.write(written));
+			response.onDrain(() => {
+				results.push(response.write(Buffer.from('more')));
+				response.finish();
+			});
+		});
+		server.listen(0, '127.0.0.1');
+		await once(server, 'listening');
+		const answer = await fetch(`http://127.0.0.1:${(server.address() as AddressInfo).port}/`);
+		const received = await answer.arrayBuffer();
+		server.close();
+		expect(received.byteLength).toBe(written.length + 4);
+		expect(results).toEqual([false, true]);
+	});
+});
--- a/packages/gateway/src/http/create-caller-response.ts
+++ b/packages/gateway/src/http/create-caller-response.ts
@@ -1,5 +1,12 @@
 /**
 Implements `CallerResponse` on a response of Node's HTTP server.
+
+What is written goes to the caller's connection at the end of the event loop's turn,
+after the messages to other processes that were queued before the write: links send
+theirs at the same point, in the order in which both were queued
+(`createOutboundQueue` of the peer package). So a caller has no event of a kept turn that the
+holders were not sent before, even if this process is killed right then, and the
+messages of all calls of one turn of the loop still share their frames.
 */
 import type {ServerResponse} from 'node:http';
 import type {CallerResponse} from '../forward/caller-response.js';
@@ -9,6 +16,7 @@
 export const createCallerResponse = (res: ServerResponse, encodeRefusal: (retryAfterMs: number | undefined) => Record<string, string>): CallerResponse => {
 	let isOver = false;
 	let isDisconnected = false;
+	let isHeld = false;
 	const disconnectListeners: Array<() => void> = [];
 	res.on('close', () => {
 		if (isOver) {
@@ -22,6 +30,22 @@
 		}
 	});
 
+	const release = (): void => {
+		isHeld = false;
+		// The end of a response has released everything, and the connection may serve another response by now.
+		if (!isOver) {
+			res.uncork();
+		}
+	};
+
+	const hold = (): void => {
+		if (!isHeld) {
+			isHeld = true;
+			res.cork();
+			setImmediate(release);
+		}
+	};
+
 	const breakOff = (): void => {
 		isOver = true;
 		res.destroy();
@@ -56,7 +80,14 @@
 				res.writeHead(status, headers);
 			}
 		},
-		write: bytes => isOver || res.write(bytes),
+		write(bytes) {
+			if (isOver) {
+				return true;
+			}
+
+			hold();
+			return res.write(bytes);
+		},
 		onDrain(listener) {
 			res.once('drain', listener);
 		},
