--- a/packages/gateway/src/http/__tests__/create-caller-response.test.ts
+++ b/packages/gateway/src/http/__tests__/create-caller-response.test.ts
@@ -60,8 +60,10 @@
 	// Guards against a refused resumption: the gateway was killed right after an event had reached its caller, and the holders had not been sent the event.
 	it('sends the holders an event of a kept turn before the caller gets it', async () => {
 		const order: string[] = [];
-		const queue = createOutboundQueue(() => {
-			order.push('holder');
+		const queue = createOutboundQueue({
+			write() {
+				order.push('holder');
+			},
 		});
 		const {response} = startResponse(text => {
 			order.push(text.includes('one') ? 'caller' : text);
@@ -75,8 +77,10 @@
 
 	it('has the messages of several calls share a frame', async () => {
 		const order: string[] = [];
-		const queue = createOutboundQueue(() => {
-			order.push('holder');
+		const queue = createOutboundQueue({
+			write() {
+				order.push('holder');
+			},
 		});
 		// Each event is handled in a task of its own, as data from different connections is.
 		const responses = Array.from({length: 3}, () => startResponse(() => {
--- a/packages/gateway/src/http/__tests__/refuse-before-body.test.ts
+++ b/packages/gateway/src/http/__tests__/refuse-before-body.test.ts
@@ -9,6 +9,7 @@
 import {err, ok} from 'neverthrow';
 import {afterEach, expect, it} from 'vitest';
 import type {CallCodec} from '../../call/call-codec.js';
+import {createActiveCalls} from '../../forward/create-active-calls.js';
 import {createGatewayServer} from '../create-gateway-server.js';
 
 const IP = '127.0.0.1';
@@ -47,6 +48,7 @@
 		ip: IP,
 		port,
 		codec: codec as CallCodec,
+		activeCalls: createActiveCalls(),
 		limits: () => ({
 			maxBodyBytes: MAX_BODY_BYTES, maxHeaderBytes: 1024, idleTimeoutMs: 15_000, headerTimeoutMs: 3000,
 		}),
