fix(gateway): a refused request is not named as cut while its connection lingers

Callers saw nothing of it; operators would have: a request that was refused before its body had come, with its connection open for the rest, stood in the log as cut by the end of the process, and in siskinhub_cut_calls_total.

Change: a request leaves the registry once its refusal is sent.

--- a/packages/gateway/src/http/__tests__/create-caller-response.test.ts
+++ b/packages/gateway/src/http/__tests__/create-caller-response.test.ts
@@ -51,7 +51,7 @@
 	req.httpVersionMinor = 1;
 	const res = new ServerResponse(req);
 	res.assignSocket(socket);
-	const response = createCallerResponse(res, () => ({}));
+	const response = createCallerResponse(res, {encodeRefusal: () => ({})});
 	response.start(200, ['content-type', 'text/event-stream']);
 	return {res, response};
 };
@@ -119,7 +119,7 @@
 		const written = Buffer.alloc(4 * 1024 * 1024);
 		const results: boolean[] = [];
 		const server = createServer((_req, res) => {
-			const response = createCallerResponse(res, () => ({}));
+			const response = createCallerResponse(res, {encodeRefusal: () => ({})});
 			response.start(200, ['content-type', 'text/event-stream']);
 			results.push(response.write(written));
 			response.onDrain(() => {
--- a/packages/gateway/src/http/__tests__/serve-endless-answer.ts
+++ b/packages/gateway/src/http/__tests__/serve-endless-answer.ts
@@ -7,7 +7,7 @@
 import {createCallerResponse} from '../create-caller-response.js';
 
 const server = createServer((_req, res) => {
-	const response = createCallerResponse(res, () => ({}));
+	const response = createCallerResponse(res, {encodeRefusal: () => ({})});
 	response.start(200, ['content-type', 'text/event-stream']);
 	response.write(new TextEncoder().encode('id: 1\ndata: one\n\n'));
 });
--- a/packages/gateway/src/http/create-caller-response.ts
+++ b/packages/gateway/src/http/create-caller-response.ts
@@ -12,8 +12,15 @@
 import type {CallerResponse} from '../forward/caller-response.js';
 import {endAfterRequest} from './end-after-request.js';
 
-/** `res` answers a request of HTTP/1.1, since chunks need it. `encodeRefusal` returns the headers of a refusal, which comes from the system itself and not from an upstream. */
-export const createCallerResponse = (res: ServerResponse, encodeRefusal: (retryAfterMs: number | undefined) => Record<string, string>): CallerResponse => {
+type ResponseOptions = {
+	/** Returns the headers of a refusal, which comes from the system itself and not from an upstream. */
+	readonly encodeRefusal: (retryAfterMs: number | undefined) => Record<string, string>;
+	/** Called once a refusal is sent, though its connection may stay open for the rest of the request. */
+	readonly onRefused?: () => void;
+};
+
+/** `res` answers a request of HTTP/1.1, since chunks need it. */
+export const createCallerResponse = (res: ServerResponse, {encodeRefusal, onRefused}: ResponseOptions): CallerResponse => {
 	let isOver = false;
 	let isDisconnected = false;
 	let isHeld = false;
@@ -74,6 +81,7 @@
 			isOver = true;
 			res.writeHead(status, {...encodeRefusal(retryAfterMs), 'content-length': 0});
 			endAfterRequest(res);
+			onRefused?.();
 		},
 		start(status, headers) {
 			if (!isOver) {
--- a/packages/gateway/src/http/create-gateway-server.ts
+++ b/packages/gateway/src/http/create-gateway-server.ts
@@ -121,17 +121,19 @@
 		}
 
 		const call = codec.decodeCall(req);
-		const response = createCallerResponse(res, retryAfterMs => codec.encodeRefusal(call.isOk() ? call.value : undefined, retryAfterMs));
 		if (call.isErr()) {
 			onRejected(call.error, 400);
-			response.refuse(400);
+			createCallerResponse(res, {encodeRefusal: retryAfterMs => codec.encodeRefusal(undefined, retryAfterMs)}).refuse(400);
 			return;
 		}
 
-		const active = activeCalls.begin(call.value, response, arrivedAt);
-		res.on('close', () => {
+		const active = activeCalls.begin(call.value, {isStarted: () => res.headersSent}, arrivedAt);
+		const endActive = (): void => {
 			activeCalls.end(active);
-		});
+		};
+
+		res.on('close', endActive);
+		const response = createCallerResponse(res, {encodeRefusal: retryAfterMs => codec.encodeRefusal(call.value, retryAfterMs), onRefused: endActive});
 		if (!hasChunks(req)) {
 			onRejected('the request is not of HTTP/1.1, and an older version cannot mark the end of a response', STATUS_VERSION_NOT_SUPPORTED);
 			response.refuse(STATUS_VERSION_NOT_SUPPORTED);
