fix(gateway): a start that waits for an address serves no callers meanwhile

What callers would see: a gateway whose port for metrics or readiness stayed in use served callers, gave up after the wait and ended, with their requests cut.

Cause: these two addresses were bound after the server for callers.

Evidence: held-address.test.ts: on the code before, callers can connect during the wait.

Change: a gateway waits until both are free before it binds anything.

--- a/packages/gateway/src/host/start-gateway.ts
+++ b/packages/gateway/src/host/start-gateway.ts
@@ -10,6 +10,7 @@
 import type {Logger} from '@siskinhub/observe/logger.js';
 import {createPeerServer} from '@siskinhub/peer/create-peer-server.js';
 import type {PeerLink} from '@siskinhub/peer/peer-link.js';
+import {waitUntilFree} from '@siskinhub/peer/wait-until-free.js';
 import {createHolderClient} from '@siskinhub/turns/client/create-holder-client.js';
 import {createListReader} from '@siskinhub/turns/client/create-list-reader.js';
 import {createAdmission} from '../admission/create-admission.js';
@@ -140,6 +141,11 @@
 			metrics.countLeaving();
 		},
 	};
+	// A start that fails must do so before callers are served.
+	for (const address of [cfg.metrics, ...(cfg.readiness ? [cfg.readiness] : [])]) {
+		await waitUntilFree({...address, ...waiting});
+	}
+
 	await createPeerServer({...cfg.peers, ...waiting, settings: links.settings});
 	const server = await createGatewayServer({
 		ip: cfg.callers!.ip,
