fix(gateway): a holder does not wait for its address with the data folder open

Found by the review of these changes: of two holders started at once on one folder, the second waited for the address with the folder open, and took over when the first was stopped (3 of 3 trials), with an index that lacks what the first acknowledged meanwhile.

Cause: waits twice, before the folder is opened and again when the address is bound.

Change: the second time an address in use is an error at once, as before, since only another holder on the same folder can hold it by then. The address of the metrics is waited for before the folder is opened as well, so that a start that fails has served nobody.

Measured: start-holder.test.ts passes; the trial of the review was not repeated.

--- a/packages/gateway/src/host/start-holder.ts
+++ b/packages/gateway/src/host/start-holder.ts
@@ -51,7 +51,10 @@
 export const startHolder = async (cfg: HostConfig, {keys, store, metrics, log}: HolderOptions): Promise<RunningDaemon> => {
 	// The process before may hold its addresses until the end of its grace, and write to the data folder as long.
 	const waiting = {waitMs: cfg.stopWithinMs, log};
-	await waitUntilFree({...cfg.peers, ...waiting});
+	for (const address of [cfg.peers, cfg.metrics]) {
+		await waitUntilFree({...address, ...waiting});
+	}
+
 	const opened = await openCopyStore(cfg.dataFolder!, {
 		onRecovering(reason) {
 			log.warn('the disk did not take a write; trying it again', {reason});
@@ -105,7 +108,8 @@
 	const self: Holder = {
 		diskId: copies.diskId, host: cfg.host, address: `http://${cfg.peers.ip}:${cfg.peers.port}`, dataCentre: cfg.dataCentre,
 	};
-	await createPeerServer({...cfg.peers, ...waiting, settings: links.settings});
+	// An address that is in use by now is that of another holder on the same folder, which this one must not wait for: its own index would be out of date.
+	await createPeerServer({...cfg.peers, settings: links.settings});
 	const retiring = followRetireRequests(view, keys);
 	const follower = followStore({
 		view,
