fix(gateway): a stop accepts all callers that wait, and closes silent connections at its end

Cause: libuv accepts one connection in each turn of the event loop, and the port closed after the first short turn. A connection that has sent nothing stayed open until the process was gone, so what came while it ended was reset.

Evidence: both new tests of stop-with-open-connections.test.ts fail before.

Change: the port closes after a turn that has accepted nothing; once the drain is over, each connection without a request in flight is closed, so that callers see it at once.

--- a/packages/gateway/src/host/drain-server.ts
+++ b/packages/gateway/src/host/drain-server.ts
@@ -23,6 +23,8 @@
 	let areCallsStopped = false;
 	const end = (): void => {
 		clearInterval(timer);
+		// Callers learn of the end at once, and not from a reset of what they send while the process ends.
+		server.closeSilent();
 		resolve();
 	};
 
--- a/packages/gateway/src/http/__tests__/stop-with-open-connections.test.ts
+++ b/packages/gateway/src/http/__tests__/stop-with-open-connections.test.ts
@@ -168,3 +168,34 @@
 	ask(socket, 1);
 	expect(String(Buffer.concat(await socket.toArray() as Uint8Array[]))).toMatch(/^HTTP\/1\.1 (?:200|503) /v);
 });
+
+// Guards against cut callers at a planned stop: of many connections that the kernel held, only one is accepted in each turn of the event loop, and the port closed before the others.
+it('answers many callers that connect just before the port closes', async () => {
+	const {port, server} = await serve();
+	server.drain();
+	const callers = Array.from({length: 30}, () => connect(port, IP));
+	sockets.push(...callers);
+	await new Promise<void>(resolve => {
+		process.nextTick(resolve);
+	});
+	server.stopListening();
+	for (const socket of callers) {
+		ask(socket, 1);
+	}
+
+	const answers = await Promise.all(callers.map(async socket => String(Buffer.concat(await socket.toArray() as Uint8Array[]))));
+	expect(answers.filter(answer => !/^HTTP\/1\.1 (?:200|503) /v.test(answer))).toEqual([]);
+});
+
+// Guards against a reset by the end of the process: a connection that had sent nothing stayed open until then.
+it('closes connections that have sent nothing once the stop is over', async () => {
+	const {port, server} = await serve();
+	const silent = await open(port);
+	await delay(WRITING_MS);
+	server.drain();
+	server.stopListening();
+	await delay(STOP_CHECK_INTERVAL_MS);
+	expect(silent.closed).toBe(false);
+	server.closeSilent();
+	expect(await silent.toArray()).toEqual([]);
+});
--- a/packages/gateway/src/http/create-gateway-server.ts
+++ b/packages/gateway/src/http/create-gateway-server.ts
@@ -57,6 +57,8 @@
 	readonly drain: () => void;
 	/** Closes the port and the idle connections. Requests that are read whole from now on are late. */
 	readonly stopListening: () => void;
+	/** Closes each connection without a request in flight; for the end of the process. */
+	readonly closeSilent: () => void;
 };
 
 /** Higher than any limit that is declared; the declared one is checked for each request. */
@@ -206,7 +208,8 @@
 				// The method of the HTTP server would also destroy connections whose last answer has not been written out.
 				PortServer.prototype.close.call(server);
 				connections.closeIdle();
-			});
+			}, connections.countAccepted);
 		},
+		closeSilent: connections.closeSilent,
 	};
 };
--- a/packages/gateway/src/http/track-connections.ts
+++ b/packages/gateway/src/http/track-connections.ts
@@ -21,13 +21,19 @@
 	readonly isClosed: (socket: Socket) => boolean;
 	/** Closes each connection whose answers have all been written out and on which no further request has begun. A connection without a request yet is not idle: its caller is about to send. */
 	readonly closeIdle: () => void;
+	/** Closes each connection without a request in flight, also one that has sent nothing yet; for the end of the process, which would reset what arrives then. */
+	readonly closeSilent: () => void;
+	/** Counts the connections that were accepted so far. */
+	readonly countAccepted: () => number;
 };
 
 /** Call it before the server accepts the first connection. */
 export const trackConnections = (server: Server): ConnectionTracker => {
 	const connections = new Map<Socket, Connection>();
+	let accepted = 0;
 
 	server.on('connection', (socket: Socket) => {
+		accepted++;
 		connections.set(socket, {openAnswers: 0, bytesRead: undefined, isClosed: false});
 		socket.once('close', () => {
 			connections.delete(socket);
@@ -53,16 +59,28 @@
 		});
 	});
 
+	const close = (socket: Socket, connection: Connection): void => {
+		connection.isClosed = true;
+		// Destroying it would reset it if a next request lies unread, and the reset overtakes what the caller has not received of the answer before.
+		socket.end();
+	};
+
 	return {
 		isClosed: socket => connections.get(socket)?.isClosed ?? false,
 		closeIdle() {
 			for (const [socket, connection] of connections) {
 				if (!connection.isClosed && connection.openAnswers === 0 && connection.bytesRead === socket.bytesRead) {
-					connection.isClosed = true;
-					// Destroying it would reset it if a next request lies unread, and the reset overtakes what the caller has not received of the answer before.
-					socket.end();
+					close(socket, connection);
+				}
+			}
+		},
+		closeSilent() {
+			for (const [socket, connection] of connections) {
+				if (!connection.isClosed && connection.openAnswers === 0) {
+					close(socket, connection);
 				}
 			}
 		},
+		countAccepted: () => accepted,
 	};
 };
