fix(gateway): the end of a drain waits for callers in the kernel as the close of the port does

Cause: the drain ended the process after short turns of the event loop, in which one connection each is accepted, before the port had closed as planned.

Change: both wait for a turn that accepts nothing.

--- a/packages/gateway/src/host/__tests__/drain-server.test.ts
+++ b/packages/gateway/src/host/__tests__/drain-server.test.ts
@@ -19,7 +19,7 @@
 const drain = async (activeMs: number, areAnswered = false) => {
 	const startedAt = performance.now();
 	const server = {
-		countActive: () => performance.now() - startedAt < activeMs && !(areAnswered && stoppedMs !== undefined) ? 1 : 0, drain: vi.fn<() => void>(), stopListening: vi.fn<() => void>(), closeSilent: vi.fn<() => void>(),
+		countActive: () => performance.now() - startedAt < activeMs && !(areAnswered && stoppedMs !== undefined) ? 1 : 0, drain: vi.fn<() => void>(), stopListening: vi.fn<() => void>(), closeSilent: vi.fn<() => void>(), countAccepted: () => 0,
 	};
 	let endedMs: number | undefined;
 	let stoppedMs: number | undefined;
@@ -72,7 +72,9 @@
 	const stopCalls = vi.fn<() => void>();
 	let isOver = false;
 	const waitForEnd = async () => {
-		await drainServer({countActive: () => 1, drain() {/* Nothing is checked. */}, stopListening() {/* Nothing is checked. */}, closeSilent() {/* Nothing is checked. */}}, 0, stopCalls);
+		await drainServer({
+			countActive: () => 1, drain() {/* Nothing is checked. */}, stopListening() {/* Nothing is checked. */}, closeSilent() {/* Nothing is checked. */}, countAccepted: () => 0,
+		}, 0, stopCalls);
 		isOver = true;
 	};
 
@@ -90,7 +92,7 @@
 	const server = {
 		countActive: () => active,
 		drain: vi.fn<() => void>(),
-		closeSilent: vi.fn<() => void>(),
+		closeSilent: vi.fn<() => void>(), countAccepted: () => 0,
 		stopListening: vi.fn<() => void>().mockImplementationOnce(() => {
 			setImmediate(() => {
 				active = 1;
--- a/packages/gateway/src/host/drain-server.ts
+++ b/packages/gateway/src/host/drain-server.ts
@@ -42,8 +42,8 @@
 					if (server.countActive() === 0) {
 						end();
 					}
-				});
-			});
+				}, server.countAccepted);
+			}, server.countAccepted);
 		}
 
 		if (!areCallsStopped && passedMs >= stopWithinMs - STOP_MARGIN_MS - FINAL_ANSWERS_MS) {
--- a/packages/gateway/src/http/create-gateway-server.ts
+++ b/packages/gateway/src/http/create-gateway-server.ts
@@ -57,6 +57,8 @@
 	readonly drain: () => void;
 	/** Closes the port and the idle connections. Requests that are read whole from now on are late. */
 	readonly stopListening: () => void;
+	/** Counts the connections that were accepted so far. */
+	readonly countAccepted: () => number;
 	/** Closes each connection without a request in flight; for the end of the process. */
 	readonly closeSilent: () => void;
 };
@@ -211,5 +213,6 @@
 			}, connections.countAccepted);
 		},
 		closeSilent: connections.closeSilent,
+		countAccepted: connections.countAccepted,
 	};
 };
