fix(gateway): a start that waits for an address keeps no callers waiting, and ends when told to

Beside it: if the address for callers changed between the early and the whole read of the settings, the process served the old one only.

Cause: wait, but leave the early listener open, and nobody told the wait of a signal.

Change: the early listener is closed at once if another address is in use or its own is not that of the settings any more, so that callers try elsewhere; a request to stop aborts the wait, and a start given up for it is a planned end with code 0.

--- a/packages/gateway/src/host/start-gateway.ts
+++ b/packages/gateway/src/host/start-gateway.ts
@@ -32,6 +32,7 @@
 import {identifyStart} from '../upstreams/identify-start.js';
 import {createLimitLog} from '../limits/create-limit-log.js';
 import {createGatewayServer} from '../http/create-gateway-server.js';
+import {keepEarlyListener} from '../http/keep-early-listener.js';
 import type {EarlyListener} from '../http/early-listener.js';
 import type {GatewayMetrics} from '../metrics/gateway-metrics.js';
 import {createLoadTracker} from '../placement/create-load-tracker.js';
@@ -64,15 +65,17 @@
 	readonly store: DeclarationStore;
 	readonly metrics: GatewayMetrics;
 	readonly log: Logger;
+	/** Aborts if the process is told to stop before it has started. */
+	readonly stopRequested?: AbortSignal;
 	/** Set if the process already listens on the address for callers. */
 	readonly earlyListener?: EarlyListener | undefined;
 };
 
 /** Resolves once the process listens. `stop` resolves once no request is active, or shortly before the process is killed. */
-export const startGateway = async (cfg: HostConfig, {codec, keys, store, metrics, log, earlyListener}: GatewayOptions): Promise<RunningDaemon> => {
+export const startGateway = async (cfg: HostConfig, {codec, keys, store, metrics, log, stopRequested, earlyListener: openedEarly}: GatewayOptions): Promise<RunningDaemon> => {
 	const stopping = new AbortController();
 	// The process before may hold its addresses until the end of its grace.
-	const waiting = {waitMs: cfg.stopWithinMs, log};
+	const waiting = {waitMs: cfg.stopWithinMs, log, signal: stopRequested};
 	const view = createDeclaredView();
 	const routes = createRouteTable();
 	const crashLog = createCrashLog(log);
@@ -141,8 +144,10 @@
 			metrics.countLeaving();
 		},
 	};
+	const addresses = [cfg.metrics, ...(cfg.readiness ? [cfg.readiness] : []), cfg.peers];
+	const earlyListener = openedEarly && await keepEarlyListener(openedEarly, {callers: cfg.callers!, addresses, log});
 	// A start that fails must do so before callers are served.
-	for (const address of [cfg.metrics, ...(cfg.readiness ? [cfg.readiness] : [])]) {
+	for (const address of addresses) {
 		await waitUntilFree({...address, ...waiting});
 	}
 
--- a/packages/gateway/src/host/start-holder.ts
+++ b/packages/gateway/src/host/start-holder.ts
@@ -45,12 +45,14 @@
 	readonly store: DeclarationStore;
 	readonly metrics: GatewayMetrics;
 	readonly log: Logger;
+	/** Aborts if the process is told to stop before it has started. */
+	readonly stopRequested?: AbortSignal;
 };
 
 /** Resolves once the process serves requests; rejects if its data folder cannot be used. */
-export const startHolder = async (cfg: HostConfig, {keys, store, metrics, log}: HolderOptions): Promise<RunningDaemon> => {
+export const startHolder = async (cfg: HostConfig, {keys, store, metrics, log, stopRequested}: HolderOptions): Promise<RunningDaemon> => {
 	// The process before may hold its addresses until the end of its grace, and write to the data folder as long.
-	const waiting = {waitMs: cfg.stopWithinMs, log};
+	const waiting = {waitMs: cfg.stopWithinMs, log, signal: stopRequested};
 	for (const address of [cfg.peers, cfg.metrics]) {
 		await waitUntilFree({...address, ...waiting});
 	}
--- a/packages/lifecycle/src/__tests__/create-lifecycle.test.ts
+++ b/packages/lifecycle/src/__tests__/create-lifecycle.test.ts
@@ -142,3 +142,11 @@
 	await vi.advanceTimersByTimeAsync(0);
 	expect(subject.exits).toEqual([{exitCode: EXIT_SOFTWARE, atMs: 0}]);
 });
+
+it('takes a start that is given up because of a request to stop for a planned end', async () => {
+	const subject = createSubject();
+	subject.signal('SIGTERM');
+	subject.markFailed(new Error('told to stop while waiting'));
+	await vi.advanceTimersByTimeAsync(0);
+	expect(subject.exits).toEqual([{exitCode: 0, atMs: 0}]);
+});
--- a/packages/lifecycle/src/create-lifecycle.ts
+++ b/packages/lifecycle/src/create-lifecycle.ts
@@ -22,6 +22,8 @@
 	readonly exit: (exitCode: number) => void;
 	/** Called with each signal, for the metrics. */
 	readonly onSignal?: (signal: ReceivedSignal['signal'], phase: LifecyclePhase) => void;
+	/** Called if a stop is asked for during the start, which need not be completed then. */
+	readonly onStopDuringStart?: () => void;
 	/** Called with each uncaught error, for the metrics. */
 	readonly onError?: (phase: LifecyclePhase) => void;
 };
@@ -48,7 +50,7 @@
 	return isStopping ? 'none; the process is already stopping' : 'stop';
 };
 
-export const createLifecycle = ({log, stopWithinMs, flush, exit, onSignal, onError}: LifecycleOptions) => {
+export const createLifecycle = ({log, stopWithinMs, flush, exit, onSignal, onStopDuringStart, onError}: LifecycleOptions) => {
 	let phase: LifecyclePhase = 'starting';
 	let daemon: RunningDaemon | undefined;
 	let cause: StopCause | undefined;
@@ -93,6 +95,8 @@
 		}, Math.max(0, leftMs() - END_MARGIN_MS));
 		if (daemon) {
 			void stopDaemon(requested, daemon);
+		} else {
+			onStopDuringStart?.();
 		}
 	};
 
@@ -134,6 +138,12 @@
 			}
 		},
 		markFailed(error: unknown): void {
+			if (cause) {
+				log.info('start given up', {error});
+				void end(`${cause.reason} during the start`, 0);
+				return;
+			}
+
 			log.error('could not start', {error});
 			void end('the start failed', EXIT_SOFTWARE);
 		},
--- a/packages/peer/src/listen-when-free.ts
+++ b/packages/peer/src/listen-when-free.ts
@@ -21,6 +21,8 @@
 	/** Milliseconds for which the address may be in use, such as the grace of the process before. By default it is tried once. */
 	readonly waitMs?: number | undefined;
 	readonly log?: {readonly info: LogWait; readonly warn: LogWait} | undefined;
+	/** Ends the wait, for example because the process is told to stop. */
+	readonly signal?: AbortSignal | undefined;
 };
 
 const isInUse = (error: unknown): boolean => error instanceof Error && 'code' in error && error.code === ERROR_IN_USE;
@@ -31,8 +33,8 @@
 	await listening;
 };
 
-/** Resolves once `server` listens. Rejects if the address is in use for longer than `waitMs`, and at once if it cannot be bound for another reason. */
-export const listenWhenFree = async (server: Server, {ip, port, waitMs = 0, log}: ListenOptions): Promise<void> => {
+/** Resolves once `server` listens. Rejects if the address is in use for longer than `waitMs` or until `signal` aborts, and at once if it cannot be bound for another reason. */
+export const listenWhenFree = async (server: Server, {ip, port, waitMs = 0, log, signal}: ListenOptions): Promise<void> => {
 	const address = `${ip}:${port}`;
 	const startedAt = performance.now();
 	const measureWaitMs = (): number => Math.round(performance.now() - startedAt);
@@ -46,6 +48,10 @@
 				throw new Error(`Cannot listen on ${address}: ${String(error)}. Check that the settings file names an address of this host.`, {cause: error});
 			}
 
+			if (signal?.aborted) {
+				throw new Error(`Gave up waiting for ${address} after ${measureWaitMs()} ms, since the process is told to stop.`, {cause: error});
+			}
+
 			if (measureWaitMs() >= waitMs) {
 				throw new Error(`Cannot listen on ${address}: in use for ${measureWaitMs()} ms (${ERROR_IN_USE}). ${REMEDY}`, {cause: error});
 			}
