fix(gateway): only events that the holders are sent wait for the end of the loop's turn

Suspected cause: held what is written to every caller until the end of the event loop's turn; a busy process has long turns, so first events came later, though only turns that are kept and resumable need the order, and the sites have none.

Change: only these are held.

--- a/packages/gateway/src/forward/__tests__/stopped-calls.test.ts
+++ b/packages/gateway/src/forward/__tests__/stopped-calls.test.ts
@@ -57,6 +57,7 @@
 			isStarted = true;
 			seen.push(['start', status]);
 		},
+		sendAfterMessages() {/* No turn is copied as it comes. */},
 		write: () => true,
 		onDrain() {/* It is never full. */},
 		finish() {
--- a/packages/gateway/src/forward/caller-response.ts
+++ b/packages/gateway/src/forward/caller-response.ts
@@ -12,6 +12,8 @@
 	readonly refuse: (status: number, retryAfterMs?: number) => void;
 	/** A response without a length is sent in chunks, also if the upstream's was ended by its connection: the end of a connection proves nothing to the caller, as a killed process causes it too. */
 	readonly start: (status: number, headers: string[]) => void;
+	/** From now on, what is written goes out behind the messages to other processes that were queued before it. */
+	readonly sendAfterMessages: () => void;
 	/** Returns `false` if the buffer is full and the writer should wait for `onDrain`. */
 	readonly write: (bytes: Uint8Array) => boolean;
 	readonly onDrain: (listener: () => void) => void;
--- a/packages/gateway/src/forward/create-turn-handler.ts
+++ b/packages/gateway/src/forward/create-turn-handler.ts
@@ -31,6 +31,8 @@
 export const createTurnHandler = ({holderClient, call, route, body, tokensPerEvent}: TurnHandlerOptions) => {
 	const isTurn = route.kind === 'stream' && call.program !== undefined;
 	const isKept = isKeptTurn(call, route);
+	// The caller may take the turn up elsewhere, which needs the events that it had.
+	const isCopiedAsItComes = isKept && route.isResumable;
 	const progress: StreamProgress = {lastEventId: undefined, events: 0, firstEventAt: undefined};
 	// The data of each event, including those that the caller had before it took the stream up; only if the turn is kept.
 	const output: string[] = [];
@@ -64,6 +66,8 @@
 
 	return {
 		progress,
+		/** Whether the holders are sent each event before the caller gets it. */
+		isCopiedAsItComes,
 		settleInBackground,
 		/** Adds events that the caller had from an earlier attempt. */
 		addBeginning(events: readonly OutputEvent[]): void {
@@ -75,7 +79,7 @@
 				return true;
 			}
 
-			if (route.isResumable) {
+			if (isCopiedAsItComes) {
 				holderClient.appendOutput({program: call.program!.id, attempt: call.id}, output.length, events.map(({id = '', data}) => ({id, data})));
 			}
 
--- a/packages/gateway/src/forward/run-call.ts
+++ b/packages/gateway/src/forward/run-call.ts
@@ -89,6 +89,10 @@
 	const turn = createTurnHandler({
 		holderClient: context.holderClient, call, route, body, tokensPerEvent,
 	});
+	if (turn.isCopiedAsItComes) {
+		response.sendAfterMessages();
+	}
+
 	const preparation = await waitUnlessStopped(active, Promise.all([
 		turn.prepare(deadlineAt - Date.now()),
 		takeUpStream(context.holderClient, call, route, {
--- a/packages/gateway/src/http/__tests__/create-caller-response.test.ts
+++ b/packages/gateway/src/http/__tests__/create-caller-response.test.ts
@@ -52,6 +52,7 @@
 	const res = new ServerResponse(req);
 	res.assignSocket(socket);
 	const response = createCallerResponse(res, {encodeRefusal: () => ({})});
+	response.sendAfterMessages();
 	response.start(200, ['content-type', 'text/event-stream']);
 	return {res, response};
 };
@@ -120,6 +121,7 @@
 		const results: boolean[] = [];
 		const server = createServer((_req, res) => {
 			const response = createCallerResponse(res, {encodeRefusal: () => ({})});
+			response.sendAfterMessages();
 			response.start(200, ['content-type', 'text/event-stream']);
 			results.push(response.write(written));
 			response.onDrain(() => {
--- a/packages/gateway/src/http/create-caller-response.ts
+++ b/packages/gateway/src/http/create-caller-response.ts
@@ -1,12 +1,12 @@
 /**
 Implements `CallerResponse` on a response of Node's HTTP server.
 
-What is written goes to the caller's connection at the end of the event loop's turn,
-after the messages to other processes that were queued before the write: links send
-theirs at the same point, in the order in which both were queued
-(`createOutboundQueue` of the peer package). So a caller has no event of a kept turn that the
-holders were not sent before, even if this process is killed right then, and the
-messages of all calls of one turn of the loop still share their frames.
+After `sendAfterMessages`, what is written goes to the caller's connection at the end
+of the event loop's turn: links send their messages at the same point, in the order
+in which both were queued (`createOutboundQueue` of the peer package). So a caller has
+no event of a kept turn that the holders were not sent before, even if this process is
+killed right then, and the messages of all calls of one turn of the loop still share
+their frames.
 */
 import type {ServerResponse} from 'node:http';
 import type {CallerResponse} from '../forward/caller-response.js';
@@ -24,6 +24,7 @@
 	let isOver = false;
 	let isDisconnected = false;
 	let isHeld = false;
+	let isBehindMessages = false;
 	const disconnectListeners: Array<() => void> = [];
 	res.on('close', () => {
 		if (isOver) {
@@ -88,12 +89,18 @@
 				res.writeHead(status, headers);
 			}
 		},
+		sendAfterMessages() {
+			isBehindMessages = true;
+		},
 		write(bytes) {
 			if (isOver) {
 				return true;
 			}
 
-			hold();
+			if (isBehindMessages) {
+				hold();
+			}
+
 			return res.write(bytes);
 		},
 		onDrain(listener) {
