--- a/packages/gateway/src/host/start-gateway.ts
+++ b/packages/gateway/src/host/start-gateway.ts
@@ -56,6 +56,8 @@
 const CONNECTION_SHARE = 0.25;
 const DEFAULT_MAX_CONNECTIONS = 64;
 const DEFAULT_MEMORY_TOKENS = 100_000;
+/** Other processes can serve the caller at once. */
+const RETRY_ELSEWHERE_MS = 100;
 /** How often a starting process dials the copy holders that do not answer yet. */
 const STARTUP_DIAL_INTERVAL_MS = 40;
 
@@ -145,7 +147,9 @@
 		},
 	};
 	const addresses = [cfg.metrics, ...(cfg.readiness ? [cfg.readiness] : []), cfg.peers];
-	const earlyListener = openedEarly && await keepEarlyListener(openedEarly, {callers: cfg.callers!, addresses, log});
+	const earlyListener = openedEarly && await keepEarlyListener(openedEarly, {
+		callers: cfg.callers!, addresses, refusalHeaders: codec.encodeRefusal(undefined, RETRY_ELSEWHERE_MS), log,
+	});
 	// A start that fails must do so before callers are served.
 	for (const address of addresses) {
 		await waitUntilFree({...address, ...waiting});
--- a/packages/gateway/src/http/keep-early-listener.ts
+++ b/packages/gateway/src/http/keep-early-listener.ts
@@ -3,11 +3,12 @@
 
 Load pattern: a host starts a gateway while the one before still holds an address.
 Callers that were accepted early would wait, unread, for as long; if they are
-turned away they try another process at once.
+refused they try another process at once.
 */
 import type {Logger} from '@siskinhub/observe/logger.js';
 import {waitUntilFree} from '@siskinhub/peer/wait-until-free.js';
 import type {EarlyListener} from './early-listener.js';
+import {refuseEarlyCallers} from './refuse-early-callers.js';
 
 type Address = {readonly ip: string; readonly port: number};
 
@@ -16,6 +17,8 @@
 	readonly callers: Address;
 	/** What the process needs beside it. */
 	readonly addresses: readonly Address[];
+	/** For callers that have to go elsewhere. */
+	readonly refusalHeaders: Readonly<Record<string, string>>;
 	readonly log: Pick<Logger, 'warn'>;
 };
 
@@ -39,14 +42,14 @@
 	return free.includes(false) ? 'another address of the process is in use' : undefined;
 };
 
-/** Resolves to the listener, or closes it and resolves to `undefined`. */
+/** Resolves to the listener, or refuses its callers, closes it and resolves to `undefined`. */
 export const keepEarlyListener = async (listener: EarlyListener, options: KeepOptions): Promise<EarlyListener | undefined> => {
 	const reason = await findReason(listener, options);
 	if (reason === undefined) {
 		return listener;
 	}
 
-	options.log.warn('callers accepted early are turned away', {reason});
-	listener.close();
+	options.log.warn('callers accepted early are refused', {reason});
+	refuseEarlyCallers(listener, options.refusalHeaders);
 	return undefined;
 };
