test(cli): holders of the system's test have loopback addresses of their own

Change: each holder gets an address of its own in a reserved block of the loopback network, as in the soak.

--- a/packages/cli/src/__tests__/system.test.ts
+++ b/packages/cli/src/__tests__/system.test.ts
@@ -1,5 +1,4 @@
 import {mkdtemp, rm, writeFile} from 'node:fs/promises';
-import {createServer} from 'node:net';
 import {tmpdir} from 'node:os';
 import path from 'node:path';
 import {setTimeout as delay} from 'node:timers/promises';
@@ -15,20 +14,14 @@
 import {exampleConfig} from '../../../../platform/src/__tests__/fakes/example-config.js';
 import {startFakeStore} from '../../../../platform/src/__tests__/fakes/start-fake-store.js';
 import {startFakeWorker} from '../../../../platform/src/__tests__/fakes/start-fake-worker.js';
+import {reserveNetwork} from '../../../../platform/src/soak/cluster/reserve-network.js';
 import {runCommand} from './run-command.js';
 
 const HOLDERS = 3;
 const MAX_LIST_CHECKS = 100;
 
-const findFreePort = async (): Promise<number> => new Promise(resolve => {
-	const server = createServer();
-	server.listen(0, '127.0.0.1', () => {
-		const {port} = server.address() as {port: number};
-		server.close(() => {
-			resolve(port);
-		});
-	});
-});
+/** Each holder has a loopback address of its own, so that no other process can take its ports before it listens. */
+const PORTS = [7380, 7384] as const;
 
 describe('commands about a system on the platform\'s machines', () => {
 	const cleanups: Array<() => Promise<void> | void> = [];
@@ -43,12 +36,14 @@
 		store.write('op/config', exampleConfig(7));
 		store.write('servers/m1', worker.entry('models'));
 		store.write('servers/forged', 'no json');
+		const network = await reserveNetwork();
+		cleanups.push(network.close);
 		for (let index = 0; index < HOLDERS; index++) {
 			const name = `storage-${index}`;
-			const port = await findFreePort();
+			const ip = network.nextAddress();
 			settings = path.join(folder, `${name}.yaml`);
 			await writeFile(settings, JSON.stringify({
-				nodeName: name, ipAddress: '127.0.0.1', zone: 'z1', listenAddresses: {}, internalPortRange: [port, port + 4], dataDirectory: path.join(folder, name), faultTolerance: {machines: 1}, platform: {address: store.address},
+				nodeName: name, ipAddress: ip, zone: 'z1', listenAddresses: {}, internalPortRange: PORTS, dataDirectory: path.join(folder, name), faultTolerance: {machines: 1}, platform: {address: store.address},
 			}));
 			const loaded = await loadHostConfig(settings);
 			const {cfg, storeAddress} = loaded._unsafeUnwrap();
