feat(gateway): copy holders tell when they are short of processor time

Holders have the gauges of the event loop that gateways have, and write a line a second while it is busy. Lines of calls also have the time that is left until the program should be finished, which tells the late ones.

--- a/packages/gateway/src/admission/refuse-overloaded.ts
+++ b/packages/gateway/src/admission/refuse-overloaded.ts
@@ -26,6 +26,6 @@
 	response.refuse(STATUS, Math.max(RETRY_OTHER_PROCESS_MS, Math.round(waitMs)));
 	metrics.countCall(OUTCOME, STATUS, 0);
 	calls.write({
-		requestId: call.id, programId: call.program?.id, outcome: OUTCOME, status: STATUS, queueMs: Math.round(queueMs), utilization: Number(utilization.toFixed(2)), waitMs: Math.round(waitMs),
+		requestId: call.id, programId: call.program?.id, finishInMs: call.program?.finishInMs, outcome: OUTCOME, status: STATUS, queueMs: Math.round(queueMs), utilization: Number(utilization.toFixed(2)), waitMs: Math.round(waitMs),
 	}, false);
 };
--- a/packages/gateway/src/forward/run-call.ts
+++ b/packages/gateway/src/forward/run-call.ts
@@ -218,6 +218,6 @@
 	metrics.countCall(outcome, status, durationMs);
 	const isInTime = (firstEventMs ?? durationMs) <= (route?.objectiveMs ?? 0);
 	calls.write({
-		requestId: call.id, programId: call.program?.id, outcome, status, durationMs, version: declared?.version, ...fields,
+		requestId: call.id, programId: call.program?.id, finishInMs: call.program?.finishInMs, outcome, status, durationMs, version: declared?.version, ...fields,
 	}, outcome === 'done' && attempts === 1 && isInTime);
 };
--- a/packages/gateway/src/host/start-holder.ts
+++ b/packages/gateway/src/host/start-holder.ts
@@ -19,6 +19,7 @@
 import type {SyncCopy} from '@siskinhub/turns/holder/sync-copy.js';
 import type {Holder} from '@siskinhub/turns/membership/holder.js';
 import type {GatewayMetrics} from '../metrics/gateway-metrics.js';
+import {createLoopMonitor} from '../admission/create-loop-monitor.js';
 import {createCrashLog} from '../crashes/create-crash-log.js';
 import {createCrashTracker} from '../crashes/create-crash-tracker.js';
 import {answerPermitRequests} from '../limits/answer-permit-requests.js';
@@ -37,6 +38,7 @@
 import type {HostConfig} from './host-config.js';
 import {listNeighbourAddresses} from './list-neighbour-addresses.js';
 import {serveText} from './serve-text.js';
+import {watchProcessor} from './watch-processor.js';
 
 /** Longer than a restart or a short network failure. A holder that is silent for this time is replaced if enough others are available. */
 const LOST_AFTER_MS = 3000;
@@ -92,6 +94,7 @@
 	const answerCopies = createCopyService({
 		store: copies, syncCopy, outputs: createOutputBuffer(() => performance.now()), onError: createRepeatedErrorLog(log, 'failed to write a record to the disk'), onGap: gapLog.record,
 	});
+	const loop = createLoopMonitor({schedule: setImmediate, now: () => performance.now(), measureUtilization: performance.eventLoopUtilization.bind(performance)});
 	const links = createHostLinks({
 		host: cfg.host,
 		dataCentre: cfg.dataCentre,
@@ -101,7 +104,10 @@
 		publisher,
 		readKnownGraceMs: () => follower.knownGraceMs(),
 		diskId: copies.diskId,
-		onMessage: message => answerPermit(message) || answerCopies(message),
+		onMessage(message) {
+			loop.recordArrival();
+			return answerPermit(message) || answerCopies(message);
+		},
 		onPause() {
 			log.warn('process was paused; reconnecting the peer links', {});
 		},
@@ -140,6 +146,9 @@
 		signal: stopping.signal,
 	});
 	void compactWhenLarge(copies, log, stopping.signal);
+	watchProcessor({
+		loop, metrics, log, signal: stopping.signal,
+	});
 	const metricsServer = await serveText({...cfg.metrics, ...waiting}, async () => ({status: 200, text: await metrics.render()}));
 	log.info('copy holder started', {diskId: copies.diskId, isNewDisk: copies.isNew, records: copies.size()});
 
