fix(gateway): tool calls of programs under way are not refused as first calls

What callers saw: tools of programs under way refused as overloaded; a program ends with a call that fails, and all its turns before are lost.

Cause: a gateway knows the programs that it accepted itself. A call without an earlier turn of any other program counted as a first call, also a tool call that another gateway had refused or that came after a restart. But a tool is called with what a turn has answered, so it is never the first.

Turns without an earlier turn of a program that another gateway accepted are still taken as first ones: nothing in them tells.

--- a/packages/gateway/src/admission/__tests__/admission.test.ts
+++ b/packages/gateway/src/admission/__tests__/admission.test.ts
@@ -15,7 +15,7 @@
 
 const createCall = (program: string | undefined, previousTurn?: string): CallHead => {
 	const call: CallHead = {
-		id: 'r' as RequestId, method: 'POST', path: '/', host: 'h', headers: [],
+		id: 'r' as RequestId, method: 'POST', path: '/', host: 'h', headers: [], prompt: {promptTokens: 500, maxTokens: 30, parts: [{id: 'a', tokens: 500}]},
 	};
 	return program === undefined ? call : {...call, program: {id: program as ProgramId, ...(previousTurn && {previousTurn: previousTurn as RequestId})}};
 };
@@ -78,6 +78,12 @@
 		expect(isAdmitted(createCall('new'))).toBe(false);
 	});
 
+	// Guards against RECOVER and SHORT: gateways refused tool calls of programs that others, or an earlier start, had accepted as first calls, and a call that fails ends its program.
+	it('never refuses a tool call, whose program another process or an earlier start has accepted', () => {
+		const isAdmitted = createGate(() => ({queueMs: 1000, utilization: 1}));
+		expect(isAdmitted({...createCall('accepted elsewhere'), prompt: undefined})).toBe(true);
+	});
+
 	it('serves as many whole programs as the processor can under twice the load, nearly all without waiting', () => {
 		const CALL_MS = 22;
 		const CALLS = 20;
