--- a/packages/turns/src/client/create-holder-client.ts
+++ b/packages/turns/src/client/create-holder-client.ts
@@ -14,7 +14,6 @@
 import {askHolders} from './ask-holders.js';
 import type {AskQuorum} from './ask-quorum.js';
 import {createChainReader} from './create-chain-reader.js';
-import {createGroupCounter} from './create-group-counter.js';
 import {createGroupMonitors} from './create-group-monitors.js';
 import {createHedgeDelay} from './create-hedge-delay.js';
 import {createOriginClient} from './create-origin-client.js';
@@ -49,7 +48,6 @@
 
 export const createHolderClient = ({readList, adoptList, linkTo, losses, dataCentre}: ClientOptions): HolderClient => {
 	const hedge = createHedgeDelay();
-	const countGroups = createGroupCounter(readList);
 	const monitors = createGroupMonitors({readList, linkTo, losses});
 
 	/** Repeats the round under each newer list until there are enough answers or the timeout has passed. `one` asks one holder first, `write` a write quorum. */
@@ -69,9 +67,7 @@
 				continue;
 			}
 
-			const holders = orderHolders(listAllHolders(list), {
-				getRemote: holder => linkTo(holder).remote(), countGroups, dataCentre, program,
-			});
+			const holders = orderHolders(listAllHolders(list), {getRemote: holder => linkTo(holder).remote(), dataCentre, program});
 			const roundStartedAt = performance.now();
 			const result = await askHolders({
 				group, list, linkTo, holders, firstCount: kind === 'one' ? 1 : chooseFirstCount(list, losses), buildRequest, onAnswer: createAnswerHandler(list), timeoutMs: leftMs, hedgeDelayMs: hedge.delayMs(), readList: () => readList(group),
