fix(gateway): turns leave the engine with their history only for one with much less to do

Cause: reading a prompt was counted as if it cost only its own call. Under load the waits of engines differ by more than that between gateways, so turns moved, were read again (2 to 8 thousand tokens, 60 to 220 ms in which the engine does nothing else), and that made all waits longer: a state that holds itself up.

Change: reading counts once more for the calls that run there, and once for each call that waits. Penalties of failures are in the same unit and doubled with it. Of a part of a prompt that has grown only what was sent before is taken as held.

The test fails without the change.

--- a/packages/gateway/src/placement/__tests__/placement.test.ts
+++ b/packages/gateway/src/placement/__tests__/placement.test.ts
@@ -41,6 +41,22 @@
 		expect(choose(loads, turn('p1', 'shared', 1600)).id).toBe(firstEngine.id);
 	});
 
+	// Guards against RECOVER: under load turns left the engine with their history for one that was as full, and all that was read again kept the engines full after the burst.
+	it('leaves the engine with the history of a program only for one with much less to do', () => {
+		const call = turn('p1', 'shared', 4000);
+		const [home, other] = engines;
+		const chooseBeside = (waitMs: number) => chooseEngine(call, [
+			{
+				upstream: home!, running: 4, pendingPrefillTokens: 0, waitMs: 450, heldTokens: 4000, penaltyMs: 0, isNear: true,
+			},
+			{
+				upstream: other!, running: 4, pendingPrefillTokens: 0, waitMs, heldTokens: 0, penaltyMs: 0, isNear: true,
+			},
+		])!.upstream;
+		expect(chooseBeside(300)).toBe(home);
+		expect(chooseBeside(0)).toBe(other);
+	});
+
 	it('sends a shared prefix to the same engine from processes that know nothing of each other', () => {
 		const chosen = new Set(Array.from({length: 5}, (_, index) => choose(createTracker(), turn(`p${index}`, 'shared', 500)).id));
 		expect(chosen.size).toBe(1);
@@ -106,6 +122,12 @@
 		expect(tracker.countHeldTokens([{id: 'c', tokens: 10}, {id: 'b', tokens: 50}])).toBe(0);
 	});
 
+	it('counts of a part that has grown only what was sent before', () => {
+		const tracker = createPrefixTracker(10_000);
+		tracker.record([{id: 'shared', tokens: 100}, {id: 'session', tokens: 50}]);
+		expect(tracker.countHeldTokens([{id: 'shared', tokens: 100}, {id: 'session', tokens: 80}, {id: 'sub', tokens: 5}])).toBe(150);
+	});
+
 	it('forgets the least recently used parts once the cache is full', () => {
 		const tracker = createPrefixTracker(200);
 		tracker.record([{id: 'a', tokens: 100}]);
--- a/packages/gateway/src/placement/choose-engine.ts
+++ b/packages/gateway/src/placement/choose-engine.ts
@@ -15,6 +15,10 @@
 
 /** Approximate prompt tokens that an engine reads per millisecond; only the ratio to the other costs matters. */
 const PREFILL_TOKENS_PER_MS = 40;
+/** An engine reads one prompt at a time and computes nothing else meanwhile, so reading costs the calls that run there as much as the call itself. */
+const RUNNING_CALLS_WEIGHT = 1;
+/** Approximate time between two calls that a full engine begins. Reading delays all calls that wait there, one for each such time of the wait. */
+const BEGIN_INTERVAL_MS = 50;
 /** Each active call lengthens the generation steps of the others. */
 const RUNNING_CALL_COST_MS = 2;
 const OTHER_DATA_CENTRE_COST_MS = 2;
@@ -25,9 +29,10 @@
 	const {prompt} = call;
 	const missingTokens = Math.max(0, (prompt?.promptTokens ?? 0) - load.heldTokens);
 	const prefillMs = (missingTokens + load.pendingPrefillTokens) / PREFILL_TOKENS_PER_MS;
+	const delayedCalls = load.waitMs / BEGIN_INTERVAL_MS;
 	const distanceMs = load.isNear ? 0 : OTHER_DATA_CENTRE_COST_MS;
 	const hashMs = HASH_SPREAD_MS * hashPair(prompt?.parts[0]?.id ?? call.id, load.upstream.id);
-	return prefillMs + (RUNNING_CALL_COST_MS * load.running) + load.waitMs + distanceMs + hashMs + load.penaltyMs;
+	return (prefillMs * (1 + RUNNING_CALLS_WEIGHT + delayedCalls)) + (RUNNING_CALL_COST_MS * load.running) + load.waitMs + distanceMs + hashMs + load.penaltyMs;
 };
 
 /** Returns the entry of `loads` with the lowest cost. */
--- a/packages/gateway/src/placement/create-load-tracker.ts
+++ b/packages/gateway/src/placement/create-load-tracker.ts
@@ -10,8 +10,8 @@
 import type {LoadTracker} from './load-tracker.js';
 
 /** Added to the cost of an upstream after a failure; decays with `PENALTY_HALF_LIFE_MS`. */
-const FAILURE_PENALTY_MS = 150;
-const FULL_PENALTY_MS = 60;
+const FAILURE_PENALTY_MS = 300;
+const FULL_PENALTY_MS = 120;
 const PENALTY_HALF_LIFE_MS = 1000;
 const MAX_PENALTY_MS = 1200;
 /** Added while an upstream is still slow after its start. */
--- a/packages/gateway/src/placement/create-prefix-tracker.ts
+++ b/packages/gateway/src/placement/create-prefix-tracker.ts
@@ -36,11 +36,12 @@
 		countHeldTokens(promptParts: readonly PromptPart[]): number {
 			let heldTokens = 0;
 			for (const {id, tokens} of promptParts) {
-				if (!parts.has(id)) {
+				// A session's part grows with each of its turns.
+				const held = Math.min(tokens, parts.get(id) ?? 0);
+				heldTokens += held;
+				if (held < tokens) {
 					break;
 				}
-
-				heldTokens += tokens;
 			}
 
 			return heldTokens;
