fix(gateway): turns of programs that can no longer end in time yield to the others

Cause: the time that a caller says is left until its program should be finished was read and never used. The turns of late programs were always accepted and had the priority of their route, so at full engines those that could end in time waited behind them and were late in turn.

Change: late turns have a lower priority at the engines than those of any rank in time, and are refused like first calls while calls wait at the engines for longer than part of their objective. Neither does anything while engines have room.

The check that no call of a program under way is refused now says: none that can still end in time. Such a turn earns little or nothing, and those of others wait for it.

--- a/packages/gateway/src/admission/create-admission.ts
+++ b/packages/gateway/src/admission/create-admission.ts
@@ -2,6 +2,7 @@
 Applies the admission of programs to the requests of one gateway.
 */
 import type {CallHead} from '../call/call-head.js';
+import {isLate} from '../call/is-late.js';
 import type {LoadTracker} from '../placement/load-tracker.js';
 import type {RouteTable} from '../routes/route-table.js';
 import {createKnownPrograms} from './create-known-programs.js';
@@ -23,13 +24,15 @@
 	const programs = createKnownPrograms();
 	return call => {
 		const isFirstCall = programs.isFirstCall(call);
-		const route = isFirstCall ? routes.match(call.host, call.path) : undefined;
+		const isLateTurn = call.prompt !== undefined && isLate(call);
+		const route = isFirstCall || isLateTurn ? routes.match(call.host, call.path) : undefined;
 		const state = {
 			...loop.read(),
 			rank: route?.rank ?? 0,
 			objectiveMs: route?.objectiveMs ?? 0,
 			waitMs: readEngineWait(call, route, meanWaitMs),
 			isFirstCall,
+			isLateTurn,
 		};
 		if (decideAdmission(state, random()) === 'refuse') {
 			return false;
--- a/packages/gateway/src/admission/decide-admission.ts
+++ b/packages/gateway/src/admission/decide-admission.ts
@@ -6,13 +6,15 @@
 program makes tens of calls over many seconds, so programs have to be refused
 before the processor is used up, and refusing one takes far less time than
 serving it. The caller can try another gateway at once. Calls of programs under
-way are always accepted. The less urgent programs are refused first, and more of
+way that can end in time are always accepted. The less urgent programs are refused first, and more of
 them the busier the process is.
 
 The same holds for the engines: once calls wait there for longer than their
 objective, every further program makes all of them later, and what was computed
 for those that give up is lost. So the engines would stay full long after the
-burst.
+burst. For the same reason turns of programs that can no longer end in time are
+refused there like first calls: each would be followed by more, whose histories take
+the memory of the engines from the programs that can.
 */
 
 /** Utilization of the event loop at which the first of the least urgent programs are refused; the rest is for the calls that accepted programs still make. */
@@ -45,6 +47,8 @@
 	readonly rank: number;
 	/** Whether the call is the first of its program here, as far as the gateway knows. */
 	readonly isFirstCall: boolean;
+	/** Whether the call is a turn of a program that cannot end in time any more. */
+	readonly isLateTurn: boolean;
 };
 
 /** Share of the programs that the processor of the gateway cannot serve. */
@@ -65,6 +69,7 @@
 
 /** `fraction` is uniformly distributed in [0, 1). */
 export const decideAdmission = (state: AdmissionState, fraction: number): 'accept' | 'refuse' => {
-	const excess = Math.max(computeProcessorExcess(state), computeEngineExcess(state));
-	return state.isFirstCall && fraction < excess ? 'refuse' : 'accept';
+	const processorExcess = state.isFirstCall ? computeProcessorExcess(state) : 0;
+	const engineExcess = state.isFirstCall || state.isLateTurn ? computeEngineExcess(state) : 0;
+	return fraction < Math.max(processorExcess, engineExcess) ? 'refuse' : 'accept';
 };
--- /dev/null
+++ b/packages/gateway/src/forward/__tests__/choose-priority.test.ts
@@ -0,0 +1,22 @@
+import type {ProgramId} from '@siskinhub/core/ids/program-id.js';
+import {describe, expect, it} from 'vitest';
+import {choosePriority} from '../choose-priority.js';
+
+const prompt = {promptTokens: 10, maxTokens: 10, parts: []};
+const createProgram = (finishInMs?: number) => ({id: 'p' as ProgramId, ...(finishInMs !== undefined && {finishInMs})});
+
+describe('choosePriority', () => {
+	// Guards against RECOVER: turns of programs that were late already made those of all others late.
+	it('puts turns of late programs behind those of every rank that can end in time', () => {
+		const inTime = [0, 1, 2].map(rank => choosePriority({prompt, program: createProgram(100)}, {rank})!);
+		const late = choosePriority({prompt, program: createProgram(0)}, {rank: 0})!;
+		expect(inTime).toEqual([4, 5, 6]);
+		expect(late).toBeGreaterThan(Math.max(...inTime));
+	});
+
+	it('stays within the priorities that engines know, and gives none to calls without a prompt', () => {
+		expect(choosePriority({prompt, program: createProgram(0)}, {rank: 7})).toBe(9);
+		expect(choosePriority({prompt, program: createProgram()}, {rank: 0})).toBe(4);
+		expect(choosePriority({program: createProgram(0)}, {rank: 0})).toBeUndefined();
+	});
+});
--- a/packages/gateway/src/forward/create-attempt-runner.ts
+++ b/packages/gateway/src/forward/create-attempt-runner.ts
@@ -14,14 +14,13 @@
 import type {CallerResponse} from './caller-response.js';
 import type {createTurnHandler} from './create-turn-handler.js';
 import type {CallPlan} from './call-plan.js';
+import {choosePriority} from './choose-priority.js';
 import {chooseUpstreamForCall} from './choose-upstream-for-call.js';
 import type {GatewayContext} from './gateway-context.js';
 import {judgeAttemptEnd} from './judge-attempt-end.js';
 import {runAttempt} from './run-attempt.js';
 import {waitUnlessStopped} from './wait-unless-stopped.js';
 
-const DEFAULT_PRIORITY = 4;
-const LEAST_URGENT_PRIORITY = 9;
 const MIN_FAILURE_STATUS = 300;
 /** Each permit costs a message; an attempt that was denied so many goes only to upstreams without a limit. */
 const MAX_DENIALS = 3;
@@ -147,7 +146,7 @@
 				response,
 				active,
 				progress,
-				priority: call.prompt && Math.min(LEAST_URGENT_PRIORITY, DEFAULT_PRIORITY + route.rank),
+				priority: choosePriority(call, route),
 				recordEvents,
 				completeTurn,
 				confirmFirstEvent: origins?.confirm ?? passAtOnce,
--- a/packages/gateway/src/placement/__tests__/simulate-fleet.ts
+++ b/packages/gateway/src/placement/__tests__/simulate-fleet.ts
@@ -166,7 +166,7 @@
 
 	const startProgram = (gateway: number, program: string): void => {
 		const decision = decideAdmission({
-			queueMs: 0, utilization: 0, rank: 1, isFirstCall: true, waitMs: trackers[gateway]!.meanWaitMs('s'), objectiveMs: OBJECTIVE_MS,
+			queueMs: 0, utilization: 0, rank: 1, isFirstCall: true, isLateTurn: false, waitMs: trackers[gateway]!.meanWaitMs('s'), objectiveMs: OBJECTIVE_MS,
 		}, random());
 		if (decision === 'refuse') {
 			refusedPrograms++;
