fix(gateway): every gateway refuses the same programs

What callers saw: programs that one gateway had begun were refused by the next, half-way.

Cause: a gateway knows only the programs that it has accepted itself, and drew anew for each call. A program that was refused at one gateway and accepted at another met the first again with its next turn; after a restart no gateway knows any.

Change: the draw follows from the program's id, so all gateways agree under the same load, and at most nine in ten programs are refused, so that there are some that were begun before the load grew and are never refused.

The test fails without the change.

--- a/packages/gateway/src/admission/__tests__/admission.test.ts
+++ b/packages/gateway/src/admission/__tests__/admission.test.ts
@@ -24,18 +24,9 @@
 	name: 'r', host: 'h', prefix: '/', kind: 'stream', targets: [{service: 's', weight: 1}], timeoutMs: 3000, objectiveMs: 200, maxRuns: 1, rank: 1, isResumable: false, keepsTurns: true, retentionMs: 60_000, isSticky: true,
 };
 
-const createGate = (read: () => {queueMs: number; utilization: number}) => {
-	let state = 1;
-	return createAdmission({
-		routes: {match: () => route},
-		loop: {read},
-		meanWaitMs: () => 0,
-		random() {
-			state = (state * 16_807) % 2_147_483_647;
-			return state / 2_147_483_647;
-		},
-	});
-};
+const createGate = (read: () => {queueMs: number; utilization: number}, meanWaitMs = () => 0) => createAdmission({
+	routes: {match: () => route}, loop: {read}, meanWaitMs,
+});
 
 describe('decideAdmission', () => {
 	const decide = (utilization: number, rank: number, queueMs = 30) => decideAdmission({
@@ -92,6 +83,18 @@
 		expect(isAdmitted({...createCall('accepted elsewhere'), prompt: undefined})).toBe(true);
 	});
 
+	// Guards against RECOVER: what one gateway had begun was refused by the next, so programs failed half-way and all that was computed for them was lost.
+	it('refuses the same programs in every process, at each of their calls', () => {
+		const WAIT_MS = 300;
+		const gates = Array.from({length: 3}, () => createGate(() => ({queueMs: 0, utilization: 0}), () => WAIT_MS));
+		const programs = Array.from({length: 300}, (_, index) => `program-${index}`);
+		const accepted = gates.map(isAdmitted => programs.filter(program => isAdmitted(createCall(program))));
+		expect(accepted[1]).toEqual(accepted[0]);
+		expect(accepted[2]).toEqual(accepted[0]);
+		expect(accepted[0]!.length).toBeGreaterThan(0);
+		expect(accepted[0]!.length).toBeLessThan(programs.length);
+	});
+
 	it('serves as many whole programs as the processor can under twice the load, nearly all without waiting', () => {
 		const CALL_MS = 22;
 		const CALLS = 20;
--- a/packages/gateway/src/admission/create-admission.ts
+++ b/packages/gateway/src/admission/create-admission.ts
@@ -1,6 +1,13 @@
 /**
 Applies the admission of programs to the requests of one gateway.
+
+Several gateways see the calls of one program: callers go to another one when they
+are refused, or after a restart, and a gateway knows only the programs that it has
+accepted itself. So the draw is the program's and not the call's. All gateways then
+refuse the same programs under the same load, from their first call on, and none
+refuses what another has begun.
 */
+import {hashPair} from '@siskinhub/core/ids/hash-pair.js';
 import type {CallHead} from '../call/call-head.js';
 import {isLate} from '../call/is-late.js';
 import type {LoadTracker} from '../placement/load-tracker.js';
@@ -15,12 +22,13 @@
 	readonly loop: Pick<ReturnType<typeof createLoopMonitor>, 'read'>;
 	/** Milliseconds for which calls have recently waited at the upstreams of the service. */
 	readonly meanWaitMs: LoadTracker['meanWaitMs'];
-	/** Uniformly distributed in [0, 1). */
-	readonly random: () => number;
 };
 
+/** Uniformly distributed in [0, 1) over the programs, and the same for all calls of one in every process. */
+const drawFraction = ({id, program}: CallHead): number => hashPair('admission', program?.id ?? id);
+
 /** The returned function is called once for each request; it returns whether to handle it. */
-export const createAdmission = ({routes, loop, meanWaitMs, random}: AdmissionOptions): ((call: CallHead) => boolean) => {
+export const createAdmission = ({routes, loop, meanWaitMs}: AdmissionOptions): ((call: CallHead) => boolean) => {
 	const programs = createKnownPrograms();
 	return call => {
 		const isFirstCall = programs.isFirstCall(call);
@@ -34,7 +42,7 @@
 			isFirstCall,
 			isLateTurn,
 		};
-		if (decideAdmission(state, random()) === 'refuse') {
+		if (decideAdmission(state, drawFraction(call)) === 'refuse') {
 			return false;
 		}
 
--- a/packages/gateway/src/admission/decide-admission.ts
+++ b/packages/gateway/src/admission/decide-admission.ts
@@ -23,6 +23,8 @@
 const REFUSAL_RANGE = 0.15;
 /** More urgent programs are refused from a utilization that is higher by this for each rank. */
 const RANK_STEP = 0.03;
+/** Some programs are begun under any load, so that those that were begun before the load grew are not refused by gateways that do not know them. */
+const MAX_EXCESS = 0.9;
 /** Ranks beyond this are treated alike. */
 const LEAST_URGENT_RANK = 2;
 /** While arrived data waits for less than this, a busy loop does no harm. */
@@ -71,5 +73,5 @@
 export const decideAdmission = (state: AdmissionState, fraction: number): 'accept' | 'refuse' => {
 	const processorExcess = state.isFirstCall ? computeProcessorExcess(state) : 0;
 	const engineExcess = state.isFirstCall || state.isLateTurn ? computeEngineExcess(state) : 0;
-	return fraction < Math.max(processorExcess, engineExcess) ? 'refuse' : 'accept';
+	return fraction < Math.min(MAX_EXCESS, Math.max(processorExcess, engineExcess)) ? 'refuse' : 'accept';
 };
--- a/packages/gateway/src/host/start-gateway.ts
+++ b/packages/gateway/src/host/start-gateway.ts
@@ -169,9 +169,7 @@
 			loop.recordArrival();
 			return loop.read().queueMs;
 		},
-		isAdmitted: createAdmission({
-			routes, loop, meanWaitMs: loads.meanWaitMs, random: Math.random,
-		}),
+		isAdmitted: createAdmission({routes, loop, meanWaitMs: loads.meanWaitMs}),
 		onRefused(call, response) {
 			refuseOverloaded(call, response, {
 				metrics, calls, loop, waitMs: readEngineWait(call, routes.match(call.host, call.path), loads.meanWaitMs),
