--- a/packages/gateway/src/admission/decide-admission.ts
+++ b/packages/gateway/src/admission/decide-admission.ts
@@ -1,13 +1,14 @@
 /**
-Decides whether a gateway accepts the first call of a program.
+Decides whether a gateway accepts a turn that begins a program, or one of a program
+that is late.
 
 Load pattern: a burst brings more programs than the processor of a gateway can
 handle. If all of them are accepted, every turn of every program is late. A
 program makes tens of calls over many seconds, so programs have to be refused
 before the processor is used up, and refusing one takes far less time than
 serving it. The caller can try another gateway at once. Calls of programs under
-way that can end in time are always accepted. The less urgent programs are refused first, and more of
-them the busier the process is.
+way that can end in time are always accepted. The less urgent programs are refused
+first, and more of them the busier the process is.
 
 The same holds for the engines: once calls wait there for longer than their
 objective, every further program makes all of them later, and what was computed
@@ -19,11 +20,11 @@
 
 /** Utilization of the event loop at which the first of the least urgent programs are refused; the rest is for the calls that accepted programs still make. */
 const FIRST_REFUSAL_UTILIZATION = 0.8;
-/** From the first refusals on, all programs are refused once the utilization has grown by this. */
+/** The utilization from the first refusals to that at which all programs would be refused. */
 const REFUSAL_RANGE = 0.15;
 /** More urgent programs are refused from a utilization that is higher by this for each rank. */
 const RANK_STEP = 0.03;
-/** Some programs are begun under any load, so that those that were begun before the load grew are not refused by gateways that do not know them. */
+/** Share of the programs that is refused at the most, so that some are never refused by a gateway that does not know them, whatever the load was when they began. */
 const MAX_EXCESS = 0.9;
 /** Ranks beyond this are treated alike. */
 const LEAST_URGENT_RANK = 2;
@@ -31,7 +32,7 @@
 const HARMLESS_QUEUE_MS = 5;
 /** Wait at the engines, in objectives of the route, from which the first of the least urgent programs are refused. */
 const FIRST_REFUSAL_OBJECTIVES = 0.5;
-/** From the first refusals on, all programs are refused once the wait has grown by so many objectives. */
+/** The wait, in objectives, from the first refusals to that at which all programs would be refused. */
 const REFUSAL_RANGE_OBJECTIVES = 1;
 /** More urgent programs are refused from a wait that is longer by so many objectives for each rank. */
 const RANK_STEP_OBJECTIVES = 0.25;
