fix(gateway): every program is refused again once the processor is used up

Cause, suspected: refuses nine programs in ten at the most. That is meant for engines that are full, which all gateways share; a gateway without processor time began one in ten more than it had time for.

Change: the bound holds for the engines alone; for the processor it is as before. The test fails without the change.

--- a/packages/gateway/src/admission/__tests__/admission.test.ts
+++ b/packages/gateway/src/admission/__tests__/admission.test.ts
@@ -39,6 +39,19 @@
 		expect([decide(1, 0), decide(1, 2)]).toEqual(['refuse', 'refuse']);
 	});
 
+	// Guards against CONFIG: a gateway without processor time for what it had accepted still began one program in ten, and held requests for seconds.
+	it('refuses every program once the processor is used up, and leaves a few to engines that are full', () => {
+		const state = {
+			rank: 2, isFirstCall: true, isLateTurn: false, objectiveMs: 200,
+		};
+		expect(decideAdmission({
+			...state, queueMs: 30, utilization: 1, waitMs: 0,
+		}, 0.999)).toBe('refuse');
+		expect(decideAdmission({
+			...state, queueMs: 0, utilization: 0, waitMs: 5000,
+		}, 0.95)).toBe('accept');
+	});
+
 	it('accepts everything while nothing waits, however busy the loop is', () => {
 		expect(decide(1, 2, 1)).toBe('accept');
 	});
--- a/packages/gateway/src/admission/decide-admission.ts
+++ b/packages/gateway/src/admission/decide-admission.ts
@@ -24,8 +24,8 @@
 const REFUSAL_RANGE = 0.15;
 /** More urgent programs are refused from a utilization that is higher by this for each rank. */
 const RANK_STEP = 0.03;
-/** Share of the programs that is refused at the most, so that some are never refused by a gateway that does not know them, whatever the load was when they began. */
-const MAX_EXCESS = 0.9;
+/** Share of the programs that is refused at the most because of the engines, so that some are never refused by a gateway that does not know them, whatever the load was when they began. */
+const MAX_ENGINE_EXCESS = 0.9;
 /** Ranks beyond this are treated alike. */
 const LEAST_URGENT_RANK = 2;
 /** While arrived data waits for less than this, a busy loop does no harm. */
@@ -73,6 +73,6 @@
 /** `fraction` is uniformly distributed in [0, 1). */
 export const decideAdmission = (state: AdmissionState, fraction: number): 'accept' | 'refuse' => {
 	const processorExcess = state.isFirstCall ? computeProcessorExcess(state) : 0;
-	const engineExcess = state.isFirstCall || state.isLateTurn ? computeEngineExcess(state) : 0;
-	return fraction < Math.min(MAX_EXCESS, Math.max(processorExcess, engineExcess)) ? 'refuse' : 'accept';
+	const engineExcess = state.isFirstCall || state.isLateTurn ? Math.min(MAX_ENGINE_EXCESS, computeEngineExcess(state)) : 0;
+	return fraction < Math.max(processorExcess, engineExcess) ? 'refuse' : 'accept';
 };
