--- a/packages/gateway/src/admission/create-known-programs.ts
+++ b/packages/gateway/src/admission/create-known-programs.ts
@@ -10,8 +10,8 @@
 	// A Set keeps insertion order, so the program used longest ago comes first.
 	const programs = new Set<string>();
 	return {
-		/** Whether the call is the first of its program, as far as this gateway knows. A call that continues a turn never is, nor is one without a prompt: a program calls tools with what a turn has answered. */
-		isFirstCall: ({program, prompt}: Pick<CallHead, 'program' | 'prompt'>): boolean => program !== undefined && prompt !== undefined && program.previousTurn === undefined && !programs.has(program.id),
+		/** Whether the call is the first of its program, as far as this gateway knows. A call that continues a turn never is. */
+		isFirstCall: ({program}: Pick<CallHead, 'program'>): boolean => program !== undefined && program.previousTurn === undefined && !programs.has(program.id),
 		add({program}: Pick<CallHead, 'program'>): void {
 			if (!program) {
 				return;
