feat(cli): system status names the groups without a read quorum

An operator could not tell from the state of a system that a replica group is stuck, nor whose answer is missing.

--- a/packages/cli/src/commands/system-status.ts
+++ b/packages/cli/src/commands/system-status.ts
@@ -3,6 +3,7 @@
 holders, how far each process has applied the declared changes, and the
 upstreams.
 */
+import {findStuckGroups} from '@siskinhub/gateway/inspect/find-stuck-groups.js';
 import type {SystemState} from '@siskinhub/gateway/inspect/system-state.js';
 import {EXIT_CODE} from '../command/exit-code.js';
 import {SystemCommand} from '../command/system-command.js';
@@ -37,6 +38,9 @@
 	return retiring.length > 0 ? [...lines, `To be emptied: ${retiring.join(', ')}.`] : lines;
 };
 
+const renderStuckGroups = (state: SystemState, losses: number): string[] => findStuckGroups(state, losses).map(({group, version, missing, needed}) =>
+	`Group ${group} (list ${version}) has no read quorum, so turns of its programs are refused: no answer from ${missing.map(({host, diskId}) => `${host} (disk ${diskId})`).join(', ')}; ${needed} of them must come back with that disk.`);
+
 const renderUpstreams = ({upstreams}: SystemState): string => renderGrid(
 	['upstream', 'service', 'address', 'data centre', 'slots', 'state'],
 	upstreams.toSorted((a, b) => a.service.localeCompare(b.service) || a.id.localeCompare(b.id))
@@ -48,8 +52,8 @@
 
 	async run(): Promise<unknown> {
 		const {flags} = await this.parse(SystemStatus);
-		const state = await this.withSystem(flags.settings, async system => this.readState(system, system.addresses));
-		for (const text of [renderRoutes(state), ...renderGroups(state), renderMembers(state), renderUpstreams(state)]) {
+		const {state, losses} = await this.withSystem(flags.settings, async system => ({state: await this.readState(system, system.addresses), losses: system.losses}));
+		for (const text of [renderRoutes(state), ...renderGroups(state), ...renderStuckGroups(state, losses), renderMembers(state), renderUpstreams(state)]) {
 			this.log(text);
 		}
 
