feat(holder): tell what a copy holder is asked, by kind, with records and syncs

Logs told the processor time of a holder and not what it goes to: refused reservations, rounds sent again, reads that a disk cannot answer, origins.

--- a/packages/gateway/src/host/start-holder.ts
+++ b/packages/gateway/src/host/start-holder.ts
@@ -27,6 +27,7 @@
 import {createPermitIssuer} from '../limits/create-permit-issuer.js';
 import {createLimitLog} from '../limits/create-limit-log.js';
 import {compactWhenLarge} from './compact-when-large.js';
+import {createCopyRequestLog} from './create-copy-request-log.js';
 import {createGapLog} from './create-gap-log.js';
 import {createHolderRegistry} from './create-holder-registry.js';
 import {createHostLinks} from './create-host-links.js';
@@ -91,8 +92,9 @@
 		diskId: copies.diskId, limits, listDisks: registry.listDisks, issue: createPermitIssuer(() => performance.now()), onIssued: limitLog.countPermit,
 	});
 	const gapLog = createGapLog(log, metrics.countGap);
+	const requestLog = createCopyRequestLog({store: copies, log, count: metrics.countCopyRequest});
 	const answerCopies = createCopyService({
-		store: copies, syncCopy, outputs: createOutputBuffer(() => performance.now()), onError: createRepeatedErrorLog(log, 'failed to write a record to the disk'), onGap: gapLog.record,
+		store: copies, syncCopy, outputs: createOutputBuffer(() => performance.now()), onError: createRepeatedErrorLog(log, 'failed to write a record to the disk'), onGap: gapLog.record, onAnswered: requestLog.record,
 	});
 	const loop = createLoopMonitor({schedule: setImmediate, now: () => performance.now(), measureUtilization: performance.eventLoopUtilization.bind(performance)});
 	const links = createHostLinks({
@@ -161,6 +163,7 @@
 			limitLog.close();
 			crashLog.close();
 			gapLog.close();
+			requestLog.close();
 			await copies.close();
 			return 0;
 		},
--- a/packages/gateway/src/metrics/create-gateway-metrics.ts
+++ b/packages/gateway/src/metrics/create-gateway-metrics.ts
@@ -54,6 +54,9 @@
 	const gaps = new Counter({
 		name: 'siskinhub_copy_gaps_total', help: 'Writes to a disk that lacked data in use and was sent it, by what it lacked.', labelNames: ['data'], registers,
 	});
+	const copyRequests = new Counter({
+		name: 'siskinhub_copy_requests_total', help: 'Requests that a copy holder answered, by what they were for.', labelNames: ['kind'], registers,
+	});
 	const signals = new Counter({
 		name: 'siskinhub_signals_total', help: 'Control signals by the phase of the process in which they came.', labelNames: ['signal', 'phase'], registers,
 	});
@@ -86,6 +89,9 @@
 		countGap(data) {
 			gaps.inc({data});
 		},
+		countCopyRequest(kind) {
+			copyRequests.inc({kind});
+		},
 		countSignal(signal, phase) {
 			signals.inc({signal, phase});
 		},
--- a/packages/gateway/src/metrics/gateway-metrics.ts
+++ b/packages/gateway/src/metrics/gateway-metrics.ts
@@ -2,6 +2,7 @@
 The metrics that gateways and copy holders record.
 */
 import type {CopyGap} from '@siskinhub/turns/holder/copy-gap.js';
+import type {CopyRequestKind} from '@siskinhub/turns/holder/copy-request-kind.js';
 import type {CallPhase} from '../forward/call-phase.js';
 import type {UpstreamLoad} from '../placement/upstream-load.js';
 
@@ -23,6 +24,8 @@
 	readonly countResumption: (outcome: 'resumed' | 'unknown' | 'unavailable' | 'unknown-output') => void;
 	/** Counts a write to a disk that lacked data in use, by what it lacked. */
 	readonly countGap: (data: CopyGap['data']) => void;
+	/** Counts a request that a copy holder answered. */
+	readonly countCopyRequest: (kind: CopyRequestKind) => void;
 	/** Counts a control signal by the phase of the process in which it came. */
 	readonly countSignal: (signal: string, phase: string) => void;
 	/** Counts an error that nobody caught, which ends the process. */
--- a/packages/turns/src/__tests__/create-fake-cluster.ts
+++ b/packages/turns/src/__tests__/create-fake-cluster.ts
@@ -112,6 +112,7 @@
 			},
 			size: indexes.size,
 			bytes: () => 0,
+			added: () => disk.records.length,
 			syncs: () => 0,
 			async close() {/* Nothing is open. */},
 		};
--- a/packages/turns/src/disk/copy-store.ts
+++ b/packages/turns/src/disk/copy-store.ts
@@ -23,6 +23,8 @@
 	readonly compact: () => Promise<Result<void, string>>;
 	/** Size of the log in bytes. */
 	readonly bytes: () => number;
+	/** Number of records that were written since the store was opened, without those that compactions rewrote. */
+	readonly added: () => number;
 	/** Number of fsyncs since the last compaction. */
 	readonly syncs: () => number;
 	readonly close: () => Promise<void>;
--- a/packages/turns/src/disk/open-copy-store.ts
+++ b/packages/turns/src/disk/open-copy-store.ts
@@ -78,6 +78,7 @@
 		const recovered = await recover(folder);
 		const {diskId, isNew, indexes} = recovered;
 		let {segments: oldSegments, bytes} = recovered;
+		let added = 0;
 		const openWriter = (start: number) => createRecoveringWriter({
 			firstSegment: start, onRecovering, openWriter: firstSegment => openLogWriter({
 				folder, firstSegment, segmentBytes, encodeSegmentHeader: () => [], onQueued(_segment, length) {
@@ -151,6 +152,7 @@
 
 				const record = create(RecordSchema, {group, fact});
 				if (indexes.add(record)) {
+					added++;
 					return write(record);
 				}
 
@@ -168,6 +170,7 @@
 			},
 			size: indexes.size,
 			bytes: () => bytes,
+			added: () => added,
 			syncs: () => writer.syncs(),
 			async close() {
 				await writer.close();
--- a/packages/turns/src/holder/create-copy-service.ts
+++ b/packages/turns/src/holder/create-copy-service.ts
@@ -14,7 +14,9 @@
 import type {CopyStore} from '../disk/copy-store.js';
 import {shouldReplaceUse} from '../disk/should-replace-use.js';
 import type {GroupId} from '../membership/group-id.js';
+import {classifyCopyRequest} from './classify-copy-request.js';
 import type {CopyGap} from './copy-gap.js';
+import type {CopyRequestKind} from './copy-request-kind.js';
 import type {createOutputBuffer} from './create-output-buffer.js';
 import {readChain} from './read-chain.js';
 import type {SyncCopy} from './sync-copy.js';
@@ -25,6 +27,8 @@
 	readonly outputs: ReturnType<typeof createOutputBuffer>;
 	readonly onError: (message: string) => void;
 	readonly onGap: (gap: CopyGap) => void;
+	/** Called with each request that was answered. */
+	readonly onAnswered?: (kind: CopyRequestKind) => void;
 };
 
 /** About how many bytes of records one answer holds, so that copying does not block the link. */
@@ -40,7 +44,7 @@
 const REFUSED: MessageBodyInit = {case: 'refused', value: {}};
 
 /** The returned function handles one message; it returns `false` if the message is not a request for copies. */
-export const createCopyService = ({store, syncCopy, outputs, onError, onGap}: CopyServiceOptions): (message: IncomingMessage) => boolean => {
+export const createCopyService = ({store, syncCopy, outputs, onError, onGap, onAnswered}: CopyServiceOptions): (message: IncomingMessage) => boolean => {
 	const getIndex = (group: number) => store.getIndex(group as GroupId);
 
 	/** Returns the answer to a request under another version of the group's list, or `undefined` if the version is the holder's. */
@@ -206,7 +210,9 @@
 
 		void (async () => {
 			try {
-				reply(await answered);
+				const answer = await answered;
+				reply(answer);
+				onAnswered?.(classifyCopyRequest(body, answer));
 			} catch (error) {
 				onError(String(error));
 				reply(REFUSED);
