--- a/packages/turns/src/__tests__/create-fake-cluster.ts
+++ b/packages/turns/src/__tests__/create-fake-cluster.ts
@@ -147,7 +147,7 @@
 		};
 
 		return {
-			remote: () => hosts.get(to)?.isUp && !isCut(from, to) ? create(HelloSchema, {dataFolderId: hosts.get(to)!.disk.diskId}) : undefined,
+			remote: () => hosts.get(to)?.isUp && !isCut(from, to) ? create(HelloSchema, {dataFolderId: hosts.get(to)!.disk.diskId, dataCentre: hosts.get(to)!.dataCentre}) : undefined,
 			isOpen: () => true,
 			silentForMs: () => 0,
 			async send(init) {
@@ -296,6 +296,10 @@
 		names: () => [...hosts.keys()],
 		/** Names of the hosts whose disks have the turn. */
 		listCopies: (id: string) => [...hosts.values()].filter(({disk}) => disk.records.some(({fact}) => fact.case === 'turn' && fact.value.id === id)).map(({name}) => name),
+		/** Records on all disks. */
+		countRecords: () => [...hosts.values()].reduce((sum, {disk}) => sum + disk.records.length, 0),
+		/** Names of the hosts whose disks have a use of the attempt. */
+		namesWithUse: (attempt: string) => [...hosts.values()].filter(({disk}) => disk.records.some(({fact}) => fact.case === 'use' && fact.value.use?.attempt === attempt)).map(({name}) => name),
 		isUp: (name: string) => hosts.get(name)?.isUp ?? false,
 		createClient(name: string, dataCentre = '') {
 			// A client sees a new list with a delay, or learns of it from a holder.
