fix(turns): a program's disks do not depend on where its calls arrive

Cause: every gateway asked the disk of its own data centre first. Calls of one program come through several data centres, and each of these disks lacked what earlier turns had written through another: the reservation was sent again with it, the chain was read from all disks after the near one had answered that it has none, and the turn was stored with the whole chain. The class: copies of one thing are written by a preference of the writer instead of a property of the thing. It also loaded the only disk of a data centre most.

Change: the first write quorum of a program is chosen by its id alone; a read asks the near one of these first. A write waits for the farthest of three disks in three data centres either way.

requests-of-a-turn.test.ts: 15 requests for a later turn from another data centre before, at most 7 now. order-holders.test.ts asked that the near disk come first; it now asks that every data centre asks the same disks, the near one among them first, which is what copies in one place need.

--- /dev/null
+++ b/packages/turns/src/__tests__/requests-of-a-turn.test.ts
@@ -0,0 +1,63 @@
+/**
+How many requests to holders a turn takes. Each costs a holder and a gateway processor
+time, which is what limits how many turns are served.
+*/
+import {
+	afterEach, beforeEach, describe, expect, it, vi,
+} from 'vitest';
+import {advanceUntilSettled} from './advance-until-settled.js';
+import {createFakeCluster} from './create-fake-cluster.js';
+
+const DATA_CENTRES = ['z1', 'z2', 'z3', 'z4', 'z5'];
+const RETENTION_MS = 90_000;
+const SETTLE_TIME_MS = 8000;
+const TIMEOUT_MS = 1500;
+const BUDGET = 100_000;
+/** Of five holders, of which two may be lost. */
+const QUORUM = 3;
+
+type Client = ReturnType<ReturnType<typeof createFakeCluster>['createClient']>;
+
+const bytes = (text: string) => new TextEncoder().encode(text);
+
+/** Runs a turn as a gateway does; `previous` is the turn before, empty for the first. */
+const runTurn = async (client: Client, program: string, turn: string, previous: string): Promise<void> => {
+	const attempt = {
+		program, attempt: turn, tokens: 10, retentionMs: RETENTION_MS,
+	};
+	const [reserved, read] = await Promise.all([
+		client.reserve({...attempt, budget: BUDGET}, TIMEOUT_MS),
+		previous === '' ? undefined : client.readTurns(program, previous, TIMEOUT_MS),
+	]);
+	expect(reserved).toBe('reserved');
+	const chain = read?.kind === 'found' ? {ancestors: read.turns, isFromOtherGroup: read.isFromOtherGroup} : {ancestors: [], isFromOtherGroup: false};
+	expect(read?.kind ?? 'found').toBe('found');
+	expect(await client.settle(attempt, {
+		previous, input: bytes('in'), output: bytes('out'), ...chain,
+	}, TIMEOUT_MS)).toBe(true);
+};
+
+describe('the requests of a turn', () => {
+	let cluster: ReturnType<typeof createFakeCluster>;
+
+	beforeEach(async () => {
+		vi.useFakeTimers();
+		cluster = createFakeCluster(8, {losses: 2, dataCentres: DATA_CENTRES});
+		await vi.advanceTimersByTimeAsync(SETTLE_TIME_MS);
+	});
+	afterEach(() => {
+		vi.useRealTimers();
+	});
+
+	// Guards against SHORT: turns that came through another data centre than the ones before took up to three times as many requests.
+	it('are two quorums and one read, wherever the calls of its program come from', async () => {
+		const clients = DATA_CENTRES.map((dataCentre, index) => cluster.createClient(`g${index}`, dataCentre));
+		for (let program = 0; program < 10; program++) {
+			for (const [turn, client] of clients.entries()) {
+				const before = cluster.requests;
+				await advanceUntilSettled(runTurn(client, `p${program}`, `p${program}-${turn}`, turn === 0 ? '' : `p${program}-${turn - 1}`));
+				expect(cluster.requests - before).toBeLessThanOrEqual((2 * QUORUM) + (turn === 0 ? 0 : 1));
+			}
+		}
+	});
+});
--- a/packages/turns/src/client/create-holder-client.ts
+++ b/packages/turns/src/client/create-holder-client.ts
@@ -34,7 +34,7 @@
 	readonly linkTo: (holder: Holder) => PeerLink;
 	/** Number of disks that may be lost at the same time. */
 	readonly losses: number;
-	/** The data centre of this process; its holders are asked first. */
+	/** The data centre of this process; of the holders that have a program's data, its own are asked first. */
 	readonly dataCentre: string;
 };
 
@@ -67,10 +67,13 @@
 				continue;
 			}
 
-			const holders = orderHolders(listAllHolders(list), {getRemote: holder => linkTo(holder).remote(), dataCentre, program});
+			const firstCount = chooseFirstCount(list, losses);
+			const holders = orderHolders(listAllHolders(list), {
+				getRemote: holder => linkTo(holder).remote(), dataCentre, program, quorum: firstCount,
+			});
 			const roundStartedAt = performance.now();
 			const result = await askHolders({
-				group, list, linkTo, holders, firstCount: kind === 'one' ? 1 : chooseFirstCount(list, losses), buildRequest, onAnswer: createAnswerHandler(list), timeoutMs: leftMs, hedgeDelayMs: hedge.delayMs(), readList: () => readList(group),
+				group, list, linkTo, holders, firstCount: kind === 'one' ? 1 : firstCount, buildRequest, onAnswer: createAnswerHandler(list), timeoutMs: leftMs, hedgeDelayMs: hedge.delayMs(), readList: () => readList(group),
 			});
 			if (result.kind === 'enough') {
 				hedge.record(performance.now() - roundStartedAt);
--- a/packages/turns/src/client/create-turn-writer.ts
+++ b/packages/turns/src/client/create-turn-writer.ts
@@ -18,11 +18,11 @@
 import {shouldReplaceUse} from '../disk/should-replace-use.js';
 import {findGroup} from '../membership/find-group.js';
 import {hasQuorum} from '../membership/has-quorum.js';
+import {tokenUses} from '../disk/token-uses.js';
 import type {AskQuorum} from './ask-quorum.js';
 import {createSpentBudgetCache} from './create-spent-budget-cache.js';
 import type {HolderClient} from './holder-client.js';
 import type {QuorumPlace} from './quorum-place.js';
-import {tokenUses} from '../disk/token-uses.js';
 
 type WriterOptions = {
 	readonly askQuorum: AskQuorum;
--- a/packages/turns/src/membership/__tests__/order-holders.test.ts
+++ b/packages/turns/src/membership/__tests__/order-holders.test.ts
@@ -31,6 +31,7 @@
 				getRemote: ({diskId, dataCentre}) => create(HelloSchema, {dataFolderId: diskId, dataCentre}),
 				dataCentre: `z${program % dataCentres}`,
 				program: `p${index}-${program}`,
+				quorum: countQuorum(current.length, LOSSES).write,
 			});
 			for (const {diskId} of ordered.slice(0, countQuorum(current.length, LOSSES).write)) {
 				asked.set(diskId, asked.get(diskId)! + 1);
@@ -64,11 +65,27 @@
 		}
 	});
 
-	it('asks the near disk first where all disks serve as many groups', () => {
-		const [near, ...others] = createHolders([1, 1, 1]);
-		const ordered = orderHolders([...others, near!], {
-			getRemote: ({diskId, dataCentre}) => create(HelloSchema, {dataFolderId: diskId, dataCentre}), dataCentre: 'z0', program: 'p',
-		});
-		expect(ordered[0]).toBe(near);
+	const order = (dataCentre: string, program: string, isReachable = (_holder: Holder): boolean => true) => orderHolders(createHolders([1, 1, 1, 1, 1]), {
+		getRemote: holder => isReachable(holder) ? create(HelloSchema, {dataFolderId: holder.diskId, dataCentre: holder.dataCentre}) : undefined, dataCentre, program, quorum: 3,
+	});
+
+	// Guards against SHORT: each process preferred the disk next to it, which lacked what turns had written that came through other data centres.
+	it('asks the same disks for a program from every data centre, the near one of them first', () => {
+		for (const program of Array.from({length: 40}, (_, index) => `p${index}`)) {
+			const expected = new Set(order('elsewhere', program).slice(0, 3));
+			for (const dataCentre of ['z0', 'z1', 'z2', 'z3', 'z4']) {
+				const first = order(dataCentre, program).slice(0, 3);
+				expect(new Set(first)).toEqual(expected);
+				const near = first.findIndex(holder => holder.dataCentre === dataCentre);
+				expect(near).toBeLessThanOrEqual(0);
+			}
+		}
+	});
+
+	it('asks others instead of those that cannot be reached', () => {
+		const [lost] = order('z0', 'p');
+		const ordered = order('z0', 'p', holder => holder.diskId !== lost!.diskId);
+		expect(ordered.slice(0, 3).map(({diskId}) => diskId)).not.toContain(lost!.diskId);
+		expect(ordered.at(-1)?.diskId).toBe(lost!.diskId);
 	});
 });
