fix(turns): the origin of a stream is stored with its reservation

Cause: which software runs a turn was stored in a round of its own, three requests and three syncs, though the round before it wrote to the same disks. The class: one step of a turn writes several facts to the same quorum apart.

Change: while all upstreams of a service have one software version, which is nearly always, it goes with the reservation. If the chosen upstream has another one by then, its origin gets the next number, and the first event waits until it is stored, as after a try at another version. Without budget, or with several versions, as before.

--- a/packages/gateway/src/forward/create-attempt-runner.ts
+++ b/packages/gateway/src/forward/create-attempt-runner.ts
@@ -29,7 +29,7 @@
 	readonly plan: CallPlan;
 	readonly response: CallerResponse;
 	readonly active: ActiveCall;
-	readonly turn: Pick<ReturnType<typeof createTurnHandler>, 'progress' | 'recordEvents' | 'completeTurn'>;
+	readonly turn: Pick<ReturnType<typeof createTurnHandler>, 'progress' | 'recordEvents' | 'completeTurn' | 'expectedOrigin'>;
 };
 
 const passAtOnce = (): boolean => true;
@@ -37,12 +37,12 @@
 const describeResult = (result: AttemptResult): string => 'message' in result ? `${result.kind}: ${result.message}` : result.kind;
 
 /** Tries no upstream twice. */
-export const createAttemptRunner = (context: GatewayContext, {plan, response, active, turn: {progress, recordEvents, completeTurn}}: AttemptRunnerOptions) => {
+export const createAttemptRunner = (context: GatewayContext, {plan, response, active, turn: {progress, recordEvents, completeTurn, expectedOrigin}}: AttemptRunnerOptions) => {
 	const {directory, loads, limits, pools, codec, metrics, crashes, crashWatch, crashLog, onLeaving} = context;
 	const {call, route, service} = plan;
 	const excluded = new Set<string>();
 	const trail: string[] = [];
-	const origins = route.isResumable ? createOriginRecorder({holderClient: context.holderClient, call}) : undefined;
+	const origins = route.isResumable ? createOriginRecorder({holderClient: context.holderClient, call, expected: expectedOrigin}) : undefined;
 	let runs = 0;
 	let refusals = 0;
 	let denials = 0;
--- a/packages/gateway/src/forward/create-turn-handler.ts
+++ b/packages/gateway/src/forward/create-turn-handler.ts
@@ -9,8 +9,10 @@
 import type {EventSourceMessage} from 'eventsource-parser';
 import type {CallHead} from '../call/call-head.js';
 import {isKeptTurn} from '../origins/is-kept-turn.js';
+import type {StreamOrigin} from '../origins/stream-origin.js';
 import type {Route} from '../routes/route.js';
 import {prepareTurn} from './prepare-turn.js';
+import {reservesTokens} from './reserves-tokens.js';
 import type {StreamProgress} from './stream-progress.js';
 
 /** Time in which a quorum of holders must store a finished turn while the caller waits. */
@@ -25,12 +27,16 @@
 	/** The body as the caller sent it. */
 	readonly body: Uint8Array;
 	readonly tokensPerEvent: number;
+	/** The software that is expected to run the request, if that has to be stored. */
+	readonly origin: StreamOrigin | undefined;
 };
 
 /** Holds the state of one request. A request that is not a turn is passed through unchanged. */
-export const createTurnHandler = ({holderClient, call, route, body, tokensPerEvent}: TurnHandlerOptions) => {
+export const createTurnHandler = ({holderClient, call, route, body, tokensPerEvent, origin}: TurnHandlerOptions) => {
 	const isTurn = route.kind === 'stream' && call.program !== undefined;
 	const isKept = isKeptTurn(call, route);
+	// Stored together with the tokens, which takes no message of its own.
+	const expectedOrigin = isTurn && reservesTokens(call) ? origin : undefined;
 	// The caller may take the turn up elsewhere, which needs the events that it had.
 	const isCopiedAsItComes = isKept && route.isResumable;
 	const progress: StreamProgress = {lastEventId: undefined, events: 0, firstEventAt: undefined};
@@ -66,6 +72,8 @@
 
 	return {
 		progress,
+		/** The origin that `prepare` has the holders store. */
+		expectedOrigin,
 		/** Whether the holders are sent each event before the caller gets it. */
 		isCopiedAsItComes,
 		settleInBackground,
@@ -93,7 +101,7 @@
 				};
 			}
 
-			const prepared = await prepareTurn(holderClient, call, route, {body, remainingMs});
+			const prepared = await prepareTurn(holderClient, call, route, {body, remainingMs, origin: expectedOrigin});
 			isReserved = prepared.isReserved;
 			chain = prepared.kind === 'ready' ? prepared.chain : chain;
 			// The request may have been given up meanwhile.
--- a/packages/gateway/src/forward/prepare-turn.ts
+++ b/packages/gateway/src/forward/prepare-turn.ts
@@ -6,6 +6,7 @@
 import {Buffer} from 'node:buffer';
 import type {HolderClient} from '@siskinhub/turns/client/holder-client.js';
 import type {CallHead} from '../call/call-head.js';
+import type {StreamOrigin} from '../origins/stream-origin.js';
 import type {Route} from '../routes/route.js';
 
 /** Time in which a quorum of holders must answer. */
@@ -62,8 +63,16 @@
 	return {kind: 'ready', ...joinTurns(turns, body)};
 };
 
-/** `body` is the body as the caller sent it; `remainingMs` is the time until its deadline. */
-export const prepareTurn = async (holderClient: HolderClient, call: CallHead, route: Route, {body, remainingMs}: {readonly body: Uint8Array; readonly remainingMs: number}): Promise<PreparedTurn> => {
+type PrepareOptions = {
+	/** As the caller sent it. */
+	readonly body: Uint8Array;
+	/** Milliseconds until the caller's deadline. */
+	readonly remainingMs: number;
+	/** The software that is expected to run the turn, if it is to be stored with the reservation. */
+	readonly origin?: StreamOrigin | undefined;
+};
+
+export const prepareTurn = async (holderClient: HolderClient, call: CallHead, route: Route, {body, remainingMs, origin}: PrepareOptions): Promise<PreparedTurn> => {
 	const {program, prompt} = call;
 	if (program && holderClient.cutOffForMs(program.id) > 0) {
 		return {kind: 'unavailable', isReserved: false};
@@ -73,7 +82,7 @@
 	const reserving = program?.tokenBudget === undefined || !prompt
 		? undefined
 		: holderClient.reserve({
-			program: program.id, attempt: call.id, tokens: prompt.maxTokens, retentionMs: route.retentionMs, budget: program.tokenBudget,
+			program: program.id, attempt: call.id, tokens: prompt.maxTokens, retentionMs: route.retentionMs, budget: program.tokenBudget, origin,
 		}, timeoutMs);
 	const previous = route.keepsTurns ? program?.previousTurn : undefined;
 	const [reserved, turns] = await Promise.all([
--- a/packages/gateway/src/forward/run-call.ts
+++ b/packages/gateway/src/forward/run-call.ts
@@ -4,6 +4,7 @@
 */
 import type {CallHead} from '../call/call-head.js';
 import {chooseService} from '../routes/choose-service.js';
+import {expectOrigin} from '../origins/expect-origin.js';
 import {takeUpStream} from '../origins/take-up-stream.js';
 import type {Route} from '../routes/route.js';
 import type {ActiveCall} from './active-call.js';
@@ -86,8 +87,9 @@
 	const {arrivedAt} = active;
 	const deadlineAt = arrivedAt + Math.min(call.deadlineMs ?? route.timeoutMs, route.timeoutMs);
 	const tokensPerEvent = context.routes.current()?.services.get(service)?.engine?.tokensPerEvent ?? 1;
+	const beginsStream = route.isResumable && call.lastEventId === undefined;
 	const turn = createTurnHandler({
-		holderClient: context.holderClient, call, route, body, tokensPerEvent,
+		holderClient: context.holderClient, call, route, body, tokensPerEvent, origin: beginsStream ? expectOrigin(service, context.directory.list(service)) : undefined,
 	});
 	if (turn.isCopiedAsItComes) {
 		response.sendAfterMessages();
--- a/packages/gateway/src/origins/__tests__/create-origin-recorder.test.ts
+++ b/packages/gateway/src/origins/__tests__/create-origin-recorder.test.ts
@@ -8,7 +8,7 @@
 const upstream = (softwareVersion: string) => ({service: 's', softwareVersion});
 
 /** The holders answer each write after the time that is given for it, in order; `undefined` stands for no quorum. */
-const createRecorder = (answers: ReadonlyArray<number | undefined>) => {
+const createRecorder = (answers: ReadonlyArray<number | undefined>, expected?: string) => {
 	const written: string[] = [];
 	const holderClient: Pick<HolderClient, 'recordOrigin'> = {
 		async recordOrigin({version, sequence}) {
@@ -20,7 +20,7 @@
 			return afterMs !== undefined;
 		},
 	};
-	return {written, recorder: createOriginRecorder({holderClient, call: {id: 'r' as RequestId}})};
+	return {written, recorder: createOriginRecorder({holderClient, call: {id: 'r' as RequestId}, expected: expected === undefined ? undefined : {service: 's', version: expected}})};
 };
 
 /** Resolves to the answer and how long it took, in milliseconds. */
@@ -45,6 +45,26 @@
 		expect(recorder.confirm()).toBe(true);
 	});
 
+	it('confirms an expected origin with the number under which it was stored with the tokens', async () => {
+		const {recorder, written} = createRecorder([0], 'v1');
+		recorder.begin(upstream('v1'));
+		recorder.begin(upstream('v1'));
+		await vi.advanceTimersByTimeAsync(1);
+		expect(written).toEqual(['1 v1']);
+		expect(recorder.confirm()).toBe(true);
+	});
+
+	it('waits for the origin of the chosen upstream if another one was expected, and passes nothing on without it', async () => {
+		const {recorder, written} = createRecorder([undefined], 'v1');
+		recorder.begin(upstream('v2'));
+		expect(written).toEqual(['2 v2']);
+		expect(recorder.origin()).toEqual({service: 's', version: 'v2'});
+		const answer = measure(recorder.confirm());
+		await vi.advanceTimersByTimeAsync(2000);
+		const [mayPass] = await answer;
+		expect(mayPass).toBe(false);
+	});
+
 	it('waits for the origin, but not longer than an event may be late', async () => {
 		const {recorder} = createRecorder([undefined]);
 		recorder.begin(upstream('v1'));
--- a/packages/gateway/src/origins/create-origin-recorder.ts
+++ b/packages/gateway/src/origins/create-origin-recorder.ts
@@ -23,12 +23,15 @@
 type RecorderOptions = {
 	readonly holderClient: Pick<HolderClient, 'recordOrigin'>;
 	readonly call: Pick<CallHead, 'id' | 'program'>;
+	/** The origin that was sent to the holders with the reservation of the request's tokens, if any. */
+	readonly expected?: StreamOrigin | undefined;
 };
 
 /** Holds the state of one request. */
-export const createOriginRecorder = ({holderClient, call}: RecorderOptions) => {
-	let sequence = 0;
-	let origin: StreamOrigin | undefined;
+export const createOriginRecorder = ({holderClient, call, expected}: RecorderOptions) => {
+	let sequence = expected ? 1 : 0;
+	let origin = expected;
+	let hasBegun = false;
 	let isStored = false;
 	let storing: Promise<boolean> = Promise.resolve(false);
 
@@ -52,12 +55,14 @@
 	return {
 		/** Must be called before the request is sent to the upstream; does not wait. */
 		begin(upstream: Pick<Upstream, 'service' | 'softwareVersion'>): void {
-			if (origin && hasOrigin(upstream, origin)) {
+			const isSame = origin !== undefined && hasOrigin(upstream, origin);
+			if (isSame && hasBegun) {
 				return;
 			}
 
+			hasBegun = true;
 			origin = {service: upstream.service, version: upstream.softwareVersion};
-			sequence++;
+			sequence += isSame ? 0 : 1;
 			isStored = false;
 			storing = store(origin, sequence);
 		},
--- a/packages/turns/src/__tests__/requests-of-a-turn.test.ts
+++ b/packages/turns/src/__tests__/requests-of-a-turn.test.ts
@@ -60,4 +60,39 @@
 			}
 		}
 	});
+
+	// Guards against SHORT: the origin of each stream took a quorum of its own, a third of what a turn that is not kept costs.
+	it('are two quorums also if the stream can be taken up, while one version of the software serves', async () => {
+		const client = cluster.createClient('g1', 'z1');
+		const attempt = {
+			program: 'p', attempt: 'a', tokens: 10, retentionMs: RETENTION_MS,
+		};
+		const origin = {service: 's', version: 'v1'};
+		const before = cluster.requests;
+		expect(await advanceUntilSettled(client.reserve({...attempt, budget: BUDGET, origin}, TIMEOUT_MS))).toBe('reserved');
+		const stream = {program: 'p', attempt: 'a', ...origin};
+		expect(await advanceUntilSettled(client.recordOrigin({...stream, sequence: 1}, TIMEOUT_MS))).toBe(true);
+		expect(cluster.requests - before).toBeLessThanOrEqual(QUORUM);
+		const found = await advanceUntilSettled(cluster.createClient('g2', 'z2').readOrigin({program: 'p', attempt: 'a'}, TIMEOUT_MS));
+		expect(found).toEqual({kind: 'found', origin: {...origin, sequence: 1, takenUpBy: ''}});
+		// Another version than the expected one is stored as before, and holds.
+		expect(await advanceUntilSettled(client.recordOrigin({...stream, version: 'v2', sequence: 2}, TIMEOUT_MS))).toBe(true);
+		const changed = await advanceUntilSettled(cluster.createClient('g3', 'z3').readOrigin({program: 'p', attempt: 'a'}, TIMEOUT_MS));
+		expect(changed).toMatchObject({kind: 'found', origin: {version: 'v2', sequence: 2}});
+	});
+
+	it('are asked for the origin again if too few disks stored it with the tokens', async () => {
+		const client = cluster.createClient('g1', 'z1');
+		const attempt = {
+			program: 'p', attempt: 'a', tokens: 10, retentionMs: RETENTION_MS,
+		};
+		// Another process stored an origin of the same attempt, which holds on these disks.
+		await advanceUntilSettled(cluster.createClient('g2', 'z1').recordOrigin({
+			program: 'p', attempt: 'a', service: 's', version: 'v2', sequence: 1,
+		}, TIMEOUT_MS));
+		expect(await advanceUntilSettled(client.reserve({...attempt, budget: BUDGET, origin: {service: 's', version: 'v1'}}, TIMEOUT_MS))).toBe('reserved');
+		expect(await advanceUntilSettled(client.recordOrigin({
+			program: 'p', attempt: 'a', service: 's', version: 'v1', sequence: 1,
+		}, TIMEOUT_MS))).toBe(false);
+	});
 });
--- a/packages/turns/src/client/create-holder-client.ts
+++ b/packages/turns/src/client/create-holder-client.ts
@@ -90,10 +90,12 @@
 	};
 
 	const quorum = {askQuorum, losses};
+	const writer = createTurnWriter({...quorum, slackMs: CLOCK_SLACK_MS});
 	return {
-		...createTurnWriter({...quorum, slackMs: CLOCK_SLACK_MS}),
+		reserve: writer.reserve,
+		settle: writer.settle,
 		readTurns: createChainReader(quorum),
-		...createOriginClient({...quorum, slackMs: CLOCK_SLACK_MS}),
+		...createOriginClient({...quorum, slackMs: CLOCK_SLACK_MS, isStoredWithTokens: writer.isStoredWithTokens}),
 		...createOutputClient({askQuorum, readList, linkTo}),
 		isReady: monitors.isReady,
 		isCutOff: monitors.isCutOff,
--- a/packages/turns/src/client/create-origin-client.ts
+++ b/packages/turns/src/client/create-origin-client.ts
@@ -7,25 +7,27 @@
 import {findGroup} from '../membership/find-group.js';
 import {hasQuorum} from '../membership/has-quorum.js';
 import type {AskQuorum} from './ask-quorum.js';
+import {createStreamOrigin} from './create-stream-origin.js';
 import type {HolderClient} from './holder-client.js';
 
-/** Callers take up a stream within their deadline, which is seconds. */
-const ORIGIN_RETENTION_MS = 60_000;
-
 type OriginClientOptions = {
 	readonly askQuorum: AskQuorum;
 	/** Number of disks that may be lost at the same time. */
 	readonly losses: number;
 	/** Milliseconds added to the retention, since hosts' clocks differ. */
 	readonly slackMs: number;
+	/** Whether a reservation of the attempt's tokens has stored exactly this origin. */
+	readonly isStoredWithTokens: (origin: Pick<StreamOrigin, 'attempt' | 'service' | 'version' | 'sequence'>) => boolean;
 };
 
-export const createOriginClient = ({askQuorum, losses, slackMs}: OriginClientOptions): Pick<HolderClient, 'recordOrigin' | 'readOrigin'> => {
-	const recordOrigin: HolderClient['recordOrigin'] = async ({program, attempt, service, version, sequence, takenUpBy = ''}, timeoutMs) => {
+export const createOriginClient = ({askQuorum, losses, slackMs, isStoredWithTokens}: OriginClientOptions): Pick<HolderClient, 'recordOrigin' | 'readOrigin'> => {
+	const recordOrigin: HolderClient['recordOrigin'] = async ({program, ...stream}, timeoutMs) => {
+		if (stream.takenUpBy === undefined && isStoredWithTokens(stream)) {
+			return true;
+		}
+
 		const group = findGroup(program);
-		const origin = {
-			attempt, service, version, sequence, takenUpBy, expiresAtMs: Date.now() + ORIGIN_RETENTION_MS + slackMs,
-		};
+		const origin = createStreamOrigin(stream, slackMs);
 		return askQuorum({program, group}, listVersion => ({case: 'recordOrigin', value: {group, listVersion, origin}}), 'write', timeoutMs, list => {
 			const stored = new Set<string>();
 			return ({diskId}, answer) => {
--- a/packages/turns/src/client/create-turn-writer.ts
+++ b/packages/turns/src/client/create-turn-writer.ts
@@ -20,7 +20,9 @@
 import {hasQuorum} from '../membership/has-quorum.js';
 import {tokenUses} from '../disk/token-uses.js';
 import type {AskQuorum} from './ask-quorum.js';
+import type {createOriginClient} from './create-origin-client.js';
 import {createSpentBudgetCache} from './create-spent-budget-cache.js';
+import {createStreamOrigin} from './create-stream-origin.js';
 import type {HolderClient} from './holder-client.js';
 import type {QuorumPlace} from './quorum-place.js';
 
@@ -38,6 +40,7 @@
 	readonly use: TokenUse;
 	/** Unix milliseconds. */
 	readonly expiresAtMs: number;
+	readonly origin: ReturnType<typeof createStreamOrigin> | undefined;
 };
 
 /** What the holders told when an attempt reserved its tokens. */
@@ -54,6 +57,8 @@
 	readonly isDeclined: boolean;
 	/** Whether disks that have everything but the reservation, or even that, were a write quorum. */
 	readonly hasOthersComplete: boolean;
+	/** What a write quorum stored with the reservation. */
+	readonly storedOrigin: ReserveRequest['origin'];
 };
 
 /** Returns what must be sent to a disk along with a write of the attempt. */
@@ -67,7 +72,7 @@
 
 const exceeds = ({uses}: Reservation, budget: number): boolean => tokenUses.sum(uses.values()) > budget;
 
-export const createTurnWriter = ({askQuorum, losses, slackMs}: WriterOptions): Pick<HolderClient, 'reserve' | 'settle'> => {
+export const createTurnWriter = ({askQuorum, losses, slackMs}: WriterOptions): Pick<HolderClient, 'reserve' | 'settle'> & Pick<Parameters<typeof createOriginClient>[0], 'isStoredWithTokens'> => {
 	const spentBudgets = createSpentBudgetCache();
 	// By attempt, until it settles.
 	const reservations = new Map<string, Reservation>();
@@ -79,6 +84,7 @@
 		let isDeclined = false;
 		// Disks that were asked and have not answered that they stored nothing.
 		const mayHaveStored = new Set<string>();
+		const withOrigin = new Set<string>();
 		let isQuorum = (_disks: ReadonlySet<string>): boolean => false;
 		const isAnswered = await askQuorum(place, (listVersion, {diskId}) => {
 			mayHaveStored.add(diskId);
@@ -99,6 +105,10 @@
 						mayHaveStored.delete(diskId);
 					}
 
+					if (answer.value.originStored) {
+						withOrigin.add(diskId);
+					}
+
 					tokenUses.merge(uses, answer.value.uses);
 				}
 
@@ -113,7 +123,7 @@
 		const complete = listDisksWith([...uses.values()]);
 		const withOthers = listDisksWith([...uses.values()].filter(({attempt}) => attempt !== request.use.attempt));
 		return {
-			uses, complete, isComplete: isQuorum(complete), mayBeStored: mayHaveStored.size > 0, isDeclined, hasOthersComplete: isQuorum(withOthers),
+			uses, complete, isComplete: isQuorum(complete), mayBeStored: mayHaveStored.size > 0, isDeclined, hasOthersComplete: isQuorum(withOthers), storedOrigin: isQuorum(withOrigin) ? request.origin : undefined,
 		};
 	};
 
@@ -176,14 +186,19 @@
 		});
 	};
 
-	const reserve: HolderClient['reserve'] = async ({program, attempt, tokens, retentionMs, budget}, timeoutMs) => {
+	const reserve: HolderClient['reserve'] = async ({program, attempt, tokens, retentionMs, budget, origin}, timeoutMs) => {
 		if (spentBudgets.isSpent(program, tokens, budget)) {
 			return 'spent';
 		}
 
 		const deadline = Date.now() + timeoutMs;
 		const place = {program, group: findGroup(program)};
-		const request = {program, use: create(TokenUseSchema, {attempt, tokens}), expiresAtMs: Date.now() + retentionMs + slackMs};
+		const request = {
+			program,
+			use: create(TokenUseSchema, {attempt, tokens}),
+			expiresAtMs: Date.now() + retentionMs + slackMs,
+			origin: origin && createStreamOrigin({attempt, ...origin, sequence: 1}, slackMs),
+		};
 		const reservation = await askUsesWithin(place, request, budget, deadline);
 		if (!reservation) {
 			return 'unavailable';
@@ -206,5 +221,12 @@
 		return isComplete ? 'reserved' : 'unavailable';
 	};
 
-	return {reserve, settle};
+	return {
+		reserve,
+		settle,
+		isStoredWithTokens({attempt, service, version, sequence}) {
+			const stored = reservations.get(attempt)?.storedOrigin;
+			return stored?.service === service && stored.version === version && stored.sequence === sequence;
+		},
+	};
 };
--- a/packages/turns/src/client/holder-client.ts
+++ b/packages/turns/src/client/holder-client.ts
@@ -43,8 +43,8 @@
 
 /** Reserves tokens before a turn runs, reads the turns that precede it and stores its result. */
 export type HolderClient = {
-	/** `spent`: the budget is used up; nothing was reserved. `over-budget`: the same, but the tokens may have been reserved, and the caller must settle the attempt. `unavailable`: too few holders answered, so the tokens may or may not be reserved. */
-	readonly reserve: (attempt: Attempt & {readonly budget: number}, timeoutMs: number) => Promise<'reserved' | 'spent' | 'over-budget' | 'unavailable'>;
+	/** `origin` is the software that is expected to run the attempt, which is then stored in the same step, see `recordOrigin`. `spent`: the budget is used up; nothing was reserved. `over-budget`: the same, but the tokens may have been reserved, and the caller must settle the attempt. `unavailable`: too few holders answered, so the tokens may or may not be reserved. */
+	readonly reserve: (attempt: Attempt & {readonly budget: number; readonly origin?: Origin | undefined}, timeoutMs: number) => Promise<'reserved' | 'spent' | 'over-budget' | 'unavailable'>;
 	/** Reads the chain that ends with `turn`, oldest first. `unknown` is returned only if no holder can have the turn. */
 	readonly readTurns: (program: string, turn: string, timeoutMs: number) => Promise<TurnsRead>;
 	/** Stores the tokens that the attempt used and, if given, its turn; resolves to whether a write quorum has them on disk. */
--- a/packages/turns/src/holder/create-copy-service.ts
+++ b/packages/turns/src/holder/create-copy-service.ts
@@ -7,7 +7,7 @@
 outdated list.
 */
 import type {
-	HolderList as WireHolderList, KeptTurn, Record as WireRecord, TokenUse,
+	HolderList as WireHolderList, KeptTurn, Record as WireRecord, StreamOrigin, TokenUse,
 } from '@siskinhub/proto/gen/siskinhub/peer/v1/peer_pb.js';
 import type {MessageBody} from '@siskinhub/peer/message-body.js';
 import type {MessageBodyInit} from '@siskinhub/peer/message-body-init.js';
@@ -166,14 +166,25 @@
 		return [...missing, use].map(each => ({case: 'use', value: {program, use: each, expiresAtMs}}));
 	};
 
+	/** Whether no later or other origin of the attempt holds instead. */
+	const holdsOrigin = (group: number, {attempt, sequence, takenUpBy, version}: StreamOrigin): boolean => {
+		const held = getIndex(group).findOrigin(attempt);
+		return held?.sequence === sequence && held.takenUpBy === takenUpBy && held.version === version;
+	};
+
 	const reserve = async (request: ReserveRequest): Promise<MessageBodyInit> => {
 		const index = getIndex(request.group);
 		if (exceedsBudget(request, index.listUses(request.program)) && index.extendUses(request.program, request.expiresAtMs)) {
 			return {case: 'tokensReserved', value: {uses: [...index.listUses(request.program)], declined: true}};
 		}
 
-		const stored = await storeAll(request.group, listUseFacts(request));
-		return stored.case === 'refused' ? stored : {case: 'tokensReserved', value: {uses: [...getIndex(request.group).listUses(request.program)]}};
+		const {origin} = request;
+		const stored = await storeAll(request.group, [...listUseFacts(request), ...(origin ? [{case: 'origin' as const, value: origin}] : [])]);
+		return stored.case === 'refused'
+			? stored
+			: {
+				case: 'tokensReserved', value: {uses: [...index.listUses(request.program)], originStored: origin !== undefined && holdsOrigin(request.group, origin)},
+			};
 	};
 
 	/** Returns the id of the newest turn of the chain before `turn` that neither the disk nor `ancestors` has; empty if there is none. */
@@ -204,9 +215,7 @@
 		}
 
 		const stored = store.add(group as GroupId, {case: 'origin', value: origin});
-		const held = getIndex(group).findOrigin(origin.attempt);
-		const isHeld = held?.sequence === origin.sequence && held.takenUpBy === origin.takenUpBy && held.version === origin.version;
-		return answerWhenStored(stored, isHeld ? {case: 'acknowledged', value: {}} : REFUSED);
+		return answerWhenStored(stored, holdsOrigin(group, origin) ? {case: 'acknowledged', value: {}} : REFUSED);
 	};
 
 	const answerSync = async ({group, listVersion}: GroupRequest): Promise<MessageBodyInit> => await syncCopy(group as GroupId, listVersion) ? {case: 'acknowledged', value: {}} : REFUSED;
