fix(turns): a turn is looked for in all groups with one request to each disk

The class: what is asked of many groups is asked group by group, though the same few disks serve all of them.

Change: each disk is asked once for all of its groups.

requests-of-a-turn.test.ts, four new tests; the bounds are one request to each disk and the quorums of the groups that are read.

--- a/packages/turns/src/__tests__/requests-of-a-turn.test.ts
+++ b/packages/turns/src/__tests__/requests-of-a-turn.test.ts
@@ -81,6 +81,42 @@
 		expect(changed).toMatchObject({kind: 'found', origin: {version: 'v2', sequence: 2}});
 	});
 
+	// Guards against SHORT: a turn that there is not was asked for at all disks of each of 32 groups, 160 requests.
+	it('are one to each disk beyond its group for a turn that nobody has', async () => {
+		const client = cluster.createClient('g1', 'z1');
+		const before = cluster.requests;
+		expect(await advanceUntilSettled(client.readTurns('p', 'nobody-has-it', TIMEOUT_MS))).toEqual({kind: 'unknown'});
+		expect(cluster.requests - before).toBeLessThanOrEqual(cluster.names().length + 5);
+	});
+
+	it('are one to each disk and the read for a turn of another program', async () => {
+		const client = cluster.createClient('g1', 'z1');
+		await advanceUntilSettled(runTurn(client, 'parent', 'asked-for', ''));
+		const before = cluster.requests;
+		const found = await advanceUntilSettled(cluster.createClient('g2', 'z2').readTurns('child', 'asked-for', TIMEOUT_MS));
+		expect(found.kind === 'found' && found.turns.map(({id}) => id)).toEqual(['asked-for']);
+		expect(cluster.requests - before).toBeLessThanOrEqual(cluster.names().length + 10);
+	});
+
+	it('find a turn of another program, and tell that there is none, while two disks are gone', async () => {
+		const client = cluster.createClient('g1', 'z1');
+		await advanceUntilSettled(runTurn(client, 'parent', 'asked-for', ''));
+		cluster.kill('h1');
+		cluster.kill('h2');
+		const reader = cluster.createClient('g2', 'z2');
+		const found = await advanceUntilSettled(reader.readTurns('child', 'asked-for', TIMEOUT_MS));
+		expect(found.kind === 'found' && found.turns.map(({id}) => id)).toEqual(['asked-for']);
+		expect(await advanceUntilSettled(reader.readTurns('child', 'nobody-has-it', TIMEOUT_MS))).toEqual({kind: 'unknown'});
+	});
+
+	it('do not tell that there is no such turn while a quorum of a group is out of reach', async () => {
+		for (const name of ['h1', 'h2', 'h3', 'h4']) {
+			cluster.cut('g1', name);
+		}
+
+		expect(await advanceUntilSettled(cluster.createClient('g1', 'z1').readTurns('p', 'nobody-has-it', TIMEOUT_MS))).toEqual({kind: 'unavailable'});
+	});
+
 	it('are asked for the origin again if too few disks stored it with the tokens', async () => {
 		const client = cluster.createClient('g1', 'z1');
 		const attempt = {
--- a/packages/turns/src/client/create-chain-reader.ts
+++ b/packages/turns/src/client/create-chain-reader.ts
@@ -9,7 +9,9 @@
 import {findGroup} from '../membership/find-group.js';
 import {hasQuorum} from '../membership/has-quorum.js';
 import {listGroups} from '../membership/list-groups.js';
+import type {GroupId} from '../membership/group-id.js';
 import type {AskQuorum} from './ask-quorum.js';
+import type {FindTurn} from './create-turn-finder.js';
 import type {HolderClient} from './holder-client.js';
 import type {QuorumPlace} from './quorum-place.js';
 
@@ -17,11 +19,12 @@
 	readonly askQuorum: AskQuorum;
 	/** Number of disks that may be lost at the same time. */
 	readonly losses: number;
+	readonly findTurn: FindTurn;
 };
 
 type ChainRead = {readonly kind: 'found'; readonly turns: readonly KeptTurn[]} | {readonly kind: 'unknown' | 'unavailable'};
 
-export const createChainReader = ({askQuorum, losses}: ReaderOptions): HolderClient['readTurns'] => {
+export const createChainReader = ({askQuorum, losses, findTurn}: ReaderOptions): HolderClient['readTurns'] => {
 	/** Reads `turn` and the turns before it, newest first. The turns of a chain may be on different holders, so the result may end before the start of the chain. */
 	const readChainPart = async (place: QuorumPlace, turn: string, timeoutMs: number): Promise<{readonly turns: readonly KeptTurn[]; readonly isAnswered: boolean}> => {
 		let longest: readonly KeptTurn[] = [];
@@ -56,10 +59,9 @@
 		return {kind: 'found', turns: chain.toReversed()};
 	};
 
-	/** Resolves as soon as one group has the turn; `unknown` only if every group has answered that it does not. */
-	const searchOtherGroups = async (program: string, turn: string, timeoutMs: number): Promise<ChainRead> => {
-		const own = findGroup(program);
-		const reads = listGroups().filter(group => group !== own).map(async group => readChain({program, group}, turn, timeoutMs));
+	/** Resolves as soon as one of the groups has the turn; `unknown` only if every one has answered that it does not. */
+	const readAnyChain = async (program: string, turn: string, groups: readonly GroupId[], timeoutMs: number): Promise<ChainRead> => {
+		const reads = groups.map(async group => readChain({program, group}, turn, timeoutMs));
 		const found = Promise.any(reads.map(async read => {
 			const result = await read;
 			return result.kind === 'found' ? result : Promise.reject(new Error('The group does not have the turn.'));
@@ -72,6 +74,13 @@
 		}
 	};
 
+	const searchOtherGroups = async (program: string, turn: string, timeoutMs: number): Promise<ChainRead> => {
+		const deadline = Date.now() + timeoutMs;
+		const own = findGroup(program);
+		const search = await findTurn(turn, listGroups().filter(group => group !== own), timeoutMs);
+		return readAnyChain(program, turn, search.kind === 'found' ? [search.group] : search.unsearched, deadline - Date.now());
+	};
+
 	return async (program, turn, timeoutMs) => {
 		const deadline = Date.now() + timeoutMs;
 		const read = await readChain({program, group: findGroup(program)}, turn, timeoutMs);
--- a/packages/turns/src/client/create-holder-client.ts
+++ b/packages/turns/src/client/create-holder-client.ts
@@ -18,6 +18,7 @@
 import {createHedgeDelay} from './create-hedge-delay.js';
 import {createOriginClient} from './create-origin-client.js';
 import {createOutputClient} from './create-output-client.js';
+import {createTurnFinder} from './create-turn-finder.js';
 import {createTurnWriter} from './create-turn-writer.js';
 import type {HolderClient} from './holder-client.js';
 
@@ -94,7 +95,7 @@
 	return {
 		reserve: writer.reserve,
 		settle: writer.settle,
-		readTurns: createChainReader(quorum),
+		readTurns: createChainReader({...quorum, findTurn: createTurnFinder({readList, linkTo, losses})}),
 		...createOriginClient({...quorum, slackMs: CLOCK_SLACK_MS, isStoredWithTokens: writer.isStoredWithTokens}),
 		...createOutputClient({askQuorum, readList, linkTo}),
 		isReady: monitors.isReady,
--- a/packages/turns/src/holder/classify-copy-request.ts
+++ b/packages/turns/src/holder/classify-copy-request.ts
@@ -25,6 +25,10 @@
 			return answer.case === 'turns' && answer.value.turns?.length === 0 ? 'read-missing' : 'read';
 		}
 
+		case 'findTurn': {
+			return 'find';
+		}
+
 		case 'recordOrigin': {
 			return 'record-origin';
 		}
--- a/packages/turns/src/holder/create-copy-service.ts
+++ b/packages/turns/src/holder/create-copy-service.ts
@@ -117,6 +117,10 @@
 				return checkListVersion(body.value) ?? {case: 'turns', value: readChain(getIndex(group).findTurn, turn)};
 			}
 
+			case 'findTurn': {
+				return findTurn(body.value);
+			}
+
 			case 'recordOrigin': {
 				return checkListVersion(body.value) ?? recordOrigin(body.value);
 			}
@@ -148,6 +152,11 @@
 		}
 	};
 
+	const findTurn = ({turn, groups}: Extract<MessageBody, {case: 'findTurn'}>['value']): MessageBodyInit => {
+		const searched = groups.filter(position => !checkListVersion(position)).map(({group}) => group);
+		return {case: 'turnPlace', value: {searched, foundIn: searched.find(group => getIndex(group).findTurn(turn))}};
+	};
+
 	const storeAll = async (group: number, facts: readonly CopyRecord[]): Promise<MessageBodyInit> => {
 		const answers = await Promise.all(facts.map(async fact => answerWhenStored(store.add(group as GroupId, fact), {case: 'acknowledged', value: {}})));
 		return answers.find(each => each.case === 'refused') ?? {case: 'acknowledged', value: {}};
