fix(limits): no upstream is looked up while none names a limit

What callers saw: late turns, since gateways were short of processor time.

Cause: each request named every upstream of its service by a string and looked it up, to choose among them and once more at its end. It grows with the number of upstreams.

Change: an empty book of limits is asked first.

--- a/packages/gateway/src/limits/create-limit-book.ts
+++ b/packages/gateway/src/limits/create-limit-book.ts
@@ -52,6 +52,7 @@
 	};
 
 	return {
+		isEmpty: () => statements.size === 0,
 		get: upstream => statements.get(upstream)?.perSecond,
 		record(upstream, perSecond, sentAt) {
 			if (perSecond !== undefined) {
--- a/packages/gateway/src/limits/create-limit-gate.ts
+++ b/packages/gateway/src/limits/create-limit-gate.ts
@@ -80,8 +80,12 @@
 
 	return {
 		now,
-		isLimited: upstream => limits.get(identifyStart(upstream)) !== undefined,
+		isLimited: upstream => !limits.isEmpty() && limits.get(identifyStart(upstream)) !== undefined,
 		waitMs(upstream) {
+			if (limits.isEmpty()) {
+				return 0;
+			}
+
 			const start = identifyStart(upstream);
 			return limits.get(start) === undefined ? 0 : Math.max(0, (withheldUntil.get(start) ?? 0) - now());
 		},
--- a/packages/gateway/src/limits/limit-book.ts
+++ b/packages/gateway/src/limits/limit-book.ts
@@ -5,6 +5,8 @@
 
 /** An upstream is identified by `identifyStart`. Bounded in size. */
 export type LimitBook = {
+	/** Whether no upstream ever named a limit, as is usual; costs nothing to ask. */
+	readonly isEmpty: () => boolean;
 	/** Requests a second that the upstream takes; `undefined` if it names no limit as far as this process knows. */
 	readonly get: (upstream: string) => number | undefined;
 	/** Records what an answer of the upstream said: its limit, or `undefined` if it named none. `sentAt`: when the request was sent, on the clock of the book. */
