refactor(turns): the reservation of tokens in modules of its own

The round that asks the holders, what it told, and the decision about it stand apart now; the answers of one round are summed up once, when it has ended. No change of behaviour.

--- a/packages/turns/src/client/create-holder-client.ts
+++ b/packages/turns/src/client/create-holder-client.ts
@@ -18,6 +18,7 @@
 import {createHedgeDelay} from './create-hedge-delay.js';
 import {createOriginClient} from './create-origin-client.js';
 import {createOutputClient} from './create-output-client.js';
+import {createTokenReserver} from './create-token-reserver.js';
 import {createTurnFinder} from './create-turn-finder.js';
 import {createTurnWriter} from './create-turn-writer.js';
 import type {HolderClient} from './holder-client.js';
@@ -91,12 +92,12 @@
 	};
 
 	const quorum = {askQuorum, losses};
-	const writer = createTurnWriter({...quorum, slackMs: CLOCK_SLACK_MS});
+	const reserver = createTokenReserver({...quorum, slackMs: CLOCK_SLACK_MS});
 	return {
-		reserve: writer.reserve,
-		settle: writer.settle,
+		reserve: reserver.reserve,
+		settle: createTurnWriter({...quorum, slackMs: CLOCK_SLACK_MS, takeReservation: reserver.take}),
 		readTurns: createChainReader({...quorum, findTurn: createTurnFinder({readList, linkTo, losses})}),
-		...createOriginClient({...quorum, slackMs: CLOCK_SLACK_MS, isStoredWithTokens: writer.isStoredWithTokens}),
+		...createOriginClient({...quorum, slackMs: CLOCK_SLACK_MS, isStoredWithTokens: reserver.isStoredWithTokens}),
 		...createOutputClient({askQuorum, readList, linkTo}),
 		isReady: monitors.isReady,
 		isCutOff: monitors.isCutOff,
