test(turns): two processes whose quorums share a holder with an old view

A holder that declined for a reservation that has settled elsewhere must store the new one before it answers again.

--- a/packages/turns/src/__tests__/spent-program.test.ts
+++ b/packages/turns/src/__tests__/spent-program.test.ts
@@ -106,4 +106,25 @@
 		cluster.heal();
 		expect(await advanceUntilSettled(sendTurn(cluster.createClient('g2', 'z1'), 'b', {tokens: 50, used: 50}))).toBe('reserved');
 	});
+
+	it.each([0, 1, 2])('is granted its budget once by two processes whose quorums share only a holder that has not heard that a turn used less', async position => {
+		const cluster = createFakeCluster(5, {losses: 2, dataCentres: DATA_CENTRES});
+		await vi.advanceTimersByTimeAsync(SETTLE_TIME_MS);
+		const first = cluster.createClient('first', 'z1');
+		const attempt = {program: 'p', attempt: 'first', retentionMs: RETENTION_MS};
+		expect(await advanceUntilSettled(first.reserve({...attempt, tokens: 95, budget: BUDGET}, TIMEOUT_MS))).toBe('reserved');
+		const quorum = cluster.namesWithUse('first');
+		expect(quorum).toHaveLength(QUORUM);
+		const shared = quorum[position]!;
+		cluster.cut('first', shared);
+		expect(await advanceUntilSettled(first.settle({...attempt, tokens: 5}, undefined, TIMEOUT_MS))).toBe(true);
+		for (const name of quorum.filter(each => each !== shared)) {
+			cluster.cut('g2', name);
+		}
+
+		const results = await advanceUntilSettled(Promise.all(['g1', 'g2'].map(async name => cluster.createClient(name, 'z1').reserve({
+			program: 'p', attempt: name, tokens: 60, retentionMs: RETENTION_MS, budget: BUDGET,
+		}, TIMEOUT_MS))));
+		expect(results.filter(result => result === 'reserved').length).toBeLessThanOrEqual(1);
+	});
 });
