fix(peer): one timer for the heartbeats of all links

Cause: each link had a timer of its own, so a holder with 27 links was woken 34 times a second to send heartbeats, and a gateway 11 times. A wake costs more than the heartbeat. It grows with the number of links, which is that of holders times gateways.

Change: the links of a process share a ticker.

--- a/packages/bench/src/capacity/experiments/measure-links.ts
+++ b/packages/bench/src/capacity/experiments/measure-links.ts
@@ -3,6 +3,7 @@
 peers at the other end of the links are stand-ins in this process.
 */
 import {setTimeout as sleep} from 'node:timers/promises';
+import {createHeartbeatTicker} from '@siskinhub/peer/create-heartbeat-ticker.js';
 import {createPauseDetector} from '@siskinhub/peer/create-pause-detector.js';
 import {createPeerServer} from '@siskinhub/peer/create-peer-server.js';
 import {dialPeer} from '@siskinhub/peer/dial-peer.js';
@@ -25,7 +26,7 @@
 	hello: {
 		host, instance: host, role, dataCentre: DATA_CENTRE,
 	},
-	heartbeatIntervalMs: HEARTBEAT_INTERVAL_MS,
+	heartbeatTicker: createHeartbeatTicker(HEARTBEAT_INTERVAL_MS),
 	silenceMs: SILENCE_MS,
 	createHeartbeat: () => ({
 		tableRevision: 0n, leaving: false, ...(role === Role.SIDECAR && {load: {slots: SLOTS, upstreamUp: true}}),
--- a/packages/bench/src/capacity/messages/create-sample-settings.ts
+++ b/packages/bench/src/capacity/messages/create-sample-settings.ts
@@ -1,6 +1,7 @@
 /**
 Creates the settings of a link that carries the sample messages.
 */
+import {createHeartbeatTicker} from '@siskinhub/peer/create-heartbeat-ticker.js';
 import {createPauseDetector} from '@siskinhub/peer/create-pause-detector.js';
 import type {LinkSettings} from '@siskinhub/peer/link-settings.js';
 import {Role} from '@siskinhub/proto/gen/siskinhub/peer/v1/peer_pb.js';
@@ -15,7 +16,7 @@
 	hello: {
 		host, instance: host, role: Role.ENTRY, dataCentre: 'centre-1',
 	},
-	heartbeatIntervalMs: HEARTBEAT_INTERVAL_MS,
+	heartbeatTicker: createHeartbeatTicker(HEARTBEAT_INTERVAL_MS),
 	silenceMs: SILENCE_MS,
 	createHeartbeat: () => SAMPLE_MESSAGES.heartbeat.value,
 	onMessage({body, reply}) {
--- a/packages/entry/src/create-entry.ts
+++ b/packages/entry/src/create-entry.ts
@@ -15,6 +15,7 @@
 import type {Logger} from '@siskinhub/observe/logger.js';
 import type {Metrics} from '@siskinhub/observe/metrics.js';
 import type {Tracer} from '@siskinhub/observe/tracer.js';
+import {createHeartbeatTicker} from '@siskinhub/peer/create-heartbeat-ticker.js';
 import type {MessageBody} from '@siskinhub/peer/message-body.js';
 import type {MessageBodyInit} from '@siskinhub/peer/message-body-init.js';
 import {createPauseDetector} from '@siskinhub/peer/create-pause-detector.js';
@@ -168,7 +169,7 @@
 		hello: {
 			host: cfg.host, instance, role: Role.ENTRY, dataCentre: cfg.dataCentre, peerAddress: ownAddress, dataFolderId: holderService.dataFolderId,
 		},
-		heartbeatIntervalMs: cfg.heartbeat.intervalMs,
+		heartbeatTicker: createHeartbeatTicker(cfg.heartbeat.intervalMs),
 		silenceMs: cfg.heartbeat.silenceMs,
 		createHeartbeat: () => ({leaving: isLeaving, tableRevision: BigInt(table.revision())}),
 		onMessage(message) {
--- a/packages/gateway/src/host/create-host-links.ts
+++ b/packages/gateway/src/host/create-host-links.ts
@@ -8,6 +8,7 @@
 import type {DeclarationRelay} from '@siskinhub/declared/declaration-relay.js';
 import type {DeclarationSource} from '@siskinhub/declared/declaration-source.js';
 import type {DeclaredView} from '@siskinhub/declared/declared-view.js';
+import {createHeartbeatTicker} from '@siskinhub/peer/create-heartbeat-ticker.js';
 import {createPauseDetector} from '@siskinhub/peer/create-pause-detector.js';
 import {createPeerPool} from '@siskinhub/peer/create-peer-pool.js';
 import type {IncomingMessage} from '@siskinhub/peer/incoming-message.js';
@@ -61,7 +62,7 @@
 		hello: {
 			host, instance: randomUUID(), role: Role.ENTRY, dataCentre, dataFolderId: diskId,
 		},
-		heartbeatIntervalMs: HEARTBEAT_INTERVAL_MS,
+		heartbeatTicker: createHeartbeatTicker(HEARTBEAT_INTERVAL_MS),
 		silenceMs: SILENCE_MS,
 		createHeartbeat(link) {
 			const unsentCrashes = crashes.listAfter(sentCrashes.get(link));
--- a/packages/peer/src/__tests__/create-link.test.ts
+++ b/packages/peer/src/__tests__/create-link.test.ts
@@ -1,6 +1,7 @@
 import {create} from '@bufbuild/protobuf';
 import {FrameSchema, Role} from '@siskinhub/proto/gen/siskinhub/peer/v1/peer_pb.js';
 import {expect, test} from 'vitest';
+import {createHeartbeatTicker} from '../create-heartbeat-ticker.js';
 import {createLink} from '../create-link.js';
 import type {LinkSettings} from '../link-settings.js';
 
@@ -9,7 +10,7 @@
 	const sent: string[] = [];
 	const settings: LinkSettings = {
 		hello: {host: 'a', instance: 'a-1', role: Role.ENTRY},
-		heartbeatIntervalMs: 10_000,
+		heartbeatTicker: createHeartbeatTicker(10_000),
 		silenceMs: 40_000,
 		createHeartbeat: () => ({}),
 		onMessage({body}) {
--- a/packages/peer/src/__tests__/create-peer-pool.test.ts
+++ b/packages/peer/src/__tests__/create-peer-pool.test.ts
@@ -1,6 +1,7 @@
 import {setTimeout as delay} from 'node:timers/promises';
 import {afterEach, expect, test} from 'vitest';
 import {Role} from '@siskinhub/proto/gen/siskinhub/peer/v1/peer_pb.js';
+import {createHeartbeatTicker} from '../create-heartbeat-ticker.js';
 import {createPauseDetector} from '../create-pause-detector.js';
 import {createPeerPool} from '../create-peer-pool.js';
 import {createPeerServer} from '../create-peer-server.js';
@@ -19,7 +20,7 @@
 
 const createSettings = (host: string, onMessage: (message: IncomingMessage) => void): LinkSettings => ({
 	hello: {host, instance: `${host}-1`, role: Role.ENTRY},
-	heartbeatIntervalMs: HEARTBEAT_INTERVAL_MS,
+	heartbeatTicker: createHeartbeatTicker(HEARTBEAT_INTERVAL_MS),
 	silenceMs: SILENCE_MS,
 	createHeartbeat: () => ({tableRevision: 7n}),
 	onMessage,
--- a/packages/peer/src/__tests__/dial-peer.test.ts
+++ b/packages/peer/src/__tests__/dial-peer.test.ts
@@ -3,6 +3,7 @@
 import {
 	afterEach, beforeEach, expect, it, vi,
 } from 'vitest';
+import {createHeartbeatTicker} from '../create-heartbeat-ticker.js';
 import {createPauseDetector} from '../create-pause-detector.js';
 import {dialPeer} from '../dial-peer.js';
 
@@ -17,7 +18,7 @@
 it('closes the link of a host that accepts no connection before the kernel would retransmit the SYN', async () => {
 	const settings = {
 		hello: {host: 'a', instance: 'a-1', role: Role.ENTRY},
-		heartbeatIntervalMs: 800,
+		heartbeatTicker: createHeartbeatTicker(800),
 		silenceMs: 2000,
 		createHeartbeat: () => ({}),
 		onMessage() {/* Nothing is sent to the dialling side. */},
--- a/packages/peer/src/create-link.ts
+++ b/packages/peer/src/create-link.ts
@@ -60,7 +60,7 @@
 		}
 
 		isOpen = false;
-		clearInterval(heartbeatTimer);
+		stopHeartbeats();
 		outbound.close();
 		abort();
 		const lost: LinkError = {kind: 'lost', message: reason};
@@ -74,15 +74,14 @@
 		}
 	};
 
-	const heartbeatTimer = setInterval(() => {
+	const stopHeartbeats = settings.heartbeatTicker.add(() => {
 		if (Date.now() - lastReceivedAt > settings.silenceMs) {
 			close(`received nothing for ${settings.silenceMs} ms`);
 			return;
 		}
 
 		outbound.push({body: {case: 'heartbeat', value: settings.createHeartbeat(link)}});
-	}, settings.heartbeatIntervalMs);
-	heartbeatTimer.unref();
+	});
 
 	const openCall: PeerLink['openCall'] = (body, observer, traceparent = '') => {
 		if (!isOpen) {
--- a/packages/sidecar/src/create-sidecar.ts
+++ b/packages/sidecar/src/create-sidecar.ts
@@ -12,6 +12,7 @@
 import type {Logger} from '@siskinhub/observe/logger.js';
 import type {Metrics} from '@siskinhub/observe/metrics.js';
 import type {Tracer} from '@siskinhub/observe/tracer.js';
+import {createHeartbeatTicker} from '@siskinhub/peer/create-heartbeat-ticker.js';
 import {createPauseDetector} from '@siskinhub/peer/create-pause-detector.js';
 import {createPeerServer} from '@siskinhub/peer/create-peer-server.js';
 import type {LinkSettings} from '@siskinhub/peer/link-settings.js';
@@ -81,7 +82,7 @@
 		hello: {
 			host: cfg.host, instance, role: Role.SIDECAR, dataCentre: cfg.dataCentre, peerAddress: cfg.peer.advertisedAddress,
 		},
-		heartbeatIntervalMs: cfg.heartbeat.intervalMs,
+		heartbeatTicker: createHeartbeatTicker(cfg.heartbeat.intervalMs),
 		silenceMs: cfg.heartbeat.silenceMs,
 		createHeartbeat,
 		onMessage: createMessageHandler({
