--- a/packages/turns/src/client/create-chain-reader.ts
+++ b/packages/turns/src/client/create-chain-reader.ts
@@ -11,7 +11,7 @@
 import {listGroups} from '../membership/list-groups.js';
 import type {GroupId} from '../membership/group-id.js';
 import type {AskQuorum} from './ask-quorum.js';
-import type {FindTurn} from './create-turn-finder.js';
+import type {FindTurn} from './find-turn.js';
 import type {HolderClient} from './holder-client.js';
 import type {QuorumPlace} from './quorum-place.js';
 
--- a/packages/turns/src/client/create-reservation-round.ts
+++ b/packages/turns/src/client/create-reservation-round.ts
@@ -8,8 +8,7 @@
 import {tokenUses} from '../disk/token-uses.js';
 import {hasQuorum} from '../membership/has-quorum.js';
 import type {AskQuorum} from './ask-quorum.js';
-import type {createStreamOrigin} from './create-stream-origin.js';
-import type {QuorumPlace} from './quorum-place.js';
+import type {AskReservation} from './ask-reservation.js';
 import type {TokenReservation} from './token-reservation.js';
 
 type RoundOptions = {
@@ -18,24 +17,6 @@
 	readonly losses: number;
 };
 
-type ReservationRequest = {
-	readonly program: string;
-	/** The reservation itself. */
-	readonly use: TokenUse;
-	/** Unix milliseconds. */
-	readonly expiresAtMs: number;
-	readonly origin: ReturnType<typeof createStreamOrigin> | undefined;
-};
-
-type RoundLimits = {
-	/** A holder by whose knowledge it would be exceeded stores nothing; without it all store the reservation. */
-	readonly budget: number | undefined;
-	readonly timeoutMs: number;
-};
-
-/** Resolves to nothing if too few holders answered in time. */
-export type AskReservation = (place: QuorumPlace, request: ReservationRequest, limits: RoundLimits) => Promise<TokenReservation | undefined>;
-
 type Reserved = Extract<MessageBody, {case: 'tokensReserved'}>['value'];
 
 /** `uses` are those that one holder answered. */
@@ -45,7 +26,7 @@
 };
 
 /** `answers` are by disk; `asked` are all disks that may have received the request. */
-const summariseAnswers = ({use, origin}: ReservationRequest, answers: ReadonlyMap<string, Reserved>, asked: ReadonlySet<string>, isQuorum: (disks: ReadonlySet<string>) => boolean): TokenReservation => {
+const summariseAnswers = ({use, origin}: Parameters<AskReservation>[1], answers: ReadonlyMap<string, Reserved>, asked: ReadonlySet<string>, isQuorum: (disks: ReadonlySet<string>) => boolean): TokenReservation => {
 	const uses = new Map([[use.attempt, use]]);
 	for (const answer of answers.values()) {
 		tokenUses.merge(uses, answer.uses);
--- a/packages/turns/src/client/create-turn-finder.ts
+++ b/packages/turns/src/client/create-turn-finder.ts
@@ -12,6 +12,7 @@
 import type {Holder} from '../membership/holder.js';
 import type {HolderList} from '../membership/holder-list.js';
 import {listAllHolders} from '../membership/list-all-holders.js';
+import type {FindTurn} from './find-turn.js';
 
 type FinderOptions = {
 	readonly readList: (group: GroupId) => HolderList | undefined;
@@ -20,11 +21,6 @@
 	readonly losses: number;
 };
 
-/** `unsearched` are the groups of which too few holders have answered. */
-type TurnSearch = {readonly kind: 'found'; readonly group: GroupId} | {readonly kind: 'not-found'; readonly unsearched: readonly GroupId[]};
-
-export type FindTurn = (turn: string, groups: readonly GroupId[], timeoutMs: number) => Promise<TurnSearch>;
-
 type Question = {readonly holder: Holder; readonly groups: Array<{readonly group: GroupId; readonly listVersion: number}>};
 
 /** Some round trips; a holder that takes longer than this is left out. */
@@ -47,7 +43,7 @@
 	const lists = new Map(groups.map(group => [group, readList(group)] as const).filter((entry): entry is [GroupId, HolderList] => entry[1] !== undefined));
 	const answered = new Map<GroupId, Set<string>>(groups.map(group => [group, new Set()]));
 	const listUnsearched = (): readonly GroupId[] => groups.filter(group => !lists.has(group) || !hasQuorum(lists.get(group)!, 'read', answered.get(group)!, losses));
-	const finish = (search: TurnSearch): void => {
+	const finish = (search: Awaited<ReturnType<FindTurn>>): void => {
 		clearTimeout(timer);
 		resolve(search);
 	};
