perf(peer): a link that carries messages needs no heartbeats

Cause: each link sent a heartbeat each way each 0.8 s, also when it had just carried a request; each wakes both processes. Change: a heartbeat with nothing to tell is left out if a message was sent within the quarter of an interval before, so that the other side hears something within 1.25 intervals.

--- a/packages/gateway/src/host/create-host-links.ts
+++ b/packages/gateway/src/host/create-host-links.ts
@@ -58,6 +58,11 @@
 	// The newest crash and limit that were sent on each link; a new link gets all of them.
 	const sentCrashes = new WeakMap<PeerLink, CrashCursor>();
 	const sentLimits = new WeakMap<PeerLink, number>();
+	const listUnsent = (link: PeerLink) => ({
+		crashes: crashes.listAfter(sentCrashes.get(link)),
+		limits: limits.listAfter(sentLimits.get(link) ?? 0),
+	});
+
 	const settings: LinkSettings = {
 		hello: {
 			host, instance: randomUUID(), role: Role.ENTRY, dataCentre, dataFolderId: diskId,
@@ -65,16 +70,19 @@
 		heartbeatTicker: createHeartbeatTicker(HEARTBEAT_INTERVAL_MS),
 		silenceMs: SILENCE_MS,
 		createHeartbeat(link) {
-			const unsentCrashes = crashes.listAfter(sentCrashes.get(link));
-			sentCrashes.set(link, unsentCrashes.cursor);
-			const unsentLimits = limits.listAfter(sentLimits.get(link) ?? 0);
-			sentLimits.set(link, unsentLimits.sequence);
+			const unsent = listUnsent(link);
+			sentCrashes.set(link, unsent.crashes.cursor);
+			sentLimits.set(link, unsent.limits.sequence);
 			return {
-				answered: unsentCrashes.answered.map(({fingerprint, ageMs}) => ({fingerprint, ageMs: toWireMs(ageMs)})),
-				crashes: unsentCrashes.crashes.map(({fingerprint, upstream, ageMs}) => ({fingerprint, upstream, ageMs: toWireMs(ageMs)})),
-				limits: unsentLimits.limits.map(limit => toWireLimit(limit)),
+				answered: unsent.crashes.answered.map(({fingerprint, ageMs}) => ({fingerprint, ageMs: toWireMs(ageMs)})),
+				crashes: unsent.crashes.crashes.map(({fingerprint, upstream, ageMs}) => ({fingerprint, upstream, ageMs: toWireMs(ageMs)})),
+				limits: unsent.limits.limits.map(limit => toWireLimit(limit)),
 			};
 		},
+		hasNews(link) {
+			const unsent = listUnsent(link);
+			return unsent.crashes.answered.length + unsent.crashes.crashes.length + unsent.limits.limits.length > 0;
+		},
 		onHeartbeat(_link, heartbeat) {
 			crashes.merge(heartbeat);
 			limits.merge(heartbeat.limits.map(limit => fromWireLimit(limit)));
--- a/packages/peer/src/create-heartbeat-ticker.ts
+++ b/packages/peer/src/create-heartbeat-ticker.ts
@@ -7,6 +7,7 @@
 */
 
 type HeartbeatTicker = {
+	readonly intervalMs: number;
 	/** Calls `listener` once in each interval; returns a function that ends this. */
 	readonly add: (listener: () => void) => () => void;
 };
@@ -24,6 +25,7 @@
 	};
 
 	return {
+		intervalMs,
 		add(listener) {
 			const entry = {listener};
 			listeners.add(entry);
--- a/packages/peer/src/create-link.ts
+++ b/packages/peer/src/create-link.ts
@@ -1,7 +1,8 @@
 /**
 Implements a link without its transport; both sides run the same code. It matches
 replies to requests by id, sends heartbeats, and closes a link that has gone
-silent.
+silent. Any message shows that its sender runs, so a link that carries messages
+needs heartbeats only for what they tell.
 
 HTTP/2 pings could not replace the heartbeats: a middlebox that has lost track of
 a connection drops them without closing it, so only silence reveals the loss.
@@ -21,6 +22,9 @@
 
 type EnvelopeInit = MessageInitShape<typeof EnvelopeSchema>;
 
+/** A heartbeat is left out if something was sent within this share of the interval before, so that the other side never waits much longer than one interval. */
+const RECENT_SHARE = 0.25;
+
 type Link = PeerLink & {
 	/** Handles one frame from the other side. */
 	readonly receive: (frame: Frame) => void;
@@ -31,6 +35,7 @@
 	const observers = new Map<number, CallObserver>();
 	const closeListeners: Array<() => void> = [];
 	let lastReceivedAt = Date.now();
+	let lastSentAt = -Infinity;
 	let nextId = 1;
 	let remote: Hello | undefined;
 	let isOpen = true;
@@ -38,11 +43,16 @@
 	// Messages are held until the first frame from the other side shows that it runs. Otherwise a paused process would buffer them and handle them after it resumes.
 	let held: EnvelopeInit[] | undefined = [];
 
+	const sendNow = (envelope: EnvelopeInit) => {
+		lastSentAt = Date.now();
+		outbound.push(envelope);
+	};
+
 	const push = (envelope: EnvelopeInit) => {
 		if (held) {
 			held.push(envelope);
 		} else {
-			outbound.push(envelope);
+			sendNow(envelope);
 		}
 	};
 
@@ -50,7 +60,7 @@
 		const envelopes = held ?? [];
 		held = undefined;
 		for (const envelope of envelopes) {
-			outbound.push(envelope);
+			sendNow(envelope);
 		}
 	};
 
@@ -80,7 +90,10 @@
 			return;
 		}
 
-		outbound.push({body: {case: 'heartbeat', value: settings.createHeartbeat(link)}});
+		const hasSentRecently = Date.now() - lastSentAt < settings.heartbeatTicker.intervalMs * RECENT_SHARE;
+		if (!hasSentRecently || settings.hasNews?.(link) !== false) {
+			sendNow({body: {case: 'heartbeat', value: settings.createHeartbeat(link)}});
+		}
 	});
 
 	const openCall: PeerLink['openCall'] = (body, observer, traceparent = '') => {
@@ -188,6 +201,6 @@
 		},
 	};
 
-	outbound.push({body: {case: 'hello', value: settings.hello}});
+	sendNow({body: {case: 'hello', value: settings.hello}});
 	return link;
 };
--- a/packages/peer/src/create-pause-detector.ts
+++ b/packages/peer/src/create-pause-detector.ts
@@ -10,8 +10,8 @@
 /** Ticks in the shortest pause that counts, so that one late tick does not. */
 const TICKS_PER_PAUSE = 10;
 /**
-When a pause begins, the process may have sent its last message up to one
-heartbeat interval ago, and the interval is at most half the silence timeout. So
+When a pause begins, the process may have sent its last message up to one and a
+quarter heartbeat intervals ago, which is at most half the silence timeout. So
 peers may consider the process lost after a pause of the other half.
 */
 const PAUSE_SHARE_OF_SILENCE = 0.5;
--- a/packages/peer/src/link-settings.ts
+++ b/packages/peer/src/link-settings.ts
@@ -17,6 +17,8 @@
 	readonly silenceMs: number;
 	/** Returns the heartbeat to send on `link`. */
 	readonly createHeartbeat: (link: PeerLink) => MessageInitShape<typeof HeartbeatSchema>;
+	/** Whether the next heartbeat on `link` would tell the other side anything new; without it each one may. */
+	readonly hasNews?: (link: PeerLink) => boolean;
 	readonly onMessage: (message: IncomingMessage) => void;
 	readonly onHeartbeat?: (link: PeerLink, heartbeat: Heartbeat) => void;
 	/** Called with the reason for each message that cannot be encoded; it is not sent, and a request gets no reply. */
