perf(peer): what nobody waits for shares frames with other messages

Cause: a turn that is not kept is settled while nobody waits, and half of the turns are such ones; the three requests and the three answers each woke a process of their own, and each settlement had a sync of its own. A planned stop sends what waits. Messages of both kinds keep their order.

--- a/packages/entry/src/directory/__tests__/create-sidecar-directory.test.ts
+++ b/packages/entry/src/directory/__tests__/create-sidecar-directory.test.ts
@@ -36,6 +36,7 @@
 				request: async () => err({kind: 'lost', message: 'nobody listens'}),
 				openCall: () => ({close() {/* Nothing is open. */}}),
 				reply() {/* Nobody listens. */},
+				flush() {/* Nothing waits. */},
 				onClosed(listener) {
 					listeners.push(listener);
 				},
@@ -53,6 +54,7 @@
 			return link;
 		},
 		links: () => [...links.values()],
+		flushAll() {/* Nothing waits. */},
 		closeAll() {/* The test closes its links itself. */},
 	};
 	return {pool, dialled};
--- a/packages/gateway/src/host/create-host-links.ts
+++ b/packages/gateway/src/host/create-host-links.ts
@@ -2,6 +2,7 @@
 Creates the links between this process and the others of the system.
 */
 import {randomUUID} from 'node:crypto';
+import {setImmediate as nextIteration} from 'node:timers/promises';
 import type {DataCentreId} from '@siskinhub/core/ids/data-centre-id.js';
 import type {HostId} from '@siskinhub/core/ids/host-id.js';
 import type {createChangePublisher} from '@siskinhub/declared/create-change-publisher.js';
@@ -148,7 +149,10 @@
 			});
 			return chosen && toRelay(chosen.address, pool.get(chosen.address));
 		},
-		close() {
+		/** Resolves once what was deferred has been written. */
+		async close(): Promise<void> {
+			pool.flushAll();
+			await nextIteration();
 			pool.closeAll('the process is stopping');
 		},
 	};
--- a/packages/gateway/src/host/start-gateway.ts
+++ b/packages/gateway/src/host/start-gateway.ts
@@ -225,7 +225,7 @@
 			logCutCalls(activeCalls.list(), {log, metrics});
 			readiness?.close();
 			metricsServer.close();
-			links.close();
+			await links.close();
 			pools.close();
 			calls.close();
 			limitLog.close();
--- a/packages/gateway/src/host/start-holder.ts
+++ b/packages/gateway/src/host/start-holder.ts
@@ -159,7 +159,7 @@
 			log.info('copy holder stopping', {records: copies.size()});
 			stopping.abort();
 			metricsServer.close();
-			links.close();
+			await links.close();
 			limitLog.close();
 			crashLog.close();
 			gapLog.close();
--- a/packages/peer/src/create-link.ts
+++ b/packages/peer/src/create-link.ts
@@ -15,8 +15,10 @@
 import type {MessageBody} from './message-body.js';
 import type {MessageBodyInit} from './message-body-init.js';
 import type {CallObserver} from './call-observer.js';
+import {createLinkSender} from './create-link-sender.js';
 import type {LinkError} from './link-error.js';
 import type {LinkSettings} from './link-settings.js';
+import type {OpenCall} from './open-call.js';
 import type {OutboundQueue} from './outbound-queue.js';
 import type {PeerLink} from './peer-link.js';
 
@@ -35,34 +37,11 @@
 	const observers = new Map<number, CallObserver>();
 	const closeListeners: Array<() => void> = [];
 	let lastReceivedAt = Date.now();
-	let lastSentAt = -Infinity;
 	let nextId = 1;
 	let remote: Hello | undefined;
 	let isOpen = true;
 	const initialPauseCount = settings.pauseDetector.countPauses();
-	// Messages are held until the first frame from the other side shows that it runs. Otherwise a paused process would buffer them and handle them after it resumes.
-	let held: EnvelopeInit[] | undefined = [];
-
-	const sendNow = (envelope: EnvelopeInit) => {
-		lastSentAt = Date.now();
-		outbound.push(envelope);
-	};
-
-	const push = (envelope: EnvelopeInit) => {
-		if (held) {
-			held.push(envelope);
-		} else {
-			sendNow(envelope);
-		}
-	};
-
-	const releaseHeld = () => {
-		const envelopes = held ?? [];
-		held = undefined;
-		for (const envelope of envelopes) {
-			sendNow(envelope);
-		}
-	};
+	const sender = createLinkSender(outbound);
 
 	const close = (reason: string) => {
 		if (!isOpen) {
@@ -71,7 +50,7 @@
 
 		isOpen = false;
 		stopHeartbeats();
-		outbound.close();
+		sender.close();
 		abort();
 		const lost: LinkError = {kind: 'lost', message: reason};
 		for (const observer of observers.values()) {
@@ -90,13 +69,13 @@
 			return;
 		}
 
-		const hasSentRecently = Date.now() - lastSentAt < settings.heartbeatTicker.intervalMs * RECENT_SHARE;
+		const hasSentRecently = sender.hasSentWithin(settings.heartbeatTicker.intervalMs * RECENT_SHARE);
 		if (!hasSentRecently || settings.hasNews?.(link) !== false) {
-			sendNow({body: {case: 'heartbeat', value: settings.createHeartbeat(link)}});
+			sender.sendNow({body: {case: 'heartbeat', value: settings.createHeartbeat(link)}});
 		}
 	});
 
-	const openCall: PeerLink['openCall'] = (body, observer, traceparent = '') => {
+	const startCall = (init: Pick<EnvelopeInit, 'body' | 'traceparent' | 'canWait'>, observer: CallObserver): OpenCall => {
 		if (!isOpen) {
 			queueMicrotask(() => {
 				observer.onLost({kind: 'lost', message: 'the link is closed'});
@@ -106,7 +85,13 @@
 
 		const id = nextId++;
 		observers.set(id, observer);
-		push({id, traceparent, body});
+		const envelope = {...init, id};
+		if (init.canWait) {
+			sender.sendLater(envelope);
+		} else {
+			sender.send(envelope);
+		}
+
 		return {
 			close() {
 				observers.delete(id);
@@ -114,8 +99,8 @@
 		};
 	};
 
-	const request: PeerLink['request'] = async (body, {timeoutMs, traceparent}) => new Promise<Result<MessageBody, LinkError>>(resolve => {
-		const call = openCall(body, {
+	const request: PeerLink['request'] = async (body, {timeoutMs, traceparent = '', canWait = false}) => new Promise<Result<MessageBody, LinkError>>(resolve => {
+		const call = startCall({body, traceparent, canWait}, {
 			onReply(reply) {
 				clearTimeout(timer);
 				call.close();
@@ -125,7 +110,7 @@
 				clearTimeout(timer);
 				resolve(err(lost));
 			},
-		}, traceparent);
+		});
 		const timer = setTimeout(() => {
 			call.close();
 			resolve(err({kind: 'timeout', message: `no reply within ${timeoutMs} ms`}));
@@ -133,7 +118,7 @@
 	});
 
 	const reply = (replyTo: number, body: MessageBodyInit) => {
-		push({replyTo, body});
+		sender.send({replyTo, body});
 	};
 
 	const receiveEnvelope = (envelope: Envelope) => {
@@ -162,7 +147,11 @@
 			body,
 			traceparent: envelope.traceparent,
 			reply(replyBody) {
-				reply(envelope.id, replyBody);
+				if (envelope.canWait) {
+					sender.sendLater({replyTo: envelope.id, body: replyBody});
+				} else {
+					reply(envelope.id, replyBody);
+				}
 			},
 		});
 	};
@@ -172,10 +161,11 @@
 		isOpen: () => isOpen,
 		silentForMs: () => Date.now() - lastReceivedAt,
 		send(body) {
-			push({body});
+			sender.send({body});
 		},
 		request,
-		openCall,
+		openCall: (body, observer, traceparent = '') => startCall({body, traceparent}, observer),
+		flush: sender.flush,
 		reply,
 		onClosed(listener) {
 			if (isOpen) {
@@ -192,7 +182,7 @@
 			}
 
 			lastReceivedAt = Date.now();
-			releaseHeld();
+			sender.release();
 			for (const envelope of frame.envelopes) {
 				if (isOpen) {
 					receiveEnvelope(envelope);
@@ -201,6 +191,6 @@
 		},
 	};
 
-	sendNow({body: {case: 'hello', value: settings.hello}});
+	sender.sendNow({body: {case: 'hello', value: settings.hello}});
 	return link;
 };
--- a/packages/peer/src/create-peer-pool.ts
+++ b/packages/peer/src/create-peer-pool.ts
@@ -27,6 +27,11 @@
 			return link;
 		},
 		links: () => [...links.values()],
+		flushAll() {
+			for (const link of links.values()) {
+				link.flush();
+			}
+		},
 		closeAll(reason) {
 			for (const link of links.values()) {
 				link.close(reason);
--- a/packages/peer/src/peer-link.ts
+++ b/packages/peer/src/peer-link.ts
@@ -25,6 +25,8 @@
 	readonly openCall: (body: MessageBodyInit, observer: CallObserver, traceparent?: string) => OpenCall;
 	/** Replies to the other side's envelope with the id `replyTo`. */
 	readonly reply: (replyTo: number, body: MessageBodyInit) => void;
+	/** Sends at once what may still wait; see `CallOptions`. */
+	readonly flush: () => void;
 	/** Calls `listener` once when the link closes, or immediately if it is closed already. */
 	readonly onClosed: (listener: () => void) => void;
 	readonly close: (reason: string) => void;
--- a/packages/peer/src/peer-pool.ts
+++ b/packages/peer/src/peer-pool.ts
@@ -7,5 +7,7 @@
 export type PeerPool = {
 	readonly get: (address: string) => PeerLink;
 	readonly links: () => readonly PeerLink[];
+	/** Sends what the links have deferred, see `CallOptions`. */
+	readonly flushAll: () => void;
 	readonly closeAll: (reason: string) => void;
 };
--- a/packages/turns/src/__tests__/create-fake-cluster.ts
+++ b/packages/turns/src/__tests__/create-fake-cluster.ts
@@ -68,7 +68,7 @@
 	const registered = new Map<string, Holder>();
 	let nextDisk = 1;
 	const cluster = {
-		isPlatformUp: true, swaps: {taken: 0, refused: 0}, maxSwaps: Infinity, requests: 0,
+		isPlatformUp: true, swaps: {taken: 0, refused: 0}, maxSwaps: Infinity, requests: 0, awaitedRequests: 0,
 	};
 
 	const isCut = (from: string, to: string): boolean => cut.has(`${from} ${to}`) || cut.has(`${to} ${from}`);
@@ -120,10 +120,11 @@
 
 	const linkFrom = (from: string) => ({address}: Pick<Holder, 'address'>): PeerLink => {
 		const to = address;
-		const request: PeerLink['request'] = async (init, {timeoutMs}) => {
+		const request: PeerLink['request'] = async (init, {timeoutMs, canWait = false}) => {
 			const startedAt = Date.now();
 			await wait(LINK_DELAY_MS);
 			cluster.requests++;
+			cluster.awaitedRequests += canWait ? 0 : 1;
 			const target = hosts.get(to);
 			if (target?.handle && target.isUp && !isCut(from, to)) {
 				const {incarnation} = target;
@@ -161,6 +162,7 @@
 			request,
 			openCall: () => ({close() {/* Nothing is open. */}}),
 			reply() {/* The handler replies itself. */},
+			flush() {/* Nothing waits here. */},
 			onClosed() {/* Fake links do not close. */},
 			close() {/* Same. */},
 		};
--- a/packages/turns/src/__tests__/requests-of-a-turn.test.ts
+++ b/packages/turns/src/__tests__/requests-of-a-turn.test.ts
@@ -61,6 +61,18 @@
 		}
 	});
 
+	// Guards against SHORT: the settlement of a turn that is not kept woke each process although nobody waits for it.
+	it('are awaited only for the reservation of a turn that is not kept', async () => {
+		const client = cluster.createClient('g1', 'z1');
+		const attempt = {
+			program: 'p', attempt: 'a', tokens: 10, retentionMs: RETENTION_MS,
+		};
+		const before = cluster.awaitedRequests;
+		expect(await advanceUntilSettled(client.reserve({...attempt, budget: BUDGET}, TIMEOUT_MS))).toBe('reserved');
+		expect(await advanceUntilSettled(client.settle(attempt, undefined, TIMEOUT_MS))).toBe(true);
+		expect(cluster.awaitedRequests - before).toBe(QUORUM);
+	});
+
 	// Guards against SHORT: the origin of each stream took a quorum of its own, a third of what a turn that is not kept costs.
 	it('are two quorums also if the stream can be taken up, while one version of the software serves', async () => {
 		const client = cluster.createClient('g1', 'z1');
--- a/packages/turns/src/client/ask-holders.ts
+++ b/packages/turns/src/client/ask-holders.ts
@@ -36,6 +36,8 @@
 	readonly timeoutMs: number;
 	/** Delay after which the remaining holders are asked too. */
 	readonly hedgeDelayMs: number;
+	/** Whether nobody waits for the round, so that its messages may; see `CallOptions`. */
+	readonly canWait: boolean;
 	/** Returns the group's newest known list; a round under an older one is abandoned. */
 	readonly readList: () => HolderList | undefined;
 };
@@ -49,7 +51,9 @@
 const LIST_CHECK_INTERVAL_MS = 150;
 
 /** Runs one round under one version of the list; the returned promise never rejects. */
-export const askHolders = async ({group, list, linkTo, holders, firstCount, buildRequest, onAnswer, timeoutMs, hedgeDelayMs, readList}: Round): Promise<RoundResult> => new Promise(resolve => {
+export const askHolders = async ({
+	group, list, linkTo, holders, firstCount, buildRequest, onAnswer, timeoutMs, hedgeDelayMs, canWait, readList,
+}: Round): Promise<RoundResult> => new Promise(resolve => {
 	const deadline = Date.now() + timeoutMs;
 	let isDone = false;
 	const finish = (result: RoundResult): void => {
@@ -102,7 +106,7 @@
 	};
 
 	const askOne = async (holder: Holder): Promise<void> => {
-		const answer = await askHolder(linkTo(holder), holder, buildRequest(list.version, holder), deadline - Date.now());
+		const answer = await askHolder(linkTo(holder), holder, buildRequest(list.version, holder), deadline - Date.now(), canWait);
 		if (isDone || (answer.isOk() && await handleAnswer(holder, answer.value) === 'done')) {
 			return;
 		}
--- a/packages/turns/src/client/create-holder-client.ts
+++ b/packages/turns/src/client/create-holder-client.ts
@@ -3,6 +3,7 @@
 No owner or leader is needed: a turn never changes once written and a program's
 uses only grow, so the holders need not agree on an order.
 */
+import {MAX_DEFERRAL_MS} from '@siskinhub/peer/max-deferral-ms.js';
 import type {PeerLink} from '@siskinhub/peer/peer-link.js';
 import {countQuorum} from '../membership/count-quorum.js';
 import type {Holder} from '../membership/holder.js';
@@ -52,9 +53,10 @@
 	const hedge = createHedgeDelay();
 	const monitors = createGroupMonitors({readList, linkTo, losses});
 
-	/** Repeats the round under each newer list until there are enough answers or the timeout has passed. `one` asks one holder first, `write` a write quorum. */
+	/** Repeats the round under each newer list until there are enough answers or the timeout has passed. `one` asks one holder first, the others a write quorum. */
 	const askQuorum: AskQuorum = async ({program, group}, buildRequest, kind, timeoutMs, createAnswerHandler) => {
 		const startedAt = performance.now();
+		const canWait = kind === 'write-later';
 		const deadline = Date.now() + timeoutMs;
 		for (;;) {
 			const list = readList(group);
@@ -75,9 +77,19 @@
 			});
 			const roundStartedAt = performance.now();
 			const result = await askHolders({
-				group, list, linkTo, holders, firstCount: kind === 'one' ? 1 : firstCount, buildRequest, onAnswer: createAnswerHandler(list), timeoutMs: leftMs, hedgeDelayMs: hedge.delayMs(), readList: () => readList(group),
+				group,
+				list,
+				linkTo,
+				holders,
+				firstCount: kind === 'one' ? 1 : firstCount,
+				buildRequest,
+				onAnswer: createAnswerHandler(list),
+				timeoutMs: leftMs,
+				hedgeDelayMs: hedge.delayMs() + (canWait ? 2 * MAX_DEFERRAL_MS : 0),
+				canWait,
+				readList: () => readList(group),
 			});
-			if (result.kind === 'enough') {
+			if (result.kind === 'enough' && !canWait) {
 				hedge.record(performance.now() - roundStartedAt);
 			} else if (result.kind === 'too-few') {
 				monitors.recordFailedRound(group, startedAt);
--- a/packages/turns/src/client/create-turn-writer.ts
+++ b/packages/turns/src/client/create-turn-writer.ts
@@ -46,7 +46,7 @@
 			ancestors: turn?.isFromOtherGroup === true || incomplete.has(diskId) ? ancestors : [],
 			requiresChain: true,
 		},
-	}), 'write', timeoutMs, list => {
+	}), turn ? 'write' : 'write-later', timeoutMs, list => {
 		const stored = new Set<string>();
 		return ({diskId}, answer) => {
 			if (answer.case === 'chainIncomplete' && !incomplete.has(diskId)) {
--- a/packages/turns/src/client/holder-client.ts
+++ b/packages/turns/src/client/holder-client.ts
@@ -47,7 +47,7 @@
 	readonly reserve: (attempt: Attempt & {readonly budget: number; readonly origin?: Origin | undefined}, timeoutMs: number) => Promise<'reserved' | 'spent' | 'over-budget' | 'unavailable'>;
 	/** Reads the chain that ends with `turn`, oldest first. `unknown` is returned only if no holder can have the turn. */
 	readonly readTurns: (program: string, turn: string, timeoutMs: number) => Promise<TurnsRead>;
-	/** Stores the tokens that the attempt used and, if given, its turn; resolves to whether a write quorum has them on disk. */
+	/** Stores the tokens that the attempt used and, if given, its turn; resolves to whether a write quorum has them on disk. Without a turn the messages may wait for others, see `CallOptions`. */
 	readonly settle: (attempt: Attempt, turn: TurnContent | undefined, timeoutMs: number) => Promise<boolean>;
 	/** Stores which software runs an attempt that may begin a stream. Resolves to whether a write quorum has it on disk and nothing that holds instead. */
 	readonly recordOrigin: (stream: StreamAttempt & OriginRecord, timeoutMs: number) => Promise<boolean>;
--- a/packages/turns/src/membership/ask-holder.ts
+++ b/packages/turns/src/membership/ask-holder.ts
@@ -10,9 +10,9 @@
 import {err, type Result} from 'neverthrow';
 import type {Holder} from './holder.js';
 
-/** Returns the error `lost` if another disk answered. A `timeoutMs` below 1 counts as 1. */
-export const askHolder = async (link: PeerLink, {diskId}: Holder, body: MessageBodyInit, timeoutMs: number): Promise<Result<MessageBody, LinkError>> => {
-	const answer = await link.request(body, {timeoutMs: Math.max(1, timeoutMs)});
+/** Returns the error `lost` if another disk answered. A `timeoutMs` below 1 counts as 1; `canWait` is that of `CallOptions`. */
+export const askHolder = async (link: PeerLink, {diskId}: Holder, body: MessageBodyInit, timeoutMs: number, canWait = false): Promise<Result<MessageBody, LinkError>> => {
+	const answer = await link.request(body, {timeoutMs: Math.max(1, timeoutMs), canWait});
 	return answer.isOk() && link.remote()?.dataFolderId !== diskId
 		? err({kind: 'lost', message: 'the process at the holder\'s address uses another disk'})
 		: answer;
