--- a/packages/gateway/src/upstreams/create-upstream-directory.ts
+++ b/packages/gateway/src/upstreams/create-upstream-directory.ts
@@ -25,14 +25,17 @@
 /** An upstream that is leaving is always removed at once. */
 export const createUpstreamDirectory = ({graceUntil}: DirectoryOptions): UpstreamDirectory => {
 	const byId = new Map<string, Upstream>();
-	const byService = new Map<string, Upstream[]>();
+	// Rebuilt when a list is asked for after a change: all upstreams report at about the same time.
+	const byService = new Map<string, readonly Upstream[]>();
 	const pendingRemovals = new Map<string, NodeJS.Timeout>();
 	// Starts that have said so in an answer, as `identifyStart` names them.
 	const leavingStarts = new Set<string>();
 	const listeners: Array<(upstream: Upstream) => void> = [];
 
-	const refreshService = (service: string): void => {
-		byService.set(service, [...byId.values()].filter(upstream => upstream.service === service && !upstream.isLeaving));
+	const list = (service: string): readonly Upstream[] => {
+		const listed = byService.get(service) ?? [...byId.values()].filter(upstream => upstream.service === service && !upstream.isLeaving);
+		byService.set(service, listed);
+		return listed;
 	};
 
 	const tellEnd = (ended: Upstream): void => {
@@ -49,7 +52,7 @@
 		}
 
 		byId.delete(id);
-		refreshService(known.service);
+		byService.delete(known.service);
 		tellEnd(known);
 	};
 
@@ -65,11 +68,8 @@
 			const isSameStart = known?.bornAtMs === next.bornAtMs;
 			const isLeaving = next.isLeaving || (isSameStart && known.isLeaving) || leavingStarts.has(identifyStart(next));
 			byId.set(next.id, {...next, isLeaving});
-			if (known && known.service !== next.service) {
-				refreshService(known.service);
-			}
-
-			refreshService(next.service);
+			byService.delete(known?.service ?? next.service);
+			byService.delete(next.service);
 			if (known && !isSameStart) {
 				tellEnd(known);
 			}
@@ -97,12 +97,12 @@
 			const known = byId.get(upstream.id);
 			if (known && identifyStart(known) === start) {
 				byId.set(known.id, {...known, isLeaving: true});
-				refreshService(known.service);
+				byService.delete(known.service);
 			}
 
 			return true;
 		},
-		list: service => byService.get(service) ?? [],
+		list,
 		get: id => byId.get(id),
 		onEnd(listener) {
 			listeners.push(listener);
