--- a/packages/gateway/src/host/start-holder.ts
+++ b/packages/gateway/src/host/start-holder.ts
@@ -43,6 +43,7 @@
 
 /** Longer than a restart or a short network failure. A holder that is silent for this time is replaced if enough others are available. */
 const LOST_AFTER_MS = 3000;
+
 type HolderOptions = {
 	readonly keys: DeclaredKeys;
 	readonly store: DeclarationStore;
