--- a/packages/cli/src/command/system-command.ts
+++ b/packages/cli/src/command/system-command.ts
@@ -40,7 +40,7 @@
 		try {
 			return await use(system);
 		} finally {
-			system.close();
+			await system.close();
 		}
 	}
 }
--- a/packages/turns/src/client/__tests__/create-chain-reader.test.ts
+++ b/packages/turns/src/client/__tests__/create-chain-reader.test.ts
@@ -1,7 +1,9 @@
 import {create} from '@bufbuild/protobuf';
 import type {MessageBodyInit} from '@siskinhub/peer/message-body-init.js';
 import {EnvelopeSchema, KeptTurnSchema, type KeptTurn} from '@siskinhub/proto/gen/siskinhub/peer/v1/peer_pb.js';
-import {describe, expect, it, vi} from 'vitest';
+import {
+	describe, expect, it, vi,
+} from 'vitest';
 import type {AskQuorum} from '../ask-quorum.js';
 import {createChainReader} from '../create-chain-reader.js';
 
--- a/packages/turns/src/membership/__tests__/ask-holder.test.ts
+++ b/packages/turns/src/membership/__tests__/ask-holder.test.ts
@@ -3,7 +3,9 @@
 import type {PeerLink} from '@siskinhub/peer/peer-link.js';
 import {EnvelopeSchema, HelloSchema} from '@siskinhub/proto/gen/siskinhub/peer/v1/peer_pb.js';
 import {ok} from 'neverthrow';
-import {describe, expect, it, vi} from 'vitest';
+import {
+	describe, expect, it, vi,
+} from 'vitest';
 import {askHolder} from '../ask-holder.js';
 
 const TIMEOUT_MS = 1000;
@@ -34,13 +36,15 @@
 describe('askHolder', () => {
 	it('returns the answer of the holder\'s disk', async () => {
 		const {link} = startLink(() => 'd1');
-		expect((await askHolder(link, HOLDER, BODY, TIMEOUT_MS)).isOk()).toBe(true);
+		const answer = await askHolder(link, HOLDER, BODY, TIMEOUT_MS);
+		expect(answer.isOk()).toBe(true);
 	});
 
 	// Guards against SHORT: a wiped disk that had returned got the requests for the one before, 900 a second, none of whose answers counted.
 	it('sends nothing to another disk at the holder\'s address', async () => {
 		const {link, request} = startLink(() => 'd2');
-		expect((await askHolder(link, HOLDER, BODY, TIMEOUT_MS)).isErr()).toBe(true);
+		const answer = await askHolder(link, HOLDER, BODY, TIMEOUT_MS);
+		expect(answer.isErr()).toBe(true);
 		expect(request).not.toHaveBeenCalled();
 	});
 
@@ -51,7 +55,8 @@
 			disk = 'd2';
 			return ok(ANSWER);
 		});
-		expect((await askHolder(link, HOLDER, BODY, TIMEOUT_MS)).isErr()).toBe(true);
+		const answer = await askHolder(link, HOLDER, BODY, TIMEOUT_MS);
+		expect(answer.isErr()).toBe(true);
 		expect(request).toHaveBeenCalledOnce();
 	});
 });
