feat(gateway): metrics of what a process itself holds

When a process grew until it was killed, its metrics did not tell which part of it had grown. Gateways and holders now report resident memory and its peak since the start (where Linux tells it), V8's heap, what is held outside it, array buffers, and open TCP connections; gateways also the connections from callers. All are read when the metrics are collected, so requests cost nothing more.

--- a/packages/gateway/src/host/start-gateway.ts
+++ b/packages/gateway/src/host/start-gateway.ts
@@ -35,6 +35,7 @@
 import {keepEarlyListener} from '../http/keep-early-listener.js';
 import type {EarlyListener} from '../http/early-listener.js';
 import type {GatewayMetrics} from '../metrics/gateway-metrics.js';
+import {registerProcessGauges} from '../metrics/register-process-gauges.js';
 import {createLoadTracker} from '../placement/create-load-tracker.js';
 import {createRouteTable} from '../routes/create-route-table.js';
 import {createUpstreamDirectory} from '../upstreams/create-upstream-directory.js';
@@ -210,8 +211,9 @@
 		return {status: ready ? 200 : 503, text: ''};
 	});
 	metrics.addLimits(limitBook.listLimits);
+	registerProcessGauges(metrics);
 	registerGatewayGauges(metrics, {
-		routes, view, holderClient, registry, loop, countActive: server.countActive, lastReadAt: follower.lastReadAt,
+		routes, view, holderClient, registry, loop, countActive: server.countActive, countConnections: server.countConnections, lastReadAt: follower.lastReadAt,
 	});
 	const metricsServer = await serveText({...cfg.metrics, ...waiting}, async () => ({status: 200, text: await metrics.render()}));
 	log.info('gateway started', {dataCentre: cfg.dataCentre, callers: cfg.callers});
--- a/packages/gateway/src/host/start-holder.ts
+++ b/packages/gateway/src/host/start-holder.ts
@@ -19,6 +19,7 @@
 import type {SyncCopy} from '@siskinhub/turns/holder/sync-copy.js';
 import type {Holder} from '@siskinhub/turns/membership/holder.js';
 import type {GatewayMetrics} from '../metrics/gateway-metrics.js';
+import {registerProcessGauges} from '../metrics/register-process-gauges.js';
 import {createLoopMonitor} from '../admission/create-loop-monitor.js';
 import {createCrashLog} from '../crashes/create-crash-log.js';
 import {createCrashTracker} from '../crashes/create-crash-tracker.js';
@@ -149,6 +150,7 @@
 		signal: stopping.signal,
 	});
 	void compactWhenLarge(copies, log, stopping.signal);
+	registerProcessGauges(metrics);
 	watchProcessor({
 		loop, metrics, log, signal: stopping.signal,
 	});
--- a/packages/gateway/src/http/create-gateway-server.ts
+++ b/packages/gateway/src/http/create-gateway-server.ts
@@ -59,6 +59,8 @@
 	readonly stopListening: () => void;
 	/** Counts the connections that were accepted so far. */
 	readonly countAccepted: () => number;
+	/** Counts the connections that are open. */
+	readonly countConnections: () => number;
 	/** Closes each connection without a request in flight; for the end of the process. */
 	readonly closeSilent: () => void;
 };
@@ -214,5 +216,6 @@
 		},
 		closeSilent: connections.closeSilent,
 		countAccepted: connections.countAccepted,
+		countConnections: connections.countOpen,
 	};
 };
--- a/packages/gateway/src/http/track-connections.ts
+++ b/packages/gateway/src/http/track-connections.ts
@@ -25,6 +25,8 @@
 	readonly closeSilent: () => void;
 	/** Counts the connections that were accepted so far. */
 	readonly countAccepted: () => number;
+	/** Counts the connections that are open. */
+	readonly countOpen: () => number;
 };
 
 /** Call it before the server accepts the first connection. */
@@ -82,5 +84,6 @@
 			}
 		},
 		countAccepted: () => accepted,
+		countOpen: () => connections.size,
 	};
 };
