--- a/packages/gateway/src/http/create-gateway-server.ts
+++ b/packages/gateway/src/http/create-gateway-server.ts
@@ -173,7 +173,7 @@
 
 		if (body.kind === 'too-large') {
 			res.shouldKeepAlive = false;
-			onRejected('the request body exceeds the limit maxBodyBytes', 413);
+			onRejected(body.reason, 413);
 			response.refuse(413);
 		}
 	};
