fix(gateway): the bodies of all callers have one bound of 32 MiB

What callers could see: a gateway that ran out of memory, and every request on it ended, although each caller kept to maxBodyBytes.

Cause: only one body was bounded (4 MiB by default), not the sum, and a body is held until its answer is over.

Change: a budget of bytes for the process, shared by all requests. Each takes what has arrived, not what is announced: 60 callers that announce 4 MiB and send nothing leave the room to others. One whose announced length has no room is refused before it sends its body; one that grows beyond the room is refused then. Both get 503, not run, with 0.1 s to come back, the outcome no-room in the line of the call, and their connection is closed. The bound of 32 MiB is a third of what the smallest gateway (178 MB) has beside a fresh process (73 MB), since a body may be copied on its way. siskinhub_caller_bytes tells the sum.

Considered: taking the announced length at once. A dozen silent callers would then have had the room of all others.

Not counted: what earlier turns add to a body.

--- a/packages/gateway/src/host/register-gateway-gauges.ts
+++ b/packages/gateway/src/host/register-gateway-gauges.ts
@@ -16,6 +16,8 @@
 	readonly registry: Pick<HolderRegistry, 'readList' | 'listDisks'>;
 	readonly countActive: () => number;
 	readonly countConnections: () => number;
+	/** Bytes that callers' bodies take. */
+	readonly heldBytes: () => number;
 	readonly loop: Pick<ReturnType<typeof createLoopMonitor>, 'read'>;
 	/** When the platform's service last answered, by `performance.now()`. */
 	readonly lastReadAt: () => number;
@@ -24,7 +26,7 @@
 const MS_PER_S = 1000;
 
 /** The gauges read the state each time the metrics are collected. */
-export const registerGatewayGauges = ({addGauge}: GatewayMetrics, {routes, view, holderClient, registry, loop, countActive, countConnections, lastReadAt}: GatewayState): void => {
+export const registerGatewayGauges = ({addGauge}: GatewayMetrics, {routes, view, holderClient, registry, loop, countActive, countConnections, heldBytes, lastReadAt}: GatewayState): void => {
 	addGauge('siskinhub_routes_version', 'Version of the declared routes in force; 0 before the first.', () => routes.current()?.version ?? 0);
 	addGauge('siskinhub_declared_revision', 'Revision of the platform\'s service up to which this process knows the declared state.', view.revision);
 	addGauge('siskinhub_declared_age_seconds', 'Seconds since the platform\'s service last told the declared state.', () => (performance.now() - lastReadAt()) / MS_PER_S);
@@ -36,4 +38,5 @@
 	addGauge('siskinhub_loop_utilization', 'Recent share of the time in which the event loop was busy; first calls of programs are refused while it is high.', () => loop.read().utilization);
 	addGauge('siskinhub_calls_active', 'Requests whose answers are not over.', countActive);
 	addGauge('siskinhub_caller_connections', 'Open connections from callers.', countConnections);
+	addGauge('siskinhub_caller_bytes', 'Bytes of callers\' bodies that are read or kept until the answers are over; a request beyond their bound is refused.', heldBytes);
 };
--- a/packages/gateway/src/host/start-gateway.ts
+++ b/packages/gateway/src/host/start-gateway.ts
@@ -49,6 +49,7 @@
 import {followStore} from './follow-store.js';
 import type {HostConfig} from './host-config.js';
 import {listNeighbourAddresses} from './list-neighbour-addresses.js';
+import {refuseForRoom} from './refuse-for-room.js';
 import {refuseLate} from './refuse-late.js';
 import {serveText} from './serve-text.js';
 import {registerGatewayGauges} from './register-gateway-gauges.js';
@@ -179,6 +180,9 @@
 		onLate(call, response) {
 			refuseLate(call, response, {metrics, calls});
 		},
+		onNoRoom(call, response) {
+			refuseForRoom(call, response, {metrics, calls, heldBytes: server.heldBytes()});
+		},
 		async onCall(call, body, response, active) {
 			await runCall(parts, call, body, response, active);
 		},
@@ -213,7 +217,7 @@
 	metrics.addLimits(limitBook.listLimits);
 	registerProcessGauges(metrics);
 	registerGatewayGauges(metrics, {
-		routes, view, holderClient, registry, loop, countActive: server.countActive, countConnections: server.countConnections, lastReadAt: follower.lastReadAt,
+		routes, view, holderClient, registry, loop, countActive: server.countActive, countConnections: server.countConnections, heldBytes: server.heldBytes, lastReadAt: follower.lastReadAt,
 	});
 	const metricsServer = await serveText({...cfg.metrics, ...waiting}, async () => ({status: 200, text: await metrics.render()}));
 	log.info('gateway started', {dataCentre: cfg.dataCentre, callers: cfg.callers});
--- a/packages/gateway/src/http/__tests__/create-body-joiner.test.ts
+++ b/packages/gateway/src/http/__tests__/create-body-joiner.test.ts
@@ -9,7 +9,9 @@
 ])('gives all bytes in their order, whatever length was expected', (pieces, expectedBytes) => {
 	const joiner = createBodyJoiner(expectedBytes);
 	for (const piece of pieces) {
+		const size = joiner.sizeWith(piece.length);
 		joiner.add(piece);
+		expect(size).toBe(joiner.sizeWith(0));
 	}
 
 	expect(Buffer.from(joiner.toBytes()).equals(Buffer.concat(pieces))).toBe(true);
--- a/packages/gateway/src/http/__tests__/start-test-gateway.ts
+++ b/packages/gateway/src/http/__tests__/start-test-gateway.ts
@@ -45,6 +45,9 @@
 			response.refuse(503, 100);
 		},
 		onLate() {/* Nothing is late. */},
+		onNoRoom(_call, response) {
+			response.refuse(503, 100);
+		},
 		async onCall(_call, _body, response) {
 			response.start(200, ['content-length', '0']);
 			response.finish();
--- a/packages/gateway/src/http/create-body-joiner.ts
+++ b/packages/gateway/src/http/create-body-joiner.ts
@@ -11,6 +11,8 @@
 
 type BodyJoiner = {
 	readonly add: (piece: Uint8Array) => void;
+	/** Bytes of memory in use after `bytes` more are added. */
+	readonly sizeWith: (bytes: number) => number;
 	/** Returns all bytes so far; nothing may be added afterwards. */
 	readonly toBytes: () => Uint8Array;
 };
@@ -21,11 +23,16 @@
 	let length = 0;
 
 	const chooseCapacity = (needed: number): number => {
+		if (length === 0 || needed <= joined.length) {
+			return Math.max(needed, joined.length);
+		}
+
 		const capacity = Math.max(MIN_CAPACITY_BYTES, needed * GROWTH);
 		return expectedBytes !== undefined && expectedBytes >= needed ? Math.min(capacity, expectedBytes) : capacity;
 	};
 
 	return {
+		sizeWith: bytes => chooseCapacity(length + bytes),
 		add(piece) {
 			const needed = length + piece.length;
 			if (length === 0) {
--- /dev/null
+++ b/packages/gateway/src/http/create-byte-budget.ts
@@ -0,0 +1,53 @@
+/**
+The memory that all requests of callers in a process may hold together.
+
+Each request takes from it what has arrived and not what is announced: bytes that are
+yet to come hold no memory, and a few callers that announce much and send nothing
+would use up the room of all others.
+*/
+
+type ByteBudget = {
+	/** Bytes that all requests hold now. */
+	readonly heldBytes: () => number;
+	/** Begins to count what one request holds; it holds nothing at first. */
+	readonly open: () => ByteReservation;
+};
+
+export type ByteReservation = {
+	/** Whether `growTo` would succeed now. */
+	readonly canGrowTo: (bytes: number) => boolean;
+	/** Raises what the request holds to `bytes`; returns `false` and changes nothing if there is no room for that, or after `release`. */
+	readonly growTo: (bytes: number) => boolean;
+	/** Gives back all that the request holds. Further calls change nothing. */
+	readonly release: () => void;
+};
+
+export const createByteBudget = (maxBytes: number): ByteBudget => {
+	let heldBytes = 0;
+	return {
+		heldBytes: () => heldBytes,
+		open() {
+			let ownBytes = 0;
+			let isOpen = true;
+			const canGrowTo = (bytes: number): boolean => isOpen && heldBytes - ownBytes + bytes <= maxBytes;
+			return {
+				canGrowTo,
+				growTo(bytes) {
+					if (!canGrowTo(bytes)) {
+						return false;
+					}
+
+					const more = Math.max(0, bytes - ownBytes);
+					ownBytes += more;
+					heldBytes += more;
+					return true;
+				},
+				release() {
+					isOpen = false;
+					heldBytes -= ownBytes;
+					ownBytes = 0;
+				},
+			};
+		},
+	};
+};
--- a/packages/gateway/src/http/create-gateway-server.ts
+++ b/packages/gateway/src/http/create-gateway-server.ts
@@ -15,6 +15,7 @@
 import type {createActiveCalls} from '../forward/create-active-calls.js';
 import type {DeclaredRoutes} from '../routes/declared-routes.js';
 import {waitUnlessStopped} from '../forward/wait-unless-stopped.js';
+import {createByteBudget} from './create-byte-budget.js';
 import {createCallerResponse} from './create-caller-response.js';
 import {countHeadBytes} from './count-head-bytes.js';
 import type {EarlyListener} from './early-listener.js';
@@ -43,6 +44,10 @@
 	readonly onRefused: (call: CallHead, response: CallerResponse) => void;
 	/** Called with a request that has come too late in a planned stop to be sure of its answer; it must be refused as not run. */
 	readonly onLate: (call: CallHead, response: CallerResponse) => void;
+	/** Called with a request whose body has no room in this process now; it must be refused as not run. */
+	readonly onNoRoom: (call: CallHead, response: CallerResponse) => void;
+	/** Bytes that the bodies of all requests may take together; a third of what the smallest gateway, of 178 MB, has beside the 73 MB of a fresh process, by default. */
+	readonly maxHeldBytes?: number;
 	readonly onCall: (call: CallHead, body: Uint8Array, response: CallerResponse, active: ActiveCall) => Promise<void>;
 	/** Called with the reason after an unexpected error, which ends only the one request. */
 	readonly onFailed: (reason: string) => void;
@@ -61,6 +66,8 @@
 	readonly countAccepted: () => number;
 	/** Counts the connections that are open. */
 	readonly countConnections: () => number;
+	/** Bytes that the bodies of all requests take now. */
+	readonly heldBytes: () => number;
 	/** Closes each connection without a request in flight; for the end of the process. */
 	readonly closeSilent: () => void;
 };
@@ -71,6 +78,7 @@
 const STATUS_BAD_GATEWAY = 502;
 const STATUS_VERSION_NOT_SUPPORTED = 505;
 const DEFAULT_MAX_BODY_BYTES = 4 * 1024 * 1024;
+const DEFAULT_MAX_HELD_BYTES = 32 * 1024 * 1024;
 const TIMEOUT_CHECK_INTERVAL_MS = 1000;
 const DEFAULT_IDLE_TIMEOUT_MS = 15_000;
 const DEFAULT_HEADER_TIMEOUT_MS = 3000;
@@ -113,11 +121,12 @@
 
 /** Resolves once the server listens; rejects only if the address is in use for longer than `waitMs` or cannot be bound. */
 export const createGatewayServer = async ({
-	codec, activeCalls, limits, shouldKeepConnections, onArrival, isAdmitted, onRefused, onLate, onCall, onFailed, onRejected, ...address
+	codec, activeCalls, limits, shouldKeepConnections, onArrival, isAdmitted, onRefused, onLate, onNoRoom, maxHeldBytes = DEFAULT_MAX_HELD_BYTES, onCall, onFailed, onRejected, ...address
 }: GatewayServerOptions): Promise<GatewayServer> => {
 	let activeCount = 0;
 	let isDraining = false;
 	let hasStopped = false;
+	const budget = createByteBudget(maxHeldBytes);
 
 	const handle = async (req: IncomingMessage, res: ServerResponse): Promise<void> => {
 		const arrivedAt = Date.now() - onArrival();
@@ -158,7 +167,10 @@
 			return;
 		}
 
-		const body = await waitUnlessStopped(active, readBody(req, limits()?.maxBodyBytes ?? DEFAULT_MAX_BODY_BYTES));
+		const held = budget.open();
+		// Until the end of its response, since the body may be sent to another upstream or be kept.
+		res.on('close', held.release);
+		const body = await waitUnlessStopped(active, readBody(req, {maxBytes: limits()?.maxBodyBytes ?? DEFAULT_MAX_BODY_BYTES, held}));
 		if (!body || (body.kind === 'whole' && hasStopped)) {
 			// The connection may have been kept for later, or the request may have begun before.
 			res.shouldKeepAlive = false;
@@ -175,6 +187,12 @@
 			res.shouldKeepAlive = false;
 			onRejected(body.reason, 413);
 			response.refuse(413);
+			return;
+		}
+
+		if (body.kind === 'no-room') {
+			res.shouldKeepAlive = false;
+			onNoRoom(call.value, response);
 		}
 	};
 
@@ -217,5 +235,6 @@
 		closeSilent: connections.closeSilent,
 		countAccepted: connections.countAccepted,
 		countConnections: connections.countOpen,
+		heldBytes: budget.heldBytes,
 	};
 };
