fix(gateway): the body of a request must come within the request's time

What callers could see: nothing of it themselves; a caller that sent its body a byte now and then, or never, held a connection, a request and its part of the room for bodies until it left, and enough of them all of it.

Cause: Node's requestTimeout is 0 here, as answers may take long, and nothing else bounded the time of a body.

Change: a body must have come at the caller's deadline or the end of its route's time, whichever is first (15 s without a route). Then the request is refused as not run with 503, its call line has the outcome slow-body, and the connection is closed. Requests without a body need no timer.

--- a/packages/gateway/src/host/start-gateway.ts
+++ b/packages/gateway/src/host/start-gateway.ts
@@ -49,14 +49,16 @@
 import {followStore} from './follow-store.js';
 import type {HostConfig} from './host-config.js';
 import {listNeighbourAddresses} from './list-neighbour-addresses.js';
-import {refuseForRoom} from './refuse-for-room.js';
 import {refuseLate} from './refuse-late.js';
+import {refuseUnread} from './refuse-unread.js';
 import {serveText} from './serve-text.js';
 import {registerGatewayGauges} from './register-gateway-gauges.js';
 
 /** Share of an upstream's connection limit that each gateway may use, since several gateways share the upstream. */
 const CONNECTION_SHARE = 0.25;
 const DEFAULT_MAX_CONNECTIONS = 64;
+/** Time for the body of a request that has no route, or whose route is not known yet. */
+const DEFAULT_TIMEOUT_MS = 15_000;
 const DEFAULT_MEMORY_TOKENS = 100_000;
 /** Other processes can serve the caller at once. */
 const RETRY_ELSEWHERE_MS = 100;
@@ -180,8 +182,11 @@
 		onLate(call, response) {
 			refuseLate(call, response, {metrics, calls});
 		},
-		onNoRoom(call, response) {
-			refuseForRoom(call, response, {metrics, calls, heldBytes: server.heldBytes()});
+		maxBodyMs: ({deadlineMs = Number.POSITIVE_INFINITY, host, path}) => Math.min(deadlineMs, routes.match(host, path)?.timeoutMs ?? DEFAULT_TIMEOUT_MS),
+		onUnread(call, response, unread) {
+			refuseUnread(call, response, {
+				...unread, metrics, calls, heldBytes: server.heldBytes(),
+			});
 		},
 		async onCall(call, body, response, active) {
 			await runCall(parts, call, body, response, active);
--- a/packages/gateway/src/http/__tests__/create-gateway-server.test.ts
+++ b/packages/gateway/src/http/__tests__/create-gateway-server.test.ts
@@ -37,7 +37,7 @@
 		isAdmitted: () => true,
 		onRefused() {/* Nothing is refused. */},
 		onLate() {/* Nothing is late. */},
-		onNoRoom() {/* There is room. */},
+		onUnread() {/* There is room, and time. */},
 		async onCall({path}, _body, response) {
 			if (path === '/broken') {
 				throw new Error('nobody expected this');
@@ -87,7 +87,7 @@
 		onLate(_call, response) {
 			response.refuse(503, 100);
 		},
-		onNoRoom() {/* There is room. */},
+		onUnread() {/* There is room, and time. */},
 		async onCall({path}, _body, response) {
 			called.push(path);
 			response.start(200, ['content-length', '0']);
@@ -132,7 +132,7 @@
 		isAdmitted: () => true,
 		onRefused() {/* Nothing is refused. */},
 		onLate() {/* Nothing is late. */},
-		onNoRoom() {/* There is room. */},
+		onUnread() {/* There is room, and time. */},
 		async onCall(_call, _body, response, active) {
 			active.phase = 'preparing';
 			answers.push(() => {
--- a/packages/gateway/src/http/__tests__/listen-early.test.ts
+++ b/packages/gateway/src/http/__tests__/listen-early.test.ts
@@ -49,7 +49,7 @@
 		codec: codec as CallCodec,
 		activeCalls: createActiveCalls(),
 		limits: () => undefined,
-		shouldKeepConnections: () => true, onArrival: () => 0, isAdmitted: () => true, onRefused() {/* Nothing is refused. */}, onLate() {/* Nothing is late. */}, onNoRoom() {/* There is room. */},
+		shouldKeepConnections: () => true, onArrival: () => 0, isAdmitted: () => true, onRefused() {/* Nothing is refused. */}, onLate() {/* Nothing is late. */}, onUnread() {/* There is room, and time. */},
 		async onCall({path}, body, response) {
 			response.start(200, ['x-path', path, 'content-length', String(body.length)]);
 			response.finish(body);
--- a/packages/gateway/src/http/__tests__/refuse-before-body.test.ts
+++ b/packages/gateway/src/http/__tests__/refuse-before-body.test.ts
@@ -59,7 +59,7 @@
 			response.refuse(429, 100);
 		},
 		onLate() {/* Nothing is late. */},
-		onNoRoom() {/* There is room. */},
+		onUnread() {/* There is room, and time. */},
 		async onCall() {/* Nothing is passed on. */},
 		onFailed() {/* Nothing fails. */},
 		onRejected() {/* The answers tell. */},
--- a/packages/gateway/src/http/__tests__/start-test-gateway.ts
+++ b/packages/gateway/src/http/__tests__/start-test-gateway.ts
@@ -45,7 +45,7 @@
 			response.refuse(503, 100);
 		},
 		onLate() {/* Nothing is late. */},
-		onNoRoom(_call, response) {
+		onUnread(_call, response) {
 			response.refuse(503, 100);
 		},
 		async onCall(_call, _body, response) {
--- a/packages/gateway/src/http/__tests__/stop-with-open-connections.test.ts
+++ b/packages/gateway/src/http/__tests__/stop-with-open-connections.test.ts
@@ -59,7 +59,7 @@
 		onLate(_call, response) {
 			response.refuse(503);
 		},
-		onNoRoom() {/* There is room. */},
+		onUnread() {/* There is room, and time. */},
 		async onCall({path}, _body, response) {
 			const length = Number(path.slice(1));
 			response.start(200, ['content-length', String(length)]);
--- a/packages/gateway/src/http/create-gateway-server.ts
+++ b/packages/gateway/src/http/create-gateway-server.ts
@@ -22,6 +22,7 @@
 import {readBody} from './read-body.js';
 import {runAfterReading} from './run-after-reading.js';
 import {trackConnections} from './track-connections.js';
+import type {UnreadReason} from './unread-reason.js';
 
 type GatewayServerOptions = {
 	readonly ip: string;
@@ -44,8 +45,10 @@
 	readonly onRefused: (call: CallHead, response: CallerResponse) => void;
 	/** Called with a request that has come too late in a planned stop to be sure of its answer; it must be refused as not run. */
 	readonly onLate: (call: CallHead, response: CallerResponse) => void;
-	/** Called with a request whose body has no room in this process now; it must be refused as not run. */
-	readonly onNoRoom: (call: CallHead, response: CallerResponse) => void;
+	/** Returns the milliseconds in which the body of a request must have come. */
+	readonly maxBodyMs?: (call: CallHead) => number;
+	/** Called with a request whose body was not read whole; it must be refused as not run. `durationMs` is the time since it arrived. */
+	readonly onUnread: (call: CallHead, response: CallerResponse, unread: {readonly reason: UnreadReason; readonly durationMs: number}) => void;
 	/** Bytes that the bodies of all requests may take together; a third of what the smallest gateway, of 178 MB, has beside the 73 MB of a fresh process, by default. */
 	readonly maxHeldBytes?: number;
 	readonly onCall: (call: CallHead, body: Uint8Array, response: CallerResponse, active: ActiveCall) => Promise<void>;
@@ -79,6 +82,7 @@
 const STATUS_VERSION_NOT_SUPPORTED = 505;
 const DEFAULT_MAX_BODY_BYTES = 4 * 1024 * 1024;
 const DEFAULT_MAX_HELD_BYTES = 32 * 1024 * 1024;
+const DEFAULT_MAX_BODY_MS = 15_000;
 const TIMEOUT_CHECK_INTERVAL_MS = 1000;
 const DEFAULT_IDLE_TIMEOUT_MS = 15_000;
 const DEFAULT_HEADER_TIMEOUT_MS = 3000;
@@ -121,7 +125,7 @@
 
 /** Resolves once the server listens; rejects only if the address is in use for longer than `waitMs` or cannot be bound. */
 export const createGatewayServer = async ({
-	codec, activeCalls, limits, shouldKeepConnections, onArrival, isAdmitted, onRefused, onLate, onNoRoom, maxHeldBytes = DEFAULT_MAX_HELD_BYTES, onCall, onFailed, onRejected, ...address
+	codec, activeCalls, limits, shouldKeepConnections, onArrival, isAdmitted, onRefused, onLate, onUnread, maxBodyMs = () => DEFAULT_MAX_BODY_MS, maxHeldBytes = DEFAULT_MAX_HELD_BYTES, onCall, onFailed, onRejected, ...address
 }: GatewayServerOptions): Promise<GatewayServer> => {
 	let activeCount = 0;
 	let isDraining = false;
@@ -170,7 +174,9 @@
 		const held = budget.open();
 		// Until the end of its response, since the body may be sent to another upstream or be kept.
 		res.on('close', held.release);
-		const body = await waitUnlessStopped(active, readBody(req, {maxBytes: limits()?.maxBodyBytes ?? DEFAULT_MAX_BODY_BYTES, held}));
+		const body = await waitUnlessStopped(active, readBody(req, {
+			maxBytes: limits()?.maxBodyBytes ?? DEFAULT_MAX_BODY_BYTES, maxMs: arrivedAt + maxBodyMs(call.value) - Date.now(), held,
+		}));
 		if (!body || (body.kind === 'whole' && hasStopped)) {
 			// The connection may have been kept for later, or the request may have begun before.
 			res.shouldKeepAlive = false;
@@ -190,9 +196,9 @@
 			return;
 		}
 
-		if (body.kind === 'no-room') {
+		if (body.kind !== 'broken-off') {
 			res.shouldKeepAlive = false;
-			onNoRoom(call.value, response);
+			onUnread(call.value, response, {reason: body.kind, durationMs: Date.now() - arrivedAt});
 		}
 	};
 
--- a/packages/gateway/src/http/read-body.ts
+++ b/packages/gateway/src/http/read-body.ts
@@ -4,14 +4,20 @@
 import type {IncomingMessage} from 'node:http';
 import type {ByteReservation} from './create-byte-budget.js';
 import {createBodyJoiner} from './create-body-joiner.js';
+import type {UnreadReason} from './unread-reason.js';
 
 type ReadBody =
 	| {readonly kind: 'whole'; readonly bytes: Uint8Array}
 	| {readonly kind: 'too-large'; readonly reason: string}
-	| {readonly kind: 'no-room' | 'broken-off'};
+	| {readonly kind: UnreadReason | 'broken-off'};
+
+/** Requests without a body need no timer. */
+const hasBody = ({headers}: IncomingMessage): boolean => headers['content-length'] !== undefined || headers['transfer-encoding'] !== undefined;
 
 type ReadOptions = {
 	readonly maxBytes: number;
+	/** Milliseconds in which the body must have come. */
+	readonly maxMs: number;
 	/** What the request holds; it is not released here. */
 	readonly held: Pick<ByteReservation, 'canGrowTo' | 'growTo'>;
 };
@@ -24,8 +30,8 @@
 /** The announced length in bytes; `undefined` for a body in chunks and for none. */
 const readLength = ({headers}: IncomingMessage): number | undefined => headers['content-length'] === undefined ? undefined : Number(headers['content-length']);
 
-/** Reads nothing of a body whose announced length is too large or has no room. Stops reading once the body exceeds `maxBytes`, comes in too many pieces, or `held` cannot grow (`no-room`). `broken-off`: the connection was lost before the end of the body. */
-export const readBody = async (req: IncomingMessage, {maxBytes, held}: ReadOptions): Promise<ReadBody> => new Promise(resolve => {
+/** Reads nothing of a body whose announced length is too large or has no room. Stops reading once the body exceeds `maxBytes`, comes in too many pieces, does not end within `maxMs`, or `held` cannot grow. `broken-off`: the connection was lost before the end of the body. */
+export const readBody = async (req: IncomingMessage, {maxBytes, maxMs, held}: ReadOptions): Promise<ReadBody> => new Promise(resolve => {
 	const announced = readLength(req);
 	if (announced !== undefined && announced > maxBytes) {
 		resolve({kind: 'too-large', reason: REASON_TOO_LARGE});
@@ -40,12 +46,19 @@
 	const joiner = createBodyJoiner(announced);
 	let bytes = 0;
 	let pieces = 0;
+	const end = (outcome: ReadBody): void => {
+		clearTimeout(timer);
+		resolve(outcome);
+	};
+
 	const giveUp = (outcome: ReadBody): void => {
 		req.off('data', onData);
 		req.pause();
-		resolve(outcome);
+		end(outcome);
 	};
 
+	const timer = hasBody(req) ? setTimeout(giveUp, maxMs, {kind: 'slow-body'} satisfies ReadBody) : undefined;
+
 	const onData = (piece: Uint8Array): void => {
 		bytes += piece.length;
 		pieces++;
@@ -62,12 +75,12 @@
 
 	req.on('data', onData);
 	req.on('end', () => {
-		resolve({kind: 'whole', bytes: joiner.toBytes()});
+		end({kind: 'whole', bytes: joiner.toBytes()});
 	});
 	req.on('error', () => {
-		resolve({kind: 'broken-off'});
+		end({kind: 'broken-off'});
 	});
 	req.on('close', () => {
-		resolve({kind: 'broken-off'});
+		end({kind: 'broken-off'});
 	});
 });
