fix(gateway): requests behind an unfinished answer end when their caller leaves

What callers could see: a caller that sent requests without waiting for their answers and left made a gateway hold all but the first for ever: their memory, and at a planned stop requests under way that never end.

Cause: Node emits close only for the answer that it writes on a connection; those that wait behind it are dropped without an event, and the end of a request is told by that event.

Change: when a connection closes, the answers that waited for others are closed too, by the record of open answers that exists for planned stops.

--- a/packages/gateway/src/http/track-connections.ts
+++ b/packages/gateway/src/http/track-connections.ts
@@ -9,13 +9,23 @@
 import type {Socket} from 'node:net';
 
 type Connection = {
-	/** Answers that have not been written out. */
-	openAnswers: number;
+	/** Those that have not been written out. */
+	readonly openAnswers: Set<ServerResponse>;
 	/** Bytes read up to the end of the last exchange; `undefined` before the first. */
 	bytesRead: number | undefined;
 	isClosed: boolean;
 };
 
+/** Closes the answers of a closed connection that waited for the ones before them: Node closes only the one that it writes, and the others would be open for ever. */
+const closeWaiting = ({openAnswers}: Connection): void => {
+	for (const res of openAnswers) {
+		if (!res.socket && !res.writableFinished) {
+			res.destroy();
+			res.emit('close');
+		}
+	}
+};
+
 type ConnectionTracker = {
 	/** Whether this side has closed the connection; what arrives on it gets no answer, and its sender sees the close. */
 	readonly isClosed: (socket: Socket) => boolean;
@@ -36,9 +46,11 @@
 
 	server.on('connection', (socket: Socket) => {
 		accepted++;
-		connections.set(socket, {openAnswers: 0, bytesRead: undefined, isClosed: false});
+		const connection: Connection = {openAnswers: new Set(), bytesRead: undefined, isClosed: false};
+		connections.set(socket, connection);
 		socket.once('close', () => {
 			connections.delete(socket);
+			closeWaiting(connection);
 		});
 	});
 	server.on('request', (req: IncomingMessage, res: ServerResponse) => {
@@ -48,7 +60,7 @@
 			return;
 		}
 
-		connection.openAnswers++;
+		connection.openAnswers.add(res);
 		const recordEnd = (): void => {
 			connection.bytesRead = socket.bytesRead;
 		};
@@ -56,7 +68,7 @@
 		// A request that was refused early may end after its answer.
 		req.once('end', recordEnd);
 		res.once('close', () => {
-			connection.openAnswers--;
+			connection.openAnswers.delete(res);
 			recordEnd();
 		});
 	});
@@ -71,14 +83,14 @@
 		isClosed: socket => connections.get(socket)?.isClosed ?? false,
 		closeIdle() {
 			for (const [socket, connection] of connections) {
-				if (!connection.isClosed && connection.openAnswers === 0 && connection.bytesRead === socket.bytesRead) {
+				if (!connection.isClosed && connection.openAnswers.size === 0 && connection.bytesRead === socket.bytesRead) {
 					close(socket, connection);
 				}
 			}
 		},
 		closeSilent() {
 			for (const [socket, connection] of connections) {
-				if (!connection.isClosed && connection.openAnswers === 0) {
+				if (!connection.isClosed && connection.openAnswers.size === 0) {
 					close(socket, connection);
 				}
 			}
