fix(gateway): an event in small pieces costs its bytes once, not their square

Callers of a gateway waited while a faulty upstream sent an event that did not end, in small pieces: all of the event so far was joined anew with each piece, so the time grew with its square, and each join kept a buffer of its own until it was collected.

Change: an unfinished event is copied into a few blocks as it comes, and the end of an event is looked for only in what is new and in the seam before it. The blocks keep neither the pieces nor the reads in which they came.

Evidence: a test that counts what is joined of an event of 16 KiB in pieces of one byte fails on the code before and holds now; a property test compares every split with joining, over random bytes and cuts.

--- a/packages/gateway/src/forward/create-event-splitter.ts
+++ b/packages/gateway/src/forward/create-event-splitter.ts
@@ -4,6 +4,7 @@
 */
 import {Buffer} from 'node:buffer';
 import {createParser, type EventSourceMessage} from 'eventsource-parser';
+import {createByteBlocks} from './create-byte-blocks.js';
 
 type SplitEvents = {
 	/** The unchanged bytes up to the end of the last complete event. */
@@ -12,13 +13,14 @@
 };
 
 const EVENT_END = '\n\n';
+const NEWLINE = 0x0A;
 const EMPTY = new Uint8Array();
 /** Far above any real event; bytes without an end of an event would otherwise fill the memory. */
 const MAX_EVENT_BYTES = 256 * 1024;
 
 /** `push` takes chunks of any size and returns the events that they complete. */
 export const createEventSplitter = () => {
-	let remainder: Uint8Array = EMPTY;
+	const remainder = createByteBlocks();
 	let events: EventSourceMessage[] = [];
 	const parser = createParser({
 		onEvent(event) {
@@ -26,24 +28,33 @@
 		},
 	});
 
+	/** Returns how many bytes of `chunk` belong to complete events. */
+	const findEnd = (chunk: Uint8Array): number => {
+		const index = Buffer.from(chunk.buffer, chunk.byteOffset, chunk.length).lastIndexOf(EVENT_END);
+		if (index !== -1) {
+			return index + EVENT_END.length;
+		}
+
+		return chunk[0] === NEWLINE && remainder.lastByte() === NEWLINE ? 1 : 0;
+	};
+
 	return {
 		push(chunk: Uint8Array): SplitEvents {
-			const bytes = Buffer.concat([remainder, chunk]);
-			const end = bytes.lastIndexOf(EVENT_END);
-			if (end === -1) {
-				remainder = bytes;
+			const end = findEnd(chunk);
+			if (end === 0) {
+				remainder.append(chunk);
 				return {bytes: EMPTY, events: []};
 			}
 
-			const complete = bytes.subarray(0, end + EVENT_END.length);
-			remainder = bytes.subarray(end + EVENT_END.length);
+			const complete = Buffer.concat([...remainder.take(), chunk.subarray(0, end)]);
+			remainder.append(chunk.subarray(end));
 			events = [];
 			parser.feed(complete.toString('utf8'));
 			return {bytes: complete, events};
 		},
 		/** Whether an event has grown so long that the bytes are no stream of events. */
-		isOversized: (): boolean => remainder.length > MAX_EVENT_BYTES,
+		isOversized: (): boolean => remainder.size() > MAX_EVENT_BYTES,
 		/** The bytes of an incomplete event at the end of the stream so far. */
-		getRemainder: (): Uint8Array => remainder,
+		getRemainder: remainder.copy,
 	};
 };
