fix(gateway): all answers of a process share one memory for what they hold

Callers lost their requests with a gateway that ran out of memory while several upstreams sent bytes that were no answer. Each answer was within a limit of its own: 1 MiB of a plain answer, 256 KiB of an event, a million characters of a kept turn; nothing counted them together, nor what waited for slow callers, also after the answer was over.

Change: one memory of 16 MiB for the process. An answer may hold a part of what is free (an eighth; half for a kept turn), at most its limit of before and always 16 KiB, so an ordinary answer is the same beside faulty ones. A plain answer beyond its part is passed on, as it was beyond 1 MiB; an event or a kept turn beyond it is given up, and the trail says which bound and by how much. What a caller has not taken counts until the response is closed; it is not refused, as the upstream is paused meanwhile.

What is held is copied into blocks, so that pieces of one byte or a million events of one character cost their bytes and keep no read or text alive; a plain answer is no longer joined a second time, and once it is passed on small pieces are gathered to 4 KiB. A kept turn is counted in bytes, no longer in characters. The limit of an event is counted in what it takes, which may be 16 KiB more than its bytes.

Found on the way: while a caller was slow, each further chunk added a listener; and the upstream was resumed after the first event was confirmed though the caller took nothing.

Gauge siskinhub_answer_bytes, counter siskinhub_answer_excess_total by kind.

--- a/packages/gateway/src/forward/__tests__/stopped-calls.test.ts
+++ b/packages/gateway/src/forward/__tests__/stopped-calls.test.ts
@@ -20,6 +20,7 @@
 import {createUpstreamDirectory} from '../../upstreams/create-upstream-directory.js';
 import type {CallerResponse} from '../caller-response.js';
 import {createActiveCalls} from '../create-active-calls.js';
+import {createAnswerMemory} from '../create-answer-memory.js';
 import type {GatewayContext} from '../gateway-context.js';
 import {runCall} from '../run-call.js';
 
@@ -115,6 +116,7 @@
 		holderClient: {
 			cutOffForMs: () => 0, reserve: reserve ?? (async () => 'reserved'), settle, recordOrigin: async () => true,
 		},
+		memory: createAnswerMemory(),
 		crashes: createCrashTracker({now: () => performance.now()}),
 		crashWatch: {recordLost() {/* Nothing is checked. */}, recordUnanswered() {/* Nothing is checked. */}},
 		codec: {
--- /dev/null
+++ b/packages/gateway/src/forward/answer-excess.ts
@@ -0,0 +1,12 @@
+/**
+How an answer went beyond what one answer may have.
+*/
+
+/**
+`event`: bytes without the end of an event. `turn`: a turn that is too long to be kept.
+*/
+export type AnswerExcess = {
+	readonly kind: 'event' | 'turn';
+	/** Says what was exceeded and by how much. */
+	readonly message: string;
+};
--- a/packages/gateway/src/forward/create-attempt-runner.ts
+++ b/packages/gateway/src/forward/create-attempt-runner.ts
@@ -38,7 +38,7 @@
 
 /** Tries no upstream twice. */
 export const createAttemptRunner = (context: GatewayContext, {plan, response, active, turn: {progress, recordEvents, completeTurn, expectedOrigin}}: AttemptRunnerOptions) => {
-	const {directory, loads, limits, pools, codec, metrics, crashes, crashWatch, crashLog, onLeaving} = context;
+	const {directory, memory, loads, limits, pools, codec, metrics, crashes, crashWatch, crashLog, onLeaving} = context;
 	const {call, route, service} = plan;
 	const excluded = new Set<string>();
 	const trail: string[] = [];
@@ -140,6 +140,7 @@
 			active.phase = 'waiting-for-connection';
 			const result = await runAttempt({
 				plan,
+				memory,
 				upstream,
 				pool: pools.get(upstream),
 				codec,
@@ -150,6 +151,7 @@
 				recordEvents,
 				completeTurn,
 				confirmFirstEvent: origins?.confirm ?? passAtOnce,
+				onExcess: metrics.countExcess,
 				onSent() {
 					active.phase = 'passed-on';
 					active.wasPassedOn = true;
--- a/packages/gateway/src/forward/create-event-splitter.ts
+++ b/packages/gateway/src/forward/create-event-splitter.ts
@@ -15,8 +15,6 @@
 const EVENT_END = '\n\n';
 const NEWLINE = 0x0A;
 const EMPTY = new Uint8Array();
-/** Far above any real event; bytes without an end of an event would otherwise fill the memory. */
-const MAX_EVENT_BYTES = 256 * 1024;
 
 /** `push` takes chunks of any size and returns the events that they complete. */
 export const createEventSplitter = () => {
@@ -52,8 +50,8 @@
 			parser.feed(complete.toString('utf8'));
 			return {bytes: complete, events};
 		},
-		/** Whether an event has grown so long that the bytes are no stream of events. */
-		isOversized: (): boolean => remainder.size() > MAX_EVENT_BYTES,
+		/** Bytes that are kept of an incomplete event. */
+		keptBytes: remainder.capacity,
 		/** The bytes of an incomplete event at the end of the stream so far. */
 		getRemainder: remainder.copy,
 	};
--- a/packages/gateway/src/forward/create-stream-forwarder.ts
+++ b/packages/gateway/src/forward/create-stream-forwarder.ts
@@ -4,31 +4,43 @@
 */
 import {Buffer} from 'node:buffer';
 import type {EventSourceMessage} from 'eventsource-parser';
-import type {CallerResponse} from './caller-response.js';
+import type {AnswerExcess} from './answer-excess.js';
+import type {AnswerHolding, AnswerShare} from './answer-memory.js';
+import {createByteBlocks} from './create-byte-blocks.js';
 import {createEventSplitter} from './create-event-splitter.js';
 import type {StreamProgress} from './stream-progress.js';
 
 type ForwarderOptions = {
 	readonly progress: StreamProgress;
-	readonly response: Pick<CallerResponse, 'write' | 'onDrain'>;
-	/** Called with events right before they are passed on; returns `false` if they must not be. */
-	readonly recordEvents: (events: readonly EventSourceMessage[]) => boolean;
+	/** What the attempt holds of the memory for answers. */
+	readonly holding: AnswerHolding;
+	/** Called with events right before they are passed on; returns why they must not be, if so. */
+	readonly recordEvents: (events: readonly EventSourceMessage[]) => AnswerExcess | undefined;
 	/** Sends the head of the response unless it has been sent. */
 	readonly startResponse: () => void;
 	/** Returns whether the first event may be passed on. */
 	readonly confirmFirstEvent: () => boolean | Promise<boolean>;
+	readonly write: (bytes: Uint8Array) => void;
 	readonly pause: () => void;
 	readonly resume: () => void;
 	/** Called once if the attempt must be given up. */
 	readonly onRejected: (message: string) => void;
+	/** Called before `onRejected` if the stream is no answer because of what it sent. */
+	readonly onExcess: (kind: AnswerExcess['kind']) => void;
 };
 
+/** Far above any real event; bytes without an end of an event would otherwise fill the memory. */
+const EVENT_SHARE: AnswerShare = {limitBytes: 256 * 1024, partOfFree: 1 / 8};
+
 /** Lines that belong to no event. */
 const isOutsideEvents = (line: string): boolean => line === '' || line.startsWith(':');
 
-export const createStreamForwarder = ({progress, response, recordEvents, startResponse, confirmFirstEvent, pause, resume, onRejected}: ForwarderOptions) => {
+/** Copies an id, which as a part of a larger text would keep all of that. */
+const copyText = (text: string): string => Buffer.from(text).toString();
+
+export const createStreamForwarder = ({progress, holding, recordEvents, startResponse, confirmFirstEvent, write, pause, resume, onRejected, onExcess}: ForwarderOptions) => {
 	const splitter = createEventSplitter();
-	const held: Uint8Array[] = [];
+	const held = createByteBlocks();
 	let confirming: Promise<void> | undefined;
 	let isConfirmed = false;
 	let isStopped = false;
@@ -40,17 +52,20 @@
 		}
 	};
 
-	const write = (bytes: Uint8Array): void => {
-		if (!response.write(bytes)) {
-			pause();
-			response.onDrain(resume);
+	const findExcess = (events: readonly EventSourceMessage[]): AnswerExcess | undefined => {
+		if (!holding.tryHold(splitter.keptBytes(), EVENT_SHARE)) {
+			return {kind: 'event', message: `the upstream sent bytes without the end of an event: they take ${splitter.keptBytes()} bytes, of which an event may have ${holding.allowance(EVENT_SHARE)} now`};
 		}
+
+		return recordEvents(events);
 	};
 
 	const forward = (chunk: Uint8Array): void => {
 		const {bytes, events} = splitter.push(chunk);
-		if (splitter.isOversized()) {
-			reject('the upstream sent bytes without the end of an event');
+		const excess = findExcess(events);
+		if (excess) {
+			onExcess(excess.kind);
+			reject(excess.message);
 			return;
 		}
 
@@ -58,15 +73,8 @@
 			return;
 		}
 
-		if (!recordEvents(events)) {
-			reject('the upstream sent more events than a turn may have');
-			return;
-		}
-
-		for (const event of events) {
-			progress.lastEventId = event.id ?? progress.lastEventId;
-		}
-
+		const lastId = events.findLast(({id}) => id !== undefined)?.id;
+		progress.lastEventId = lastId === undefined ? progress.lastEventId : copyText(lastId);
 		progress.events += events.length;
 		progress.firstEventAt ??= Date.now();
 		startResponse();
@@ -80,15 +88,21 @@
 		}
 
 		isConfirmed = true;
-		forward(Buffer.concat(held.splice(0)));
+		holding.hold(0);
+		for (const block of held.take()) {
+			if (!isStopped) {
+				forward(block);
+			}
+		}
 	};
 
 	const waitForConfirmation = async (answer: Promise<boolean>): Promise<void> => {
 		pause();
 		const mayPass = await answer;
 		if (!isStopped) {
-			decide(mayPass);
+			// First, since the caller may take too little of what is passed on next.
 			resume();
+			decide(mayPass);
 		}
 	};
 
@@ -103,7 +117,8 @@
 				return;
 			}
 
-			held.push(chunk);
+			held.append(chunk);
+			holding.hold(held.capacity());
 			if (confirming) {
 				return;
 			}
--- a/packages/gateway/src/forward/create-turn-handler.ts
+++ b/packages/gateway/src/forward/create-turn-handler.ts
@@ -11,17 +11,24 @@
 import {isKeptTurn} from '../origins/is-kept-turn.js';
 import type {StreamOrigin} from '../origins/stream-origin.js';
 import type {Route} from '../routes/route.js';
+import type {AnswerExcess} from './answer-excess.js';
+import type {AnswerMemory, AnswerShare} from './answer-memory.js';
+import {createByteBlocks} from './create-byte-blocks.js';
 import {prepareTurn} from './prepare-turn.js';
 import {reservesTokens} from './reserves-tokens.js';
 import type {StreamProgress} from './stream-progress.js';
 
 /** Time in which a quorum of holders must store a finished turn while the caller waits. */
 const SETTLE_TIMEOUT_MS = 2000;
-/** Far above any real turn. What is kept of a stream without end would fill the memory. */
-const MAX_OUTPUT_BYTES = 1024 * 1024;
+/**
+The limit is far above any real turn. The part is larger than that of what is only
+passed on, since the events of a turn come whole.
+*/
+const TURN_SHARE: AnswerShare = {limitBytes: 1024 * 1024, partOfFree: 1 / 2};
 
 type TurnHandlerOptions = {
 	readonly holderClient: HolderClient;
+	readonly memory: Pick<AnswerMemory, 'open'>;
 	readonly call: CallHead;
 	readonly route: Route;
 	/** The body as the caller sent it. */
@@ -32,7 +39,7 @@
 };
 
 /** Holds the state of one request. A request that is not a turn is passed through unchanged. */
-export const createTurnHandler = ({holderClient, call, route, body, tokensPerEvent, origin}: TurnHandlerOptions) => {
+export const createTurnHandler = ({holderClient, memory, call, route, body, tokensPerEvent, origin}: TurnHandlerOptions) => {
 	const isTurn = route.kind === 'stream' && call.program !== undefined;
 	const isKept = isKeptTurn(call, route);
 	// Stored together with the tokens, which takes no message of its own.
@@ -40,18 +47,17 @@
 	// The caller may take the turn up elsewhere, which needs the events that it had.
 	const isCopiedAsItComes = isKept && route.isResumable;
 	const progress: StreamProgress = {lastEventId: undefined, events: 0, firstEventAt: undefined};
-	// The data of each event, including those that the caller had before it took the stream up; only if the turn is kept.
-	const output: string[] = [];
-	let outputBytes = 0;
+	// The data of each event on a line, including those that the caller had before it took the stream up; only if the turn is kept.
+	const output = createByteBlocks();
+	let outputEvents = 0;
+	const holding = memory.open();
 	let isReserved = false;
 	let isOver = false;
 	let chain: Extract<Awaited<ReturnType<typeof prepareTurn>>, {kind: 'ready'}>['chain'] = {ancestors: [], isFromOtherGroup: false};
 
 	const addOutput = (events: ReadonlyArray<{readonly data: string}>): void => {
-		for (const {data} of events) {
-			output.push(data);
-			outputBytes += data.length;
-		}
+		output.append(Buffer.from(events.map(({data}) => `${data}\n`).join('')));
+		outputEvents += events.length;
 	};
 
 	const settle = async (turn?: Parameters<HolderClient['settle']>[1]): Promise<boolean> => {
@@ -65,6 +71,8 @@
 	/** The caller does not wait for it. Until it is stored, the turn counts with all of its reserved tokens. */
 	const settleInBackground = (): void => {
 		isOver = true;
+		output.take();
+		holding.release();
 		if (isReserved) {
 			void settle();
 		}
@@ -80,19 +88,22 @@
 		/** Adds events that the caller had from an earlier attempt. */
 		addBeginning(events: readonly OutputEvent[]): void {
 			addOutput(events);
+			holding.hold(output.capacity());
 		},
-		/** Must be called with events before they are passed on; returns `false` if the turn becomes too long to be kept. */
-		recordEvents(events: readonly EventSourceMessage[]): boolean {
+		/** Must be called with events before they are passed on; returns why they must not be, if so. */
+		recordEvents(events: readonly EventSourceMessage[]): AnswerExcess | undefined {
 			if (!isKept) {
-				return true;
+				return undefined;
 			}
 
 			if (isCopiedAsItComes) {
-				holderClient.appendOutput({program: call.program!.id, attempt: call.id}, output.length, events.map(({id = '', data}) => ({id, data})));
+				holderClient.appendOutput({program: call.program!.id, attempt: call.id}, outputEvents, events.map(({id = '', data}) => ({id, data})));
 			}
 
 			addOutput(events);
-			return outputBytes <= MAX_OUTPUT_BYTES;
+			return holding.tryHold(output.capacity(), TURN_SHARE)
+				? undefined
+				: {kind: 'turn', message: `the upstream sent more than a turn may have: its events take ${output.capacity()} bytes, of which a turn may have ${holding.allowance(TURN_SHARE)} now`};
 		},
 		async prepare(remainingMs: number): ReturnType<typeof prepareTurn> {
 			if (!isTurn) {
@@ -114,8 +125,11 @@
 		/** Must be called before the response ends; resolves to whether everything that has to be stored by then is stored. */
 		async completeTurn(): Promise<boolean> {
 			if (isKept) {
+				const whole = output.copy();
+				output.take();
+				holding.hold(whole.length);
 				return settle({
-					previous: call.program?.previousTurn ?? '', input: body, output: Buffer.from(output.map(data => `${data}\n`).join('')), ...chain,
+					previous: call.program?.previousTurn ?? '', input: body, output: whole, ...chain,
 				});
 			}
 
--- a/packages/gateway/src/forward/gateway-context.ts
+++ b/packages/gateway/src/forward/gateway-context.ts
@@ -12,6 +12,7 @@
 import type {createCrashWatch} from '../crashes/create-crash-watch.js';
 import type {CrashTracker} from '../crashes/crash-tracker.js';
 import type {Upstream} from '../upstreams/upstream.js';
+import type {AnswerMemory} from './answer-memory.js';
 import type {CallLog} from './call-log.js';
 import type {UpstreamPools} from './upstream-pools.js';
 
@@ -24,6 +25,8 @@
 	readonly limits: LimitGate;
 	readonly pools: UpstreamPools;
 	readonly holderClient: HolderClient;
+	/** For parts of answers that cannot be passed on yet. */
+	readonly memory: AnswerMemory;
 	readonly crashes: CrashTracker;
 	readonly crashWatch: Pick<ReturnType<typeof createCrashWatch>, 'recordLost' | 'recordUnanswered'>;
 	readonly crashLog: Pick<ReturnType<typeof createCrashLog>, 'recordBlock'>;
--- a/packages/gateway/src/forward/run-attempt.ts
+++ b/packages/gateway/src/forward/run-attempt.ts
@@ -3,18 +3,21 @@
 response and forwards it to the caller. Plain responses are buffered, so that the
 request can be retried if one breaks off; events are forwarded as they arrive.
 */
-import {Buffer} from 'node:buffer';
 import type {EventSourceMessage} from 'eventsource-parser';
 import type {Dispatcher} from 'undici';
 import type {CallCodec} from '../call/call-codec.js';
 import type {ResponseHead} from '../call/response-head.js';
 import type {Upstream} from '../upstreams/upstream.js';
 import type {ActiveCall} from './active-call.js';
+import type {AnswerExcess} from './answer-excess.js';
+import type {AnswerMemory} from './answer-memory.js';
 import type {AttemptResult} from './attempt-result.js';
 import type {CallerResponse} from './caller-response.js';
 import type {CallPlan} from './call-plan.js';
 import {classifyResponseHead} from './classify-response-head.js';
+import {createCallerWriter} from './create-caller-writer.js';
 import {createIgnoredRest} from './create-ignored-rest.js';
+import {createPlainForwarder} from './create-plain-forwarder.js';
 import {createStreamForwarder} from './create-stream-forwarder.js';
 import {sendToUpstream} from './send-to-upstream.js';
 import type {StreamProgress} from './stream-progress.js';
@@ -28,12 +31,15 @@
 	readonly active: Pick<ActiveCall, 'onStop'>;
 	readonly progress: StreamProgress;
 	readonly priority: number | undefined;
-	/** Called with events right before they are passed on to the caller; returns `false` if they must not be. */
-	readonly recordEvents: (events: readonly EventSourceMessage[]) => boolean;
+	readonly memory: Pick<AnswerMemory, 'open'>;
+	/** Called with events right before they are passed on to the caller; returns why they must not be, if so. */
+	readonly recordEvents: (events: readonly EventSourceMessage[]) => AnswerExcess | undefined;
 	/** Stores the turn before the response ends; resolves to whether that succeeded. */
 	readonly completeTurn: () => Promise<boolean>;
 	/** Returns whether the first event of a stream may be passed on. */
 	readonly confirmFirstEvent: () => boolean | Promise<boolean>;
+	/** Called if the answer is given up because of what it sent, or is a plain one that is passed on before it is whole. */
+	readonly onExcess: (kind: AnswerExcess['kind'] | 'plain-passed-on') => void;
 	/** Called right before the first byte of the request is sent. */
 	readonly onSent: () => void;
 	/** Called when the upstream begins to serve the request: with the head of a plain response, with the first bytes of a stream. */
@@ -42,16 +48,12 @@
 	readonly onUpstreamHead: (head: ResponseHead) => void;
 };
 
-/** A larger plain response is forwarded in chunks, and its request can no longer be retried. */
-const MAX_BUFFERED_BYTES = 1024 * 1024;
-
 /** Resolves once the attempt has ended. The caller's response has ended too if the result says so. */
 export const runAttempt = async (options: AttemptOptions): Promise<AttemptResult> => new Promise(resolve => {
-	const {plan, upstream, pool, codec, response, active, progress, priority, recordEvents, completeTurn, confirmFirstEvent, onSent, onServed, onUpstreamHead} = options;
+	const {plan, upstream, pool, codec, response, active, progress, priority, memory, recordEvents, completeTurn, confirmFirstEvent, onExcess, onSent, onServed, onUpstreamHead} = options;
 	const {call, route, body, deadlineAt} = plan;
 	const isStream = route.kind === 'stream';
-	const bufferedChunks: Uint8Array[] = [];
-	let bufferedBytes = 0;
+	const holding = memory.open();
 	let head: ResponseHead | undefined;
 	let responseClass: ReturnType<typeof classifyResponseHead> | undefined;
 	let isSettled = false;
@@ -61,6 +63,8 @@
 			isSettled = true;
 			clearTimeout(timer);
 			stream.stop();
+			plain.stop();
+			holding.release();
 			resolve(result);
 		}
 	};
@@ -82,45 +86,39 @@
 		}
 	};
 
-	const writeToCaller = (bytes: Uint8Array): void => {
-		if (!response.write(bytes)) {
+	const flow = {
+		pause() {
 			exchange.pause();
-			response.onDrain(() => {
-				exchange.resume();
-			});
-		}
+		},
+		resume() {
+			exchange.resume();
+		},
 	};
+	const write = createCallerWriter({response, ...flow});
 
 	const stream = createStreamForwarder({
 		progress,
-		response,
+		holding,
 		recordEvents,
 		startResponse,
 		confirmFirstEvent,
-		pause() {
-			exchange.pause();
-		},
-		resume() {
-			exchange.resume();
-		},
+		write,
+		...flow,
+		onExcess,
 		onRejected(message) {
 			abortWith(buildBreakResult(message, false));
 		},
 	});
 
-	const bufferOrWrite = (chunk: Uint8Array): void => {
-		if (response.isStarted()) {
-			writeToCaller(chunk);
-			return;
-		}
-
-		bufferedChunks.push(chunk);
-		bufferedBytes += chunk.length;
-		if (bufferedBytes > MAX_BUFFERED_BYTES) {
-			startResponse();
-			writeToCaller(Buffer.concat(bufferedChunks.splice(0)));
-		}
-	};
+	const plain = createPlainForwarder({
+		response,
+		holding,
+		startResponse,
+		write,
+		onPassedOnEarly() {
+			onExcess('plain-passed-on');
+		},
+	});
 
 	const finishStream = async (): Promise<void> => {
 		const remainder = await stream.finish();
@@ -145,17 +143,12 @@
 	};
 
 	const finishPlain = (): void => {
-		const forwardResponse = (): void => {
-			startResponse();
-			response.finish(bufferedChunks.length > 0 ? Buffer.concat(bufferedChunks) : undefined);
-		};
-
 		if (responseClass === 'server-failure' && !response.isStarted()) {
-			settle({kind: 'failed', status: head!.status, forwardResponse});
+			settle({kind: 'failed', status: head!.status, forwardResponse: plain.finish});
 			return;
 		}
 
-		forwardResponse();
+		plain.finish();
 		settle({kind: 'done', status: head!.status, isFramed: head!.isFramed});
 	};
 
@@ -223,7 +216,7 @@
 				onServed();
 				stream.receive(chunk);
 			} else {
-				bufferOrWrite(chunk);
+				plain.receive(chunk);
 			}
 		},
 		onEnd() {
--- a/packages/gateway/src/forward/run-call.ts
+++ b/packages/gateway/src/forward/run-call.ts
@@ -89,7 +89,7 @@
 	const tokensPerEvent = context.routes.current()?.services.get(service)?.engine?.tokensPerEvent ?? 1;
 	const beginsStream = route.isResumable && call.lastEventId === undefined;
 	const turn = createTurnHandler({
-		holderClient: context.holderClient, call, route, body, tokensPerEvent, origin: beginsStream ? expectOrigin(service, context.directory.list(service)) : undefined,
+		holderClient: context.holderClient, memory: context.memory, call, route, body, tokensPerEvent, origin: beginsStream ? expectOrigin(service, context.directory.list(service)) : undefined,
 	});
 	if (turn.isCopiedAsItComes) {
 		response.sendAfterMessages();
--- a/packages/gateway/src/host/register-gateway-gauges.ts
+++ b/packages/gateway/src/host/register-gateway-gauges.ts
@@ -6,6 +6,7 @@
 import {listGroups} from '@siskinhub/turns/membership/list-groups.js';
 import type {HolderClient} from '@siskinhub/turns/client/holder-client.js';
 import type {createLoopMonitor} from '../admission/create-loop-monitor.js';
+import type {AnswerMemory} from '../forward/answer-memory.js';
 import type {GatewayMetrics} from '../metrics/gateway-metrics.js';
 import type {RouteTable} from '../routes/route-table.js';
 
@@ -14,6 +15,7 @@
 	readonly view: DeclaredView;
 	readonly holderClient: HolderClient;
 	readonly registry: Pick<HolderRegistry, 'readList' | 'listDisks'>;
+	readonly memory: Pick<AnswerMemory, 'heldBytes'>;
 	readonly countActive: () => number;
 	readonly loop: Pick<ReturnType<typeof createLoopMonitor>, 'read'>;
 	/** When the platform's service last answered, by `performance.now()`. */
@@ -23,7 +25,7 @@
 const MS_PER_S = 1000;
 
 /** The gauges read the state each time the metrics are collected. */
-export const registerGatewayGauges = ({addGauge}: GatewayMetrics, {routes, view, holderClient, registry, loop, countActive, lastReadAt}: GatewayState): void => {
+export const registerGatewayGauges = ({addGauge}: GatewayMetrics, {routes, view, holderClient, registry, loop, memory, countActive, lastReadAt}: GatewayState): void => {
 	addGauge('siskinhub_routes_version', 'Version of the declared routes in force; 0 before the first.', () => routes.current()?.version ?? 0);
 	addGauge('siskinhub_declared_revision', 'Revision of the platform\'s service up to which this process knows the declared state.', view.revision);
 	addGauge('siskinhub_declared_age_seconds', 'Seconds since the platform\'s service last told the declared state.', () => (performance.now() - lastReadAt()) / MS_PER_S);
@@ -34,4 +36,5 @@
 	addGauge('siskinhub_queue_seconds', 'Recent time until data that has arrived is handled.', () => loop.read().queueMs / MS_PER_S);
 	addGauge('siskinhub_loop_utilization', 'Recent share of the time in which the event loop was busy; first calls of programs are refused while it is high.', () => loop.read().utilization);
 	addGauge('siskinhub_calls_active', 'Requests whose answers are not over.', countActive);
+	addGauge('siskinhub_answer_bytes', 'Bytes of answers that wait to be passed on, or to be taken by callers.', memory.heldBytes);
 };
--- a/packages/gateway/src/host/start-gateway.ts
+++ b/packages/gateway/src/host/start-gateway.ts
@@ -19,6 +19,7 @@
 import {refuseOverloaded} from '../admission/refuse-overloaded.js';
 import type {CallCodec} from '../call/call-codec.js';
 import {createActiveCalls} from '../forward/create-active-calls.js';
+import {createAnswerMemory} from '../forward/create-answer-memory.js';
 import {createCallLog} from '../forward/create-call-log.js';
 import {createCrashLog} from '../crashes/create-crash-log.js';
 import {createCrashWatch} from '../crashes/create-crash-watch.js';
@@ -138,10 +139,11 @@
 		readList: lists.read, adoptList: lists.adopt, linkTo: holder => links.linkTo(holder.address), losses: cfg.losses, dataCentre: cfg.dataCentre,
 	});
 	const activeCalls = createActiveCalls();
+	const memory = createAnswerMemory();
 	const calls = createCallLog(log);
 	const loop = createLoopMonitor({schedule: setImmediate, now: () => performance.now(), measureUtilization: performance.eventLoopUtilization.bind(performance)});
 	const parts = {
-		codec, routes, directory, loads, limits, pools, holderClient, crashes, crashWatch, crashLog, metrics, calls, random: Math.random, onLeaving(upstream: Upstream) {
+		codec, routes, directory, loads, limits, pools, holderClient, memory, crashes, crashWatch, crashLog, metrics, calls, random: Math.random, onLeaving(upstream: Upstream) {
 			log.info('upstream says that it is leaving', {upstream: identifyStart(upstream)});
 			metrics.countLeaving();
 		},
@@ -163,6 +165,7 @@
 		earlyListener,
 		codec,
 		activeCalls,
+		memory,
 		limits: () => routes.current()?.limits,
 		shouldKeepConnections: () => !holderClient.isCutOff(),
 		onArrival() {
@@ -211,7 +214,7 @@
 	});
 	metrics.addLimits(limitBook.listLimits);
 	registerGatewayGauges(metrics, {
-		routes, view, holderClient, registry, loop, countActive: server.countActive, lastReadAt: follower.lastReadAt,
+		routes, view, holderClient, registry, loop, memory, countActive: server.countActive, lastReadAt: follower.lastReadAt,
 	});
 	const metricsServer = await serveText({...cfg.metrics, ...waiting}, async () => ({status: 200, text: await metrics.render()}));
 	log.info('gateway started', {dataCentre: cfg.dataCentre, callers: cfg.callers});
--- a/packages/gateway/src/http/__tests__/create-caller-response.test.ts
+++ b/packages/gateway/src/http/__tests__/create-caller-response.test.ts
@@ -11,6 +11,7 @@
 import {setImmediate as endTurn} from 'node:timers/promises';
 import {createOutboundQueue} from '@siskinhub/peer/create-outbound-queue.js';
 import {describe, expect, it} from 'vitest';
+import {createAnswerMemory} from '../../forward/create-answer-memory.js';
 import {createCallerResponse} from '../create-caller-response.js';
 
 const FIXTURE = path.join(import.meta.dirname, 'serve-endless-answer.ts');
@@ -138,3 +139,32 @@
 		expect(results).toEqual([false, true]);
 	});
 });
+
+// Guards against a process that runs out of memory with answers that slow callers do not take.
+describe('what a caller has not taken', () => {
+	it.each(['takes it at last', 'leaves'])('is held until the caller %s', async end => {
+		const memory = createAnswerMemory();
+		const written = Buffer.alloc(32 * 1024 * 1024);
+		const server = createServer((_req, res) => {
+			const response = createCallerResponse(res, {encodeRefusal: () => ({}), holding: memory.open()});
+			response.start(200, []);
+			response.finish(written);
+		});
+		server.listen(0, '127.0.0.1');
+		await once(server, 'listening');
+		const req = get(`http://127.0.0.1:${(server.address() as AddressInfo).port}/`);
+		const [res] = await once(req, 'response') as [IncomingMessage];
+		expect(memory.heldBytes()).toBeGreaterThanOrEqual(written.length);
+		if (end === 'leaves') {
+			res.on('error', () => {/* Expected. */});
+			req.destroy();
+		} else {
+			res.resume();
+			await once(res, 'end');
+		}
+
+		await expect.poll(memory.heldBytes).toBe(0);
+		server.closeAllConnections();
+		server.close();
+	});
+});
--- a/packages/gateway/src/http/create-caller-response.ts
+++ b/packages/gateway/src/http/create-caller-response.ts
@@ -10,6 +10,7 @@
 */
 import type {ServerResponse} from 'node:http';
 import type {CallerResponse} from '../forward/caller-response.js';
+import type {AnswerHolding} from '../forward/answer-memory.js';
 import {endAfterRequest} from './end-after-request.js';
 
 type ResponseOptions = {
@@ -17,16 +18,19 @@
 	readonly encodeRefusal: (retryAfterMs: number | undefined) => Record<string, string>;
 	/** Called once a refusal is sent, though its connection may stay open for the rest of the request. */
 	readonly onRefused?: () => void;
+	/** Counts what the caller has not taken yet, until the response is over. */
+	readonly holding?: AnswerHolding | undefined;
 };
 
 /** `res` answers a request of HTTP/1.1, since chunks need it. */
-export const createCallerResponse = (res: ServerResponse, {encodeRefusal, onRefused}: ResponseOptions): CallerResponse => {
+export const createCallerResponse = (res: ServerResponse, {encodeRefusal, onRefused, holding}: ResponseOptions): CallerResponse => {
 	let isOver = false;
 	let isDisconnected = false;
 	let isHeld = false;
 	let isBehindMessages = false;
 	const disconnectListeners: Array<() => void> = [];
 	res.on('close', () => {
+		holding?.release();
 		if (isOver) {
 			return;
 		}
@@ -54,6 +58,10 @@
 		}
 	};
 
+	const countWaiting = (): void => {
+		holding?.hold(res.writableLength);
+	};
+
 	const breakOff = (): void => {
 		isOver = true;
 		res.destroy();
@@ -101,15 +109,21 @@
 				hold();
 			}
 
-			return res.write(bytes);
+			const isTaken = res.write(bytes);
+			countWaiting();
+			return isTaken;
 		},
 		onDrain(listener) {
-			res.once('drain', listener);
+			res.once('drain', () => {
+				countWaiting();
+				listener();
+			});
 		},
 		finish(bytes) {
 			if (!isOver) {
 				isOver = true;
 				res.end(bytes);
+				countWaiting();
 			}
 		},
 		abort: breakOff,
--- a/packages/gateway/src/http/create-gateway-server.ts
+++ b/packages/gateway/src/http/create-gateway-server.ts
@@ -11,6 +11,7 @@
 import type {CallCodec} from '../call/call-codec.js';
 import type {CallHead} from '../call/call-head.js';
 import type {ActiveCall} from '../forward/active-call.js';
+import type {AnswerMemory} from '../forward/answer-memory.js';
 import type {CallerResponse} from '../forward/caller-response.js';
 import type {createActiveCalls} from '../forward/create-active-calls.js';
 import type {DeclaredRoutes} from '../routes/declared-routes.js';
@@ -33,6 +34,8 @@
 	readonly codec: CallCodec;
 	/** Holds each well-formed request until its response is over. */
 	readonly activeCalls: Pick<ReturnType<typeof createActiveCalls>, 'begin' | 'end'>;
+	/** In which responses count what callers have not taken; not counted by default. */
+	readonly memory?: Pick<AnswerMemory, 'open'>;
 	readonly limits: () => DeclaredRoutes['limits'] | undefined;
 	/** Returns `false` while other processes serve callers better: each connection is then closed after its current response. */
 	readonly shouldKeepConnections: () => boolean;
@@ -111,7 +114,7 @@
 
 /** Resolves once the server listens; rejects only if the address is in use for longer than `waitMs` or cannot be bound. */
 export const createGatewayServer = async ({
-	codec, activeCalls, limits, shouldKeepConnections, onArrival, isAdmitted, onRefused, onLate, onCall, onFailed, onRejected, ...address
+	codec, activeCalls, memory, limits, shouldKeepConnections, onArrival, isAdmitted, onRefused, onLate, onCall, onFailed, onRejected, ...address
 }: GatewayServerOptions): Promise<GatewayServer> => {
 	let activeCount = 0;
 	let isDraining = false;
@@ -137,7 +140,7 @@
 		};
 
 		res.on('close', endActive);
-		const response = createCallerResponse(res, {encodeRefusal: retryAfterMs => codec.encodeRefusal(call.value, retryAfterMs), onRefused: endActive});
+		const response = createCallerResponse(res, {encodeRefusal: retryAfterMs => codec.encodeRefusal(call.value, retryAfterMs), onRefused: endActive, holding: memory?.open()});
 		if (!hasChunks(req)) {
 			onRejected('the request is not of HTTP/1.1, and an older version cannot mark the end of a response', STATUS_VERSION_NOT_SUPPORTED);
 			response.refuse(STATUS_VERSION_NOT_SUPPORTED);
--- a/packages/gateway/src/metrics/__tests__/create-gateway-metrics.test.ts
+++ b/packages/gateway/src/metrics/__tests__/create-gateway-metrics.test.ts
@@ -13,13 +13,14 @@
 	upstream, running: 0, pendingPrefillTokens: 0, waitMs: 0, heldTokens: 0, penaltyMs: 0, isNear: true, ...changes,
 });
 
-it('counts choices, prompt tokens and preparations, and reads gauges at collection', async () => {
+it('counts choices, prompt tokens, preparations and excesses, and reads gauges at collection', async () => {
 	const metrics = createGatewayMetrics();
 	let version = 1;
 	metrics.addGauge('siskinhub_routes_version', 'Version.', () => version);
 	metrics.countChoice(load({}), {held: 70, missing: 30});
 	metrics.countChoice(load({isNear: false, penaltyMs: 40}), undefined);
 	metrics.observePreparation('ready', 12);
+	metrics.countExcess('event');
 	version = 9;
 	const text = await metrics.render();
 	for (const line of [
@@ -29,6 +30,7 @@
 		'siskinhub_prompt_tokens_total{part="missing"} 30',
 		'siskinhub_preparation_ms_count{outcome="ready"} 1',
 		'siskinhub_routes_version 9',
+		'siskinhub_answer_excess_total{kind="event"} 1',
 	]) {
 		expect(text).toContain(line);
 	}
--- a/packages/gateway/src/metrics/create-gateway-metrics.ts
+++ b/packages/gateway/src/metrics/create-gateway-metrics.ts
@@ -63,6 +63,9 @@
 	const uncaughtErrors = new Counter({
 		name: 'siskinhub_uncaught_errors_total', help: 'Errors that nobody caught and that end the process, by its phase.', labelNames: ['phase'], registers,
 	});
+	const excesses = new Counter({
+		name: 'siskinhub_answer_excess_total', help: 'Answers of upstreams with more than one answer may have, by what it was.', labelNames: ['kind'], registers,
+	});
 	return {
 		countCall(outcome, status, durationMs) {
 			calls.inc({outcome, status: String(status)});
@@ -98,6 +101,9 @@
 		countUncaughtError(phase) {
 			uncaughtErrors.inc({phase});
 		},
+		countExcess(kind) {
+			excesses.inc({kind});
+		},
 		countStoreCall(kind, outcome) {
 			storeCalls.inc({kind, outcome});
 		},
--- a/packages/gateway/src/metrics/gateway-metrics.ts
+++ b/packages/gateway/src/metrics/gateway-metrics.ts
@@ -3,6 +3,7 @@
 */
 import type {CopyGap} from '@siskinhub/turns/holder/copy-gap.js';
 import type {CopyRequestKind} from '@siskinhub/turns/holder/copy-request-kind.js';
+import type {AnswerExcess} from '../forward/answer-excess.js';
 import type {CallPhase} from '../forward/call-phase.js';
 import type {UpstreamLoad} from '../placement/upstream-load.js';
 
@@ -30,6 +31,8 @@
 	readonly countSignal: (signal: string, phase: string) => void;
 	/** Counts an error that nobody caught, which ends the process. */
 	readonly countUncaughtError: (phase: string) => void;
+	/** Counts an answer that had more than one answer may have, by what it was. */
+	readonly countExcess: (kind: AnswerExcess['kind'] | 'plain-passed-on') => void;
 	/** Counts a call to the platform's service. */
 	readonly countStoreCall: (kind: string, outcome: string) => void;
 	/** Counts the choice of an upstream; `prompt` is how many tokens of the prompt its cache is estimated to hold and to lack. */
