fix(gateway): comments without end are no stream

A faulty upstream that sent comments and no events was read, parsed and passed on until the caller's deadline: each was complete, so no bound on what is kept acted on it.

Change: a stream may have 64 KiB without an event; beyond it is given up, and the trail says so. The count begins anew with each event, so comments that keep a connection alive may come for as long as they like beside events: 64 KiB of them are over an hour at one a second.

Evidence: the test of comments without end fails without the change; two hours of one comment a second with an event a minute pass.

--- a/packages/gateway/src/forward/__tests__/create-stream-forwarder.test.ts
+++ b/packages/gateway/src/forward/__tests__/create-stream-forwarder.test.ts
@@ -36,6 +36,35 @@
 	};
 };
 
+// Guards against comments without end, which brought no event and were parsed for as long as the caller waited.
+describe('comments', () => {
+	it('without end are no stream', () => {
+		const {forwarder, rejections, excesses} = start();
+		forwarder.receive(Buffer.from('data: first\n\n'));
+		for (let count = 0; count < 20; count++) {
+			forwarder.receive(Buffer.from(':x\n\n'.repeat(KIBIBYTE)));
+		}
+
+		expect(excesses).toEqual(['comments']);
+		expect(rejections).toEqual(['the upstream sent 69632 bytes without an event, of which a stream may have 65536']);
+	});
+
+	it('that keep a connection alive may come for as long as they like between events', () => {
+		const {forwarder, rejections, progress, written} = start();
+		for (let minute = 1; minute <= 120; minute++) {
+			for (let second = 0; second < 60; second++) {
+				forwarder.receive(Buffer.from(': keep-alive\n\n'));
+			}
+
+			forwarder.receive(Buffer.from(`id: ${minute}\ndata: x\n\n`));
+		}
+
+		expect(rejections).toEqual([]);
+		expect(progress).toMatchObject({events: 120, lastEventId: '120'});
+		expect(Buffer.concat(written).length).toBeGreaterThan(120 * 60 * 14);
+	});
+});
+
 describe('an event without end', () => {
 	it('is rejected beyond the limit of one event', () => {
 		const {forwarder, rejections, excesses} = start();
--- a/packages/gateway/src/forward/create-stream-forwarder.ts
+++ b/packages/gateway/src/forward/create-stream-forwarder.ts
@@ -31,6 +31,8 @@
 
 /** Far above any real event; bytes without an end of an event would otherwise fill the memory. */
 const EVENT_SHARE: AnswerShare = {limitBytes: 256 * 1024, partOfFree: 1 / 8};
+/** Far above the comments that keep a connection alive between two events; those without end would otherwise take the processor. */
+const MAX_BYTES_WITHOUT_EVENT = 64 * 1024;
 
 /** Lines that belong to no event. */
 const isOutsideEvents = (line: string): boolean => line === '' || line.startsWith(':');
@@ -41,6 +43,7 @@
 export const createStreamForwarder = ({progress, holding, recordEvents, startResponse, confirmFirstEvent, write, pause, resume, onRejected, onExcess}: ForwarderOptions) => {
 	const splitter = createEventSplitter();
 	const held = createByteBlocks();
+	let bytesWithoutEvent = 0;
 	let confirming: Promise<void> | undefined;
 	let isConfirmed = false;
 	let isStopped = false;
@@ -57,11 +60,16 @@
 			return {kind: 'event', message: `the upstream sent bytes without the end of an event: they take ${splitter.keptBytes()} bytes, of which an event may have ${holding.allowance(EVENT_SHARE)} now`};
 		}
 
+		if (bytesWithoutEvent > MAX_BYTES_WITHOUT_EVENT) {
+			return {kind: 'comments', message: `the upstream sent ${bytesWithoutEvent} bytes without an event, of which a stream may have ${MAX_BYTES_WITHOUT_EVENT}`};
+		}
+
 		return recordEvents(events);
 	};
 
 	const forward = (chunk: Uint8Array): void => {
 		const {bytes, events} = splitter.push(chunk);
+		bytesWithoutEvent = events.length > 0 ? 0 : bytesWithoutEvent + bytes.length;
 		const excess = findExcess(events);
 		if (excess) {
 			onExcess(excess.kind);
