fix(gateway): a stream with more events than its call has tokens is given up

A faulty upstream that sent small events without end was parsed and passed on, and of a kept turn copied to the holders, event by event, up to a million characters: each event costs objects here and at three holders out of all proportion to its bytes.

Change: a call that names its most tokens gets at most as many events, 256 more for events without a token, and more in proportion if the service declares less than one token for each event. One event more ends the attempt, of kept turns and others alike, before it is passed on; the trail says how many there were. Events are counted over all attempts of the call here; those that the caller had through an earlier call are not counted, as its tokens may be those of the whole turn or of the rest. A call that names no tokens, or a service that declares none for an event, has no such bound.

Evidence: the tests of too many events fail without the change, kept and not kept.

--- a/packages/gateway/src/forward/__tests__/create-turn-handler.test.ts
+++ b/packages/gateway/src/forward/__tests__/create-turn-handler.test.ts
@@ -15,6 +15,8 @@
 const route: Route = {
 	name: 'r', host: 'h', prefix: '/', kind: 'stream', targets: [], timeoutMs: 3000, objectiveMs: 200, maxRuns: 1, rank: 0, isResumable: false, keepsTurns: true, retentionMs: 60_000, isSticky: true,
 };
+/** The tokens of the call and the events that may have none. */
+const MOST_EVENTS = 20 + 256;
 
 const start = (changes: {readonly route?: Partial<Route>; readonly prompt?: CallHead['prompt']} = {}) => {
 	const memory = createAnswerMemory();
@@ -40,6 +42,24 @@
 	};
 };
 
+// Guards against small events without end, which a caller's count of tokens shows to be no answer.
+describe('a stream with more events than its call has tokens', () => {
+	it.each([true, false])('is no answer, if turns are kept: %s', keepsTurns => {
+		const {record} = start({route: {keepsTurns}});
+		expect(record(20)).toBeUndefined();
+		expect(record(MOST_EVENTS - 20)).toBeUndefined();
+		const excess = record(1);
+		expect(excess?.kind).toBe('events');
+		expect(excess?.message).toContain(`sent ${MOST_EVENTS + 1} events, of which a call for 20 tokens may have ${MOST_EVENTS}`);
+	});
+
+	it('is sound if it goes on after a beginning with as many events', () => {
+		const {handler, record} = start();
+		handler.addBeginning(Array.from({length: MOST_EVENTS}, () => ({id: '1', data: 'x'})));
+		expect(record(MOST_EVENTS)).toBeUndefined();
+	});
+});
+
 describe('the events of a kept turn', () => {
 	it('are stored in order, each on a line, after those of the beginning', async () => {
 		const {handler, settle, record} = start();
--- a/packages/gateway/src/forward/create-turn-handler.ts
+++ b/packages/gateway/src/forward/create-turn-handler.ts
@@ -13,6 +13,7 @@
 import type {Route} from '../routes/route.js';
 import type {AnswerExcess} from './answer-excess.js';
 import type {AnswerMemory, AnswerShare} from './answer-memory.js';
+import {countMostEvents} from './count-most-events.js';
 import {createByteBlocks} from './create-byte-blocks.js';
 import {prepareTurn} from './prepare-turn.js';
 import {reservesTokens} from './reserves-tokens.js';
@@ -22,7 +23,7 @@
 const SETTLE_TIMEOUT_MS = 2000;
 /**
 The limit is far above any real turn. The part is larger than that of what is only
-passed on, since the events of a turn come whole.
+passed on, since the events of a turn come whole and their number is bounded.
 */
 const TURN_SHARE: AnswerShare = {limitBytes: 1024 * 1024, partOfFree: 1 / 2};
 
@@ -47,6 +48,7 @@
 	// The caller may take the turn up elsewhere, which needs the events that it had.
 	const isCopiedAsItComes = isKept && route.isResumable;
 	const progress: StreamProgress = {lastEventId: undefined, events: 0, firstEventAt: undefined};
+	const mostEvents = countMostEvents(call, tokensPerEvent);
 	// The data of each event on a line, including those that the caller had before it took the stream up; only if the turn is kept.
 	const output = createByteBlocks();
 	let outputEvents = 0;
@@ -92,6 +94,12 @@
 		},
 		/** Must be called with events before they are passed on; returns why they must not be, if so. */
 		recordEvents(events: readonly EventSourceMessage[]): AnswerExcess | undefined {
+			// The events that the caller had from an earlier attempt are not counted: its call may name the tokens of the whole turn or of the rest.
+			const eventCount = progress.events + events.length;
+			if (eventCount > mostEvents) {
+				return {kind: 'events', message: `the upstream sent ${eventCount} events, of which a call for ${call.prompt?.maxTokens} tokens may have ${mostEvents}`};
+			}
+
 			if (!isKept) {
 				return undefined;
 			}
