fix(gateway): hand an upstream the time that is left when its request is sent

Callers saw (rule BUDGET): while a faulty upstream held all connections that the gateway may open to it, further requests waited behind one of them and reached the upstream with the time that they had had at first. An upstream that stops work at that value works on after the caller has gone. Others waited behind a connection that was held although another one had become free.

Cause: with no connection free a request was queued inside the HTTP client, which binds it to one connection and to headers that were built before it waited. Once given up it stayed there, body and all, until its connection became free, and then cost that new connection.

Evidence: a raw server holds the four connections; a request with 3 s is sent at 1 s and was handed a deadline 1,015 ms past the client's own. Of four connections that became free in turn, one with an answer, the request was sent only once the held ones had ended.

Change: requests wait in the pool, in the order in which they came, and take the first connection that becomes free. Headers are built then. A request whose time is over, before a connection is free or after connecting, is not sent and counts as not run. Given up, it leaves the queue at once; so does what waits for an upstream that is removed, which used to be sent there still.

Not covered: connecting takes up to 0.4 s (CONNECT_TIMEOUT_MS) that are not taken off; within the 0.5 s of the rule as long as the event loop isn't held up.

The fakes of stopped-calls.test.ts and send-to-upstream.test.ts follow the changed interface; no expectation of theirs is changed.

--- a/packages/gateway/src/forward/__tests__/send-to-upstream.test.ts
+++ b/packages/gateway/src/forward/__tests__/send-to-upstream.test.ts
@@ -48,7 +48,7 @@
 	};
 
 	const exchange = sendToUpstream(pool, {
-		method: 'GET', path: '/', headers: [], body: new Uint8Array(),
+		method: 'GET', path: '/', buildHeaders: () => [], body: new Uint8Array(), deadlineAt: Infinity,
 	}, {
 		onSent() {
 			sentCount++;
--- a/packages/gateway/src/forward/__tests__/stopped-calls.test.ts
+++ b/packages/gateway/src/forward/__tests__/stopped-calls.test.ts
@@ -108,7 +108,7 @@
 			get: () => ({
 				dispatch(_options: unknown, handler: Dispatcher.DispatchHandler) {
 					dispatched.push(handler);
-					return true;
+					return () => {/* A connection has taken it already. */};
 				},
 			}),
 		},
--- a/packages/gateway/src/forward/create-upstream-connection.ts
+++ b/packages/gateway/src/forward/create-upstream-connection.ts
@@ -21,6 +21,8 @@
 	readonly client: ConstructorParameters<typeof Client>[1];
 	/** Limit for establishing the connection. */
 	readonly connectTimeoutMs: number;
+	/** Called when the connection may carry the next request. */
+	readonly onFree: () => void;
 };
 
 type Observation = {
@@ -62,7 +64,7 @@
 });
 
 /** Connects at the first request, and again once the connection is lost. */
-export const createUpstreamConnection = ({origin, client: options, connectTimeoutMs}: ConnectionOptions) => {
+export const createUpstreamConnection = ({origin, client: options, connectTimeoutMs, onFree}: ConnectionOptions) => {
 	let wasReset = false;
 	let hasEnded = false;
 	let active: Dispatcher.DispatchController | undefined;
@@ -87,6 +89,7 @@
 			});
 		},
 	});
+	client.on('drain', onFree);
 	return {
 		dispatch(request: Dispatcher.DispatchOptions, handler: Dispatcher.DispatchHandler): void {
 			client.dispatch(request, reportResets(handler, {
--- a/packages/gateway/src/forward/create-upstream-pools.ts
+++ b/packages/gateway/src/forward/create-upstream-pools.ts
@@ -2,11 +2,12 @@
 Keeps a pool of connections for each upstream. A connection carries one request
 at a time; a pool grows on demand up to this process's share of the connections
 that the upstream accepts. The first idle connection is always preferred, so that
-those opened for a burst become idle and close.
+those opened for a burst become idle and close. Requests wait here and not in the
+HTTP client, which would bind each to one connection and to the headers it has then.
 */
 import type {Upstream} from '../upstreams/upstream.js';
 import {createUpstreamConnection} from './create-upstream-connection.js';
-import type {UpstreamPools} from './upstream-pools.js';
+import type {UpstreamPool, UpstreamPools} from './upstream-pools.js';
 
 /** An upstream in the same region accepts within milliseconds and an unreachable one never does; the request can still run elsewhere. */
 const CONNECT_TIMEOUT_MS = 400;
@@ -23,13 +24,16 @@
 
 type Connection = ReturnType<typeof createUpstreamConnection>;
 
-const createPool = (address: string, maxConnections: number) => {
+type WaitingRequest = {readonly sendOn: (connection: Connection) => void; readonly drop: () => void};
+
+const createPool = (address: string, maxConnections: number): UpstreamPool & {readonly close: () => void} => {
 	const connections: Connection[] = [];
-	let nextSharedIndex = 0;
+	const waiting = new Set<WaitingRequest>();
+	let isClosed = false;
 
 	const openConnection = (): Connection => {
 		const connection = createUpstreamConnection({
-			origin: `http://${address}`, connectTimeoutMs: CONNECT_TIMEOUT_MS, client: {
+			origin: `http://${address}`, connectTimeoutMs: CONNECT_TIMEOUT_MS, onFree: sendWaiting, client: {
 				pipelining: 1,
 				headersTimeout: 0,
 				bodyTimeout: 0,
@@ -42,29 +46,53 @@
 		return connection;
 	};
 
-	const pickConnection = (): Connection => {
-		const free = connections.find(connection => connection.isIdle());
-		if (free) {
-			return free;
-		}
+	const findFree = (): Connection | undefined => connections.find(connection => connection.isIdle()) ?? (connections.length < maxConnections ? openConnection() : undefined);
 
-		if (connections.length < maxConnections) {
-			return openConnection();
-		}
+	function sendWaiting(): void {
+		for (const request of waiting) {
+			const connection = findFree();
+			if (!connection) {
+				return;
+			}
 
-		nextSharedIndex = (nextSharedIndex + 1) % connections.length;
-		return connections[nextSharedIndex]!;
-	};
+			waiting.delete(request);
+			request.sendOn(connection);
+		}
+	}
 
 	return {
-		dispatch(...request: Parameters<Connection['dispatch']>): boolean {
-			pickConnection().dispatch(...request);
-			return true;
+		dispatch(build, handler, onDropped) {
+			const request: WaitingRequest = {
+				sendOn(connection) {
+					const options = build();
+					if (options) {
+						connection.dispatch(options, handler);
+					}
+				},
+				drop: onDropped,
+			};
+			if (isClosed) {
+				queueMicrotask(onDropped);
+			} else {
+				waiting.add(request);
+				sendWaiting();
+			}
+
+			return () => {
+				waiting.delete(request);
+			};
 		},
 		close(): void {
+			isClosed = true;
+			const dropped = [...waiting];
+			waiting.clear();
 			for (const connection of connections) {
 				void connection.close();
 			}
+
+			for (const request of dropped) {
+				request.drop();
+			}
 		},
 	};
 };
--- a/packages/gateway/src/forward/run-attempt.ts
+++ b/packages/gateway/src/forward/run-attempt.ts
@@ -5,7 +5,6 @@
 */
 import {Buffer} from 'node:buffer';
 import type {EventSourceMessage} from 'eventsource-parser';
-import type {Dispatcher} from 'undici';
 import type {CallCodec} from '../call/call-codec.js';
 import type {ResponseHead} from '../call/response-head.js';
 import type {Upstream} from '../upstreams/upstream.js';
@@ -18,11 +17,12 @@
 import {createStreamForwarder} from './create-stream-forwarder.js';
 import {sendToUpstream} from './send-to-upstream.js';
 import type {StreamProgress} from './stream-progress.js';
+import type {UpstreamPool} from './upstream-pools.js';
 
 type AttemptOptions = {
 	readonly plan: CallPlan;
 	readonly upstream: Upstream;
-	readonly pool: Pick<Dispatcher, 'dispatch'>;
+	readonly pool: UpstreamPool;
 	readonly codec: CallCodec;
 	readonly response: CallerResponse;
 	readonly active: Pick<ActiveCall, 'onStop'>;
@@ -202,14 +202,15 @@
 	const exchange = sendToUpstream(pool, {
 		method: call.method,
 		path: call.path,
-		headers: codec.encodeCall(call, {
+		buildHeaders: leftMs => codec.encodeCall(call, {
 			upstreamId: upstream.id,
-			deadlineMs: Math.max(1, deadlineAt - Date.now()),
+			deadlineMs: leftMs,
 			priority,
 			// A route that is not resumable has no streams to take up.
 			lastEventId: progress.lastEventId ?? (route.isResumable ? call.lastEventId : undefined),
 		}),
 		body,
+		deadlineAt,
 	}, {
 		onSent,
 		onHead: handleHead,
--- a/packages/gateway/src/forward/send-to-upstream.ts
+++ b/packages/gateway/src/forward/send-to-upstream.ts
@@ -2,12 +2,16 @@
 Sends one request to one upstream and reports its response to an observer.
 */
 import type {Dispatcher} from 'undici';
+import type {UpstreamPool} from './upstream-pools.js';
 
 type OutboundRequest = {
 	readonly method: string;
 	readonly path: string;
-	readonly headers: string[];
+	/** Called when the request is sent, with the milliseconds that are left then, at least 1. */
+	readonly buildHeaders: (leftMs: number) => string[];
 	readonly body: Uint8Array;
+	/** Epoch milliseconds; from then on the request is not sent any more. */
+	readonly deadlineAt: number;
 };
 
 /** Either `onEnd` or `onFailed` is called last. `wasSent` is false only if no byte of the request left this process. */
@@ -30,18 +34,45 @@
 
 const MIN_FINAL_STATUS = 200;
 
-/** Starts to send immediately. */
-export const sendToUpstream = (pool: Pick<Dispatcher, 'dispatch'>, {method, path, headers, body}: OutboundRequest, observer: SendObserver): OutboundExchange => {
+/** Sends the request once a connection is free. The observer is called later, never before this returns. */
+export const sendToUpstream = (pool: UpstreamPool, {method, path, buildHeaders, body, deadlineAt}: OutboundRequest, observer: SendObserver): OutboundExchange => {
 	let controller: Dispatcher.DispatchController | undefined;
 	let wasSent = false;
 	let isFinished = false;
 
-	pool.dispatch({
-		method, path, headers, body: body.length > 0 ? body : null,
-	}, {
+	const fail = (message: string): void => {
+		if (!isFinished) {
+			isFinished = true;
+			observer.onFailed({wasSent, message});
+		}
+	};
+
+	const isOver = (): boolean => {
+		const isPast = Date.now() >= deadlineAt;
+		if (isPast) {
+			queueMicrotask(() => {
+				fail('the time of the request was over before it could be sent');
+			});
+		}
+
+		return isPast;
+	};
+
+	const build = (): Dispatcher.DispatchOptions | undefined => {
+		if (isOver()) {
+			return undefined;
+		}
+
+		return {
+			method, path, headers: buildHeaders(Math.max(1, deadlineAt - Date.now())), body: body.length > 0 ? body : null,
+		};
+	};
+
+	const withdraw = pool.dispatch(build, {
 		onRequestStart(started) {
 			controller = started;
-			if (isFinished) {
+			// Connecting may have taken until after the deadline.
+			if (isFinished || isOver()) {
 				started.abort(new Error('The request was aborted before it was sent.'));
 				return;
 			}
@@ -66,11 +97,10 @@
 			}
 		},
 		onResponseError(_controller, error) {
-			if (!isFinished) {
-				isFinished = true;
-				observer.onFailed({wasSent, message: error.message});
-			}
+			fail(error.message);
 		},
+	}, () => {
+		fail('the upstream was removed');
 	});
 
 	return {
@@ -78,6 +108,7 @@
 		abort() {
 			if (!isFinished) {
 				isFinished = true;
+				withdraw();
 				controller?.abort(new Error('The request was aborted.'));
 			}
 		},
