fix(gateway): open no connection for a request that was given up

What was seen: each request that the gateway gave up, at its deadline, with its caller, or since its answer was no answer, made the gateway connect to that upstream once more, though nothing was to be sent. With a faulty upstream that answers without end that doubles the connections, and the place of the pool stays taken until the new connection stands.

Cause: undici closes the connection of an aborted request, but keeps the request in its queue until there is a connection again, and only then drops it.

Change: an undici client ends with the first request that was begun and failed, and its place in the pool is free at once.

--- a/packages/gateway/src/forward/create-upstream-connection.ts
+++ b/packages/gateway/src/forward/create-upstream-connection.ts
@@ -12,6 +12,10 @@
 
 undici throws outside of any handler if a connection ends while its response is
 paused, so the response is resumed first, and is not paused any more.
+
+undici connects again after a request was aborted, since it keeps that request in
+its queue until it has a connection. So its client ends with the first request that
+was begun and failed.
 */
 import type {Socket} from 'node:net';
 import {buildConnector, Client, type Dispatcher} from 'undici';
@@ -23,6 +27,8 @@
 	readonly connectTimeoutMs: number;
 	/** Called when the connection may carry the next request. */
 	readonly onFree: () => void;
+	/** Called if a request has failed after it was begun; the connection carries no other. */
+	readonly onLost: () => void;
 };
 
 type Observation = {
@@ -31,12 +37,14 @@
 	/** Whether the upstream has closed the connection, so that all that is left of the response has arrived. */
 	readonly hasEnded: () => boolean;
 	readonly onStart: (controller: Dispatcher.DispatchController) => void;
+	/** Called after the handler if the request has failed. */
+	readonly onError: () => void;
 };
 
 /** Must be called when the peer's end is reported, and its address must not have been read before, since Node keeps it. */
 const hasLostPeer = (socket: Socket): boolean => socket.remoteAddress === undefined;
 
-const reportResets = (handler: Dispatcher.DispatchHandler, {wasReset, hasEnded, onStart}: Observation): Dispatcher.DispatchHandler => ({
+const reportResets = (handler: Dispatcher.DispatchHandler, {wasReset, hasEnded, onStart, onError}: Observation): Dispatcher.DispatchHandler => ({
 	onRequestStart(controller, context) {
 		onStart(controller);
 		handler.onRequestStart?.(controller, context);
@@ -60,11 +68,12 @@
 	},
 	onResponseError(controller, error) {
 		handler.onResponseError?.(controller, error);
+		onError();
 	},
 });
 
-/** Connects at the first request, and again once the connection is lost. */
-export const createUpstreamConnection = ({origin, client: options, connectTimeoutMs, onFree}: ConnectionOptions) => {
+/** Connects at the first request, and again if the connection ended between two requests. */
+export const createUpstreamConnection = ({origin, client: options, connectTimeoutMs, onFree, onLost}: ConnectionOptions) => {
 	let wasReset = false;
 	let hasEnded = false;
 	let active: Dispatcher.DispatchController | undefined;
@@ -92,12 +101,22 @@
 	client.on('drain', onFree);
 	return {
 		dispatch(request: Dispatcher.DispatchOptions, handler: Dispatcher.DispatchHandler): void {
+			active = undefined;
 			client.dispatch(request, reportResets(handler, {
 				wasReset: () => wasReset,
 				hasEnded: () => hasEnded,
 				onStart(controller) {
 					active = controller;
 				},
+				onError() {
+					if (active) {
+						onLost();
+						// Not from within a handler, where undici still uses the client.
+						queueMicrotask(() => {
+							void client.destroy();
+						});
+					}
+				},
 			}));
 		},
 		/** Waits for the active request to end. */
--- a/packages/gateway/src/forward/create-upstream-pools.ts
+++ b/packages/gateway/src/forward/create-upstream-pools.ts
@@ -33,7 +33,13 @@
 
 	const openConnection = (): Connection => {
 		const connection = createUpstreamConnection({
-			origin: `http://${address}`, connectTimeoutMs: CONNECT_TIMEOUT_MS, onFree: sendWaiting, client: {
+			origin: `http://${address}`, connectTimeoutMs: CONNECT_TIMEOUT_MS, onFree: sendWaiting, onLost() {
+				const index = connections.indexOf(connection);
+				if (index !== -1) {
+					connections.splice(index, 1);
+					sendWaiting();
+				}
+			}, client: {
 				pipelining: 1,
 				headersTimeout: 0,
 				bodyTimeout: 0,
