fix(gateway): nothing is read from an upstream while a slow caller leaves what is there

What callers saw: a gateway that runs out of memory while upstreams send streams faster than their callers take them, and requests of others that end with it.

Cause: when a paused answer goes on, undici takes all that its socket holds, hands it to the parser and gives back what the parser does not take when it pauses again. While the socket is empty for that moment, Node begins to read again, so each resumption adds a read, however little was taken, and all of it is joined anew each time. A caller that takes 16 KB at a time (the bound of its own connection) from an upstream that sends more made the socket's buffer grow for as long as the stream lasts.

Change: a read that the stream asks for begins only after undici has given back what it did not take, and only if less than 16 KiB are there.

create-connection-reads.test.ts, 200 resumptions of a stream of small events: at most 64 KiB held.

--- a/packages/gateway/src/forward/__tests__/create-connection-reads.test.ts
+++ b/packages/gateway/src/forward/__tests__/create-connection-reads.test.ts
@@ -1,4 +1,5 @@
 import {Buffer} from 'node:buffer';
+import {subscribe, unsubscribe} from 'node:diagnostics_channel';
 import type {Socket} from 'node:net';
 import {Readable} from 'node:stream';
 import {setTimeout as delay} from 'node:timers/promises';
@@ -74,6 +75,22 @@
 	};
 };
 
+const CONNECTED = 'undici:client:connected';
+
+/** Collects the sockets of the connections that are opened from now on. */
+const collectSockets = (): Socket[] => {
+	const sockets: Socket[] = [];
+	const collect = (message: unknown): void => {
+		sockets.push((message as {readonly socket: Socket}).socket);
+	};
+
+	subscribe(CONNECTED, collect);
+	onTestFinished(() => {
+		unsubscribe(CONNECTED, collect);
+	});
+	return sockets;
+};
+
 describe('bytes that are no answer', () => {
 	const CASES: ReadonlyArray<readonly [string, string, string]> = [
 		['in the status line', 'HTTP/1.1 200 ', FILL],
@@ -187,6 +204,29 @@
 		}
 	});
 
+	// Guards against memory that runs out: undici reads once more at each resumption, however little of what is there it takes.
+	it('do not go on while a slow caller leaves what is there', async () => {
+		const sockets = collectSockets();
+		const pool = await startRawUpstream(socket => {
+			sendEndlessly(socket, CHUNKED, '11\r\nid: 1\ndata: xyz\n\n\r\n'.repeat(1000));
+		});
+		let pieces = 0;
+		let mostBytes = 0;
+		const {exchange} = startRequest(pool, () => {
+			pieces++;
+			exchange.pause();
+			setTimeout(() => {
+				mostBytes = Math.max(mostBytes, sockets[0]!.readableLength);
+				exchange.resume();
+			}, 1);
+		});
+		await vi.waitFor(() => {
+			expect(pieces).toBeGreaterThan(200);
+		}, {timeout: 5000});
+		exchange.abort();
+		expect(mostBytes).toBeLessThan(64 * KIBIBYTE);
+	});
+
 	// The end of the connection is seen at the next read only.
 	it('see the end of an answer without length and a reset', async () => {
 		const whole = await startRawUpstream(socket => {
--- a/packages/gateway/src/forward/create-connection-reads.ts
+++ b/packages/gateway/src/forward/create-connection-reads.ts
@@ -6,9 +6,14 @@
 bounded before undici parses them, because parsing may cost far more than
 receiving: each field of a head becomes an object, and past its limit undici builds
 an error for each field that is left in the same piece.
+
+While a caller is slow, nothing is read until undici has taken what is there, since
+undici itself reads once more at each resumption, however little it takes.
 */
 import {Buffer} from 'node:buffer';
 import type {OnReadOpts, Socket} from 'node:net';
+import process from 'node:process';
+import {Duplex} from 'node:stream';
 import type {upstreamReads} from './upstream-reads.js';
 
 const KIBIBYTE = 1024;
@@ -38,9 +43,32 @@
 	let expected: CutReason = 'idle';
 	let bytesWithoutProgress = 0;
 	let wasUnproductive = false;
+	/** Whether the stream has asked for bytes and reading has not been started since. */
+	let isReadOwed = false;
+	let isCheckScheduled = false;
+	let startReading: (size: number) => void;
 
 	const chooseBuffer = (): Uint8Array => expected === 'body' && !wasUnproductive ? largeBuffer : smallBuffer;
 
+	const startOwedRead = (): void => {
+		isCheckScheduled = false;
+		// If too much is there, the next call of `read` schedules this again.
+		if (!isReadOwed || socket.destroyed || socket.readableLength >= LARGE_READ_BYTES) {
+			return;
+		}
+
+		isReadOwed = false;
+		startReading(LARGE_READ_BYTES);
+	};
+
+	/** Undici gives back what it does not take, after it has called `read`. */
+	const scheduleOwedRead = (): void => {
+		if (isReadOwed && !isCheckScheduled) {
+			isCheckScheduled = true;
+			process.nextTick(startOwedRead);
+		}
+	};
+
 	const cut = (): false => {
 		counts.cut[expected]++;
 		// With this code undici fails a running request, and sends one that waits on another connection.
@@ -67,6 +95,24 @@
 		socketOptions: {onread, highWaterMark: LARGE_READ_BYTES},
 		attach(connecting: Socket): void {
 			socket = connecting;
+			// The socket's own `read` would start to read each time.
+			const read = Duplex.prototype.read.bind(connecting);
+			startReading = socket._read.bind(socket);
+			socket._read = () => {
+				if (socket.readableLength < LARGE_READ_BYTES) {
+					startReading(LARGE_READ_BYTES);
+					return;
+				}
+
+				isReadOwed = true;
+				scheduleOwedRead();
+			};
+
+			socket.read = size => {
+				const chunk: unknown = read(size);
+				scheduleOwedRead();
+				return chunk;
+			};
 		},
 		/** Must be called when a request begins, before its bytes are sent. */
 		startRequest(): void {
