test(gateway): attempts whose time passes have been sent before

Their clock is paused and passes the deadline once the request is sent; what they expect is unchanged.

--- a/packages/gateway/src/forward/__tests__/run-attempt.test.ts
+++ b/packages/gateway/src/forward/__tests__/run-attempt.test.ts
@@ -1,7 +1,9 @@
 import {Buffer} from 'node:buffer';
 import {setImmediate as endTurn} from 'node:timers/promises';
 import type {Dispatcher} from 'undici';
-import {describe, expect, it} from 'vitest';
+import {
+	afterEach, beforeEach, describe, expect, it, vi,
+} from 'vitest';
 import type {CallerResponse} from '../caller-response.js';
 import {createAnswerMemory} from '../create-answer-memory.js';
 import {runAttempt} from '../run-attempt.js';
@@ -70,7 +72,7 @@
 		pool: {
 			dispatch(_options: unknown, dispatched: Dispatcher.DispatchHandler) {
 				handler = dispatched;
-				return true;
+				return () => {/* A connection has taken it already. */};
 			},
 		},
 		codec: {
@@ -122,6 +124,10 @@
 
 type Attempt = ReturnType<typeof start>;
 
+const passDeadline = (): void => {
+	vi.advanceTimersByTime(1);
+};
+
 /** Each leaves something held and then ends the attempt. */
 const ENDINGS: ReadonlyArray<readonly [string, Parameters<typeof start>[0], (attempt: Attempt) => void | Promise<void>, string]> = [
 	['is done', {}, attempt => {
@@ -141,18 +147,19 @@
 		attempt.send('\n\ndata: x');
 		attempt.fail();
 	}, 'broken'],
-	['times out', {timeoutMs: 1}, () => {/* Its deadline passes. */}, 'timed-out'],
+	['times out', {timeoutMs: 1}, passDeadline, 'timed-out'],
 	['loses its caller', {}, attempt => {
 		attempt.leave();
 	}, 'gone'],
 	['loses its caller inside an event', {kind: 'stream'}, attempt => {
 		attempt.leave();
 	}, 'gone'],
-	['times out while its first event is confirmed', {kind: 'stream', timeoutMs: 1, confirmFirstEvent: async () => new Promise(() => {/* Nobody answers. */})}, () => {/* Its deadline passes. */}, 'timed-out'],
+	['times out while its first event is confirmed', {kind: 'stream', timeoutMs: 1, confirmFirstEvent: async () => new Promise(() => {/* Nobody answers. */})}, passDeadline, 'timed-out'],
 	['is rejected once its first event is confirmed', {kind: 'stream', confirmFirstEvent: async () => false}, () => {/* The answer comes. */}, 'unknown'],
 	['times out while its caller takes nothing', {timeoutMs: 1, takes: () => false}, attempt => {
 		attempt.send(Buffer.alloc(2 * MEBIBYTE));
 		attempt.send('x');
+		passDeadline();
 	}, 'timed-out'],
 	['has an event without end', {kind: 'stream'}, attempt => {
 		attempt.send(Buffer.alloc(MEBIBYTE, 'x'));
@@ -160,6 +167,14 @@
 ];
 
 describe('what an attempt holds', () => {
+	beforeEach(() => {
+		vi.useFakeTimers({toFake: ['Date', 'setTimeout', 'clearTimeout']});
+	});
+
+	afterEach(() => {
+		vi.useRealTimers();
+	});
+
 	// Guards against a process whose memory for answers is used up after some hours by attempts that are over.
 	it.each(ENDINGS)('is free again when it %s', async (_name, options, finish, kind) => {
 		const memory = createAnswerMemory();
