fix(gateway): reads of much from upstreams share the processor time

What callers saw: requests to sound services late or unanswered while upstreams of another send bodies or events without end.

Cause: Node reads up to 32 times from a socket in an iteration of the event loop, and each read is parsed and handled at once. With a hundred such sockets a timer or a request of somebody else waits for all of them in each iteration. Bounds in bytes do not help, since a byte of small events costs a hundred times one of a plain body.

Change: after a read of 2 KiB or more a connection reads no further until its turn at a gate, which all connections of the process share. A read is charged with the time from its arrival until its bytes are handled; what the last one cost is charged in advance, so that many turns granted at once do not overshoot. Smaller reads pass without a turn, nothing runs while nobody waits, and a connection whose request is over does not wait, so that its end is seen. An aborted request leaves the gate when its connection closes.

--- a/packages/gateway/src/forward/__tests__/create-connection-reads.test.ts
+++ b/packages/gateway/src/forward/__tests__/create-connection-reads.test.ts
@@ -17,6 +17,8 @@
 const CHUNKED = `${HEAD}Transfer-Encoding: chunked\r\n\r\n`;
 const FILL = 'x'.repeat(64 * KIBIBYTE);
 const FIELDS = 'X-Another: one\r\n'.repeat(4096);
+/** The time between two tokens of a stream for 95 in 100. */
+const TOKEN_INTERVAL_MS = 65;
 
 type Outcome = {readonly end: 'whole' | 'failed'; readonly message: string; readonly body: Uint8Array};
 
@@ -91,6 +93,13 @@
 	return sockets;
 };
 
+const block = (ms: number): void => {
+	const startedAt = performance.now();
+	while (performance.now() - startedAt < ms) {
+		// Stands for work on what has arrived.
+	}
+};
+
 describe('bytes that are no answer', () => {
 	const CASES: ReadonlyArray<readonly [string, string, string]> = [
 		['in the status line', 'HTTP/1.1 200 ', FILL],
@@ -227,6 +236,55 @@
 		expect(mostBytes).toBeLessThan(64 * KIBIBYTE);
 	});
 
+	// Guards against callers that starve while others' upstreams send much: Node reads up to 2 MiB of each connection before anything else gets its turn.
+	it('leave the time to others, whatever a piece costs', async () => {
+		const faulty = await Promise.all(Array.from({length: 20}, async () => startRawUpstream(socket => {
+			sendEndlessly(socket, `${HEAD}\r\n`, FILL);
+		})));
+		const sound = await startRawUpstream(socket => {
+			socket.write(`${HEAD}Content-Length: 2\r\n\r\nok`);
+		});
+		await startRequest(sound).outcome;
+		const floods = faulty.map(pool => startRequest(pool, () => {
+			block(1);
+		}));
+		await delay(100);
+		const latencies: number[] = [];
+		for (let round = 0; round < 20; round++) {
+			const startedAt = performance.now();
+			await startRequest(sound).outcome;
+			latencies.push(performance.now() - startedAt);
+		}
+
+		for (const {exchange} of floods) {
+			exchange.abort();
+		}
+
+		expect(latencies.toSorted((a, b) => a - b)[10]).toBeLessThan(TOKEN_INTERVAL_MS);
+	});
+
+	it('leave the gate when their request is aborted', async () => {
+		const connected: Socket[] = [];
+		const faulty = await Promise.all(Array.from({length: 10}, async () => startRawUpstream(socket => {
+			connected.push(socket);
+			sendEndlessly(socket, `${HEAD}\r\n`, FILL);
+		})));
+		const floods = faulty.map(pool => startRequest(pool, () => {
+			block(2);
+		}));
+		await vi.waitFor(() => {
+			expect(upstreamReads.gate.countWaiting()).toBeGreaterThan(5);
+		}, {interval: 1});
+		for (const {exchange} of floods) {
+			exchange.abort();
+		}
+
+		await vi.waitFor(() => {
+			expect(connected.map(({destroyed}) => destroyed)).toEqual(faulty.map(() => true));
+		});
+		expect(upstreamReads.gate.countWaiting()).toBe(0);
+	});
+
 	// The end of the connection is seen at the next read only.
 	it('see the end of an answer without length and a reset', async () => {
 		const whole = await startRawUpstream(socket => {
--- a/packages/gateway/src/forward/create-connection-reads.ts
+++ b/packages/gateway/src/forward/create-connection-reads.ts
@@ -9,6 +9,8 @@
 
 While a caller is slow, nothing is read until undici has taken what is there, since
 undici itself reads once more at each resumption, however little it takes.
+
+A large read stops the reading until the next turn at the gate.
 */
 import {Buffer} from 'node:buffer';
 import type {OnReadOpts, Socket} from 'node:net';
@@ -23,6 +25,8 @@
 const SMALL_READ_BYTES = 2 * KIBIBYTE;
 /** Size of a read within a body, and what is kept while undici takes nothing. */
 const LARGE_READ_BYTES = 16 * KIBIBYTE;
+/** A read that brings as many bytes as this is large: the next one waits for its turn at the gate. */
+const LARGE_FROM_BYTES = SMALL_READ_BYTES;
 
 /** Filled and copied in one go, so that one buffer serves all connections. */
 const largeBuffer = Buffer.allocUnsafeSlow(LARGE_READ_BYTES);
@@ -37,19 +41,56 @@
 };
 
 /** `socketOptions` are for the socket's constructor, and `attach` must be called before anything is read from it. */
-export const createConnectionReads = ({counts}: typeof upstreamReads) => {
+export const createConnectionReads = ({gate, counts}: typeof upstreamReads) => {
 	let socket: Socket;
 	/** What may arrive next; a connection without a request is `idle`. */
 	let expected: CutReason = 'idle';
 	let bytesWithoutProgress = 0;
 	let wasUnproductive = false;
+	let wasLarge = false;
 	/** Whether the stream has asked for bytes and reading has not been started since. */
 	let isReadOwed = false;
 	let isCheckScheduled = false;
+	let measuredFrom: number | undefined;
+	let largeBytes = LARGE_FROM_BYTES;
+	let largeMs = 0;
+	let turn: Parameters<typeof gate.wait>[0] | undefined;
+	let prepaidMs = 0;
 	let startReading: (size: number) => void;
 
 	const chooseBuffer = (): Uint8Array => expected === 'body' && !wasUnproductive ? largeBuffer : smallBuffer;
 
+	const returnPrepaid = (): void => {
+		gate.charge(-prepaidMs);
+		prepaidMs = 0;
+	};
+
+	const finishMeasuring = (): void => {
+		largeMs = performance.now() - measuredFrom!;
+		measuredFrom = undefined;
+		counts.largeMs += largeMs;
+		gate.charge(largeMs - prepaidMs);
+		prepaidMs = 0;
+	};
+
+	/** Measures until the bytes have been handled: they are parsed in a tick that is scheduled before. */
+	const scheduleMeasuring = (): void => {
+		process.nextTick(finishMeasuring);
+	};
+
+	const waitForTurn = (): void => {
+		const expectedMs = largeMs / largeBytes * chooseBuffer().length;
+		turn = {
+			expectedMs,
+			start() {
+				turn = undefined;
+				prepaidMs = expectedMs;
+				startReading(LARGE_READ_BYTES);
+			},
+		};
+		gate.wait(turn);
+	};
+
 	const startOwedRead = (): void => {
 		isCheckScheduled = false;
 		// If too much is there, the next call of `read` schedules this again.
@@ -58,7 +99,11 @@
 		}
 
 		isReadOwed = false;
-		startReading(LARGE_READ_BYTES);
+		if (wasLarge) {
+			waitForTurn();
+		} else {
+			startReading(LARGE_READ_BYTES);
+		}
 	};
 
 	/** Undici gives back what it does not take, after it has called `read`. */
@@ -77,16 +122,29 @@
 	};
 
 	const receive = (byteCount: number, buffer: Uint8Array): boolean => {
+		const startedAt = performance.now();
 		if (expected === 'idle' || bytesWithoutProgress >= MAX_BYTES_WITHOUT_PROGRESS) {
 			return cut();
 		}
 
 		wasUnproductive = bytesWithoutProgress > 0;
 		bytesWithoutProgress += byteCount;
-		counts.bytes += byteCount;
+		wasLarge = byteCount >= LARGE_FROM_BYTES;
+		const size = wasLarge ? 'large' : 'small';
+		counts.reads[size]++;
+		counts.bytes[size] += byteCount;
 		const copy = Buffer.allocUnsafeSlow(byteCount);
 		copy.set(buffer.subarray(0, byteCount));
-		return socket.push(copy);
+		const hasRoom = socket.push(copy);
+		if (!wasLarge) {
+			returnPrepaid();
+			return hasRoom;
+		}
+
+		largeBytes = byteCount;
+		measuredFrom = startedAt;
+		scheduleMeasuring();
+		return false;
 	};
 
 	const onread: OnReadOpts = {buffer: chooseBuffer, callback: receive};
@@ -99,7 +157,7 @@
 			const read = Duplex.prototype.read.bind(connecting);
 			startReading = socket._read.bind(socket);
 			socket._read = () => {
-				if (socket.readableLength < LARGE_READ_BYTES) {
+				if (!wasLarge && socket.readableLength < LARGE_READ_BYTES) {
 					startReading(LARGE_READ_BYTES);
 					return;
 				}
@@ -109,10 +167,27 @@
 			};
 
 			socket.read = size => {
+				const startedAt = performance.now();
 				const chunk: unknown = read(size);
 				scheduleOwedRead();
+				// Bytes that waited for a slow caller are parsed when it takes more.
+				if (wasLarge && chunk !== null && measuredFrom === undefined) {
+					measuredFrom = startedAt;
+					scheduleMeasuring();
+				}
+
 				return chunk;
 			};
+
+			socket.once('close', () => {
+				isReadOwed = false;
+				if (turn) {
+					gate.leave(turn);
+					turn = undefined;
+				}
+
+				returnPrepaid();
+			});
 		},
 		/** Must be called when a request begins, before its bytes are sent. */
 		startRequest(): void {
@@ -124,9 +199,14 @@
 			expected = 'body';
 			bytesWithoutProgress = 0;
 		},
-		/** Must be called when the request is over. */
+		/** Must be called when the request is over. The end of the connection must be seen without delay from then on. */
 		endRequest(): void {
 			expected = 'idle';
+			wasLarge = false;
+			if (turn && gate.leave(turn)) {
+				turn = undefined;
+				startReading(LARGE_READ_BYTES);
+			}
 		},
 	};
 };
