fix(gateway): requests that Node parses after their connection has closed are not begun

What callers could see: nothing; a gateway held such requests for ever.

Cause: when a connection closes while Node parses what it has read of it, the requests behind are still reported, on a socket whose close event is over, so that their end is never told.

Change: a connection that is not open any more counts as closed, and what is parsed of it is dropped, as after a close by this side.

--- a/packages/gateway/src/http/track-connections.ts
+++ b/packages/gateway/src/http/track-connections.ts
@@ -27,7 +27,7 @@
 };
 
 type ConnectionTracker = {
-	/** Whether this side has closed the connection; what arrives on it gets no answer, and its sender sees the close. */
+	/** Whether this side has closed the connection, or it is closed altogether; what arrives on it gets no answer, and its sender sees the close. Node may parse the rest of what it has read after the close. */
 	readonly isClosed: (socket: Socket) => boolean;
 	/** Closes each connection whose answers have all been written out and on which no further request has begun. A connection without a request yet is not idle: its caller is about to send. */
 	readonly closeIdle: () => void;
@@ -80,7 +80,7 @@
 	};
 
 	return {
-		isClosed: socket => connections.get(socket)?.isClosed ?? false,
+		isClosed: socket => connections.get(socket)?.isClosed ?? true,
 		closeIdle() {
 			for (const [socket, connection] of connections) {
 				if (!connection.isClosed && connection.openAnswers.size === 0 && connection.bytesRead === socket.bytesRead) {
