fix(gateway): the requests under way have a bound, also those without a body

What callers could see: a gateway that ran out of memory under requests that each are small, as when a caller sends them without waiting for answers, or when an upstream does not answer; all others ended with it.

Cause: the number of requests under way had no bound.

Change: each request takes 8 KiB and the size of its head from the budget of the bodies, 4,096 requests at the most; one beyond it is refused as not run (no-room). A refused request gives its part back at once and not when its connection closes up to 1 s later: before, 60 callers whose bodies grew together were all refused, and none of them served.

Not bounded: the connections themselves, some 20 KB each, both ends counted (trial with 1,000).

--- a/packages/gateway/src/host/register-gateway-gauges.ts
+++ b/packages/gateway/src/host/register-gateway-gauges.ts
@@ -18,7 +18,7 @@
 	readonly memory: Pick<AnswerMemory, 'heldBytes'>;
 	readonly countActive: () => number;
 	readonly countConnections: () => number;
-	/** Bytes that callers' bodies take. */
+	/** Bytes that callers' requests take. */
 	readonly heldBytes: () => number;
 	readonly loop: Pick<ReturnType<typeof createLoopMonitor>, 'read'>;
 	/** When the platform's service last answered, by `performance.now()`. */
@@ -40,6 +40,6 @@
 	addGauge('siskinhub_loop_utilization', 'Recent share of the time in which the event loop was busy; first calls of programs are refused while it is high.', () => loop.read().utilization);
 	addGauge('siskinhub_calls_active', 'Requests whose answers are not over.', countActive);
 	addGauge('siskinhub_caller_connections', 'Open connections from callers.', countConnections);
-	addGauge('siskinhub_caller_bytes', 'Bytes of callers\' bodies that are read or kept until the answers are over; a request beyond their bound is refused.', heldBytes);
+	addGauge('siskinhub_caller_bytes', 'Bytes that callers\' requests take until their answers are over, with a fixed cost of each; one beyond their bound is refused.', heldBytes);
 	addGauge('siskinhub_answer_bytes', 'Bytes of answers that wait to be passed on, or to be taken by callers.', memory.heldBytes);
 };
--- a/packages/gateway/src/http/create-byte-budget.ts
+++ b/packages/gateway/src/http/create-byte-budget.ts
@@ -9,14 +9,14 @@
 type ByteBudget = {
 	/** Bytes that all requests hold now. */
 	readonly heldBytes: () => number;
-	/** Begins to count what one request holds; it holds nothing at first. */
-	readonly open: () => ByteReservation;
+	/** Begins to count what one request holds, which is `fixedBytes` at first; returns `undefined` if there is no room for these. */
+	readonly open: (fixedBytes: number) => ByteReservation | undefined;
 };
 
 export type ByteReservation = {
 	/** Whether `growTo` would succeed now. */
 	readonly canGrowTo: (bytes: number) => boolean;
-	/** Raises what the request holds to `bytes`; returns `false` and changes nothing if there is no room for that, or after `release`. */
+	/** Raises what the request holds beside its fixed bytes to `bytes`; returns `false` and changes nothing if there is no room for that, or after `release`. */
 	readonly growTo: (bytes: number) => boolean;
 	/** Gives back all that the request holds. Further calls change nothing. */
 	readonly release: () => void;
@@ -26,10 +26,15 @@
 	let heldBytes = 0;
 	return {
 		heldBytes: () => heldBytes,
-		open() {
-			let ownBytes = 0;
+		open(fixedBytes) {
+			if (heldBytes + fixedBytes > maxBytes) {
+				return undefined;
+			}
+
+			let ownBytes = fixedBytes;
 			let isOpen = true;
-			const canGrowTo = (bytes: number): boolean => isOpen && heldBytes - ownBytes + bytes <= maxBytes;
+			heldBytes += fixedBytes;
+			const canGrowTo = (bytes: number): boolean => isOpen && heldBytes - ownBytes + fixedBytes + bytes <= maxBytes;
 			return {
 				canGrowTo,
 				growTo(bytes) {
@@ -37,7 +42,7 @@
 						return false;
 					}
 
-					const more = Math.max(0, bytes - ownBytes);
+					const more = Math.max(0, fixedBytes + bytes - ownBytes);
 					ownBytes += more;
 					heldBytes += more;
 					return true;
--- a/packages/gateway/src/http/create-gateway-server.ts
+++ b/packages/gateway/src/http/create-gateway-server.ts
@@ -52,7 +52,7 @@
 	readonly maxBodyMs?: (call: CallHead) => number;
 	/** Called with a request whose body was not read whole; it must be refused as not run. `durationMs` is the time since it arrived. */
 	readonly onUnread: (call: CallHead, response: CallerResponse, unread: {readonly reason: UnreadReason; readonly durationMs: number}) => void;
-	/** Bytes that the bodies of all requests may take together; a third of what the smallest gateway, of 178 MB, has beside the 73 MB of a fresh process, by default. */
+	/** Bytes that all requests may take together; a third of what the smallest gateway, of 178 MB, has beside the 73 MB of a fresh process, by default. */
 	readonly maxHeldBytes?: number;
 	readonly onCall: (call: CallHead, body: Uint8Array, response: CallerResponse, active: ActiveCall) => Promise<void>;
 	/** Called with the reason after an unexpected error, which ends only the one request. */
@@ -72,7 +72,7 @@
 	readonly countAccepted: () => number;
 	/** Counts the connections that are open. */
 	readonly countConnections: () => number;
-	/** Bytes that the bodies of all requests take now. */
+	/** Bytes that all requests take now, by their heads and bodies and a fixed cost of each. */
 	readonly heldBytes: () => number;
 	/** Closes each connection without a request in flight; for the end of the process. */
 	readonly closeSilent: () => void;
@@ -84,6 +84,8 @@
 const STATUS_BAD_GATEWAY = 502;
 const STATUS_VERSION_NOT_SUPPORTED = 505;
 const DEFAULT_MAX_BODY_BYTES = 4 * 1024 * 1024;
+/** What a request costs beside the bytes of its head and body: its objects in Node and here, by measurement. */
+const REQUEST_BYTES = 8 * 1024;
 const DEFAULT_MAX_HELD_BYTES = 32 * 1024 * 1024;
 const DEFAULT_MAX_BODY_MS = 15_000;
 const TIMEOUT_CHECK_INTERVAL_MS = 1000;
@@ -156,27 +158,40 @@
 
 		res.on('close', endActive);
 		const response = createCallerResponse(res, {encodeRefusal: retryAfterMs => codec.encodeRefusal(call.value, retryAfterMs), onRefused: endActive, holding: memory?.open()});
+		const headBytes = countHeadBytes(req);
+		const held = budget.open(REQUEST_BYTES + headBytes);
+		// Until the end of its response, since the body may be sent to another upstream or be kept.
+		res.on('close', () => held?.release());
+		const refuseUnread = (reason: UnreadReason): void => {
+			res.shouldKeepAlive = false;
+			// What was read is dropped, though the connection stays open for the rest.
+			held?.release();
+			onUnread(call.value, response, {reason, durationMs: Date.now() - arrivedAt});
+		};
+
 		if (!hasChunks(req)) {
 			onRejected('the request is not of HTTP/1.1, and an older version cannot mark the end of a response', STATUS_VERSION_NOT_SUPPORTED);
 			response.refuse(STATUS_VERSION_NOT_SUPPORTED);
 			return;
 		}
 
-		if (countHeadBytes(req) > (limits()?.maxHeaderBytes ?? MAX_HEADER_BYTES)) {
+		if (headBytes > (limits()?.maxHeaderBytes ?? MAX_HEADER_BYTES)) {
 			res.shouldKeepAlive = false;
 			onRejected('the head of the request exceeds the limit maxHeaderBytes', STATUS_HEAD_TOO_LARGE);
 			response.refuse(STATUS_HEAD_TOO_LARGE);
 			return;
 		}
 
+		if (!held) {
+			refuseUnread('no-room');
+			return;
+		}
+
 		if (!isAdmitted(call.value)) {
 			onRefused(call.value, response);
 			return;
 		}
 
-		const held = budget.open();
-		// Until the end of its response, since the body may be sent to another upstream or be kept.
-		res.on('close', held.release);
 		const body = await waitUnlessStopped(active, readBody(req, {
 			maxBytes: limits()?.maxBodyBytes ?? DEFAULT_MAX_BODY_BYTES, maxMs: arrivedAt + maxBodyMs(call.value) - Date.now(), held,
 		}));
@@ -194,14 +209,14 @@
 
 		if (body.kind === 'too-large') {
 			res.shouldKeepAlive = false;
+			held.release();
 			onRejected(body.reason, 413);
 			response.refuse(413);
 			return;
 		}
 
 		if (body.kind !== 'broken-off') {
-			res.shouldKeepAlive = false;
-			onUnread(call.value, response, {reason: body.kind, durationMs: Date.now() - arrivedAt});
+			refuseUnread(body.kind);
 		}
 	};
 
--- a/packages/gateway/src/http/read-body.ts
+++ b/packages/gateway/src/http/read-body.ts
@@ -43,7 +43,7 @@
 		return;
 	}
 
-	const joiner = createBodyJoiner(announced);
+	let joiner = createBodyJoiner(announced);
 	let bytes = 0;
 	let pieces = 0;
 	const end = (outcome: ReadBody): void => {
@@ -54,6 +54,8 @@
 	const giveUp = (outcome: ReadBody): void => {
 		req.off('data', onData);
 		req.pause();
+		// The request may live on for a while.
+		joiner = createBodyJoiner(0);
 		end(outcome);
 	};
 
