fix(gateway): tiny pieces that come at once are written to the caller together

A faulty upstream that put thousands of tiny events into one read cost a write each on the way to its caller: several objects until the caller took it, of which the bound in bytes saw only the bytes. Plain answers that are passed on were gathered already.

Change: both gather now in the writer. The first piece of a turn of the event loop is written at once, small ones after it with the next 4 KiB or at the end of the turn, so a stream of one event at a time does not wait. What counts as passed on is written before an attempt ends, also if the stream goes on at another upstream.

Evidence: 10,000 events of one read were 10,000 writes, now fewer than 30; the test fails on the code before.

--- a/packages/gateway/src/forward/__tests__/run-attempt.test.ts
+++ b/packages/gateway/src/forward/__tests__/run-attempt.test.ts
@@ -292,3 +292,44 @@
 		expect(attempt.isAborted()).toBe(true);
 	});
 });
+
+describe('a stream of tiny events', () => {
+	// Guards against the memory that each tiny event of one read cost on its way to a slow caller.
+	it('is written in few pieces if many come at once', async () => {
+		const attempt = start({kind: 'stream'});
+		attempt.sendHead();
+		for (let count = 0; count < 10_000; count++) {
+			attempt.send('data: x\n\n');
+		}
+
+		attempt.end();
+		expect(await attempt.result).toMatchObject({kind: 'done'});
+		expect(attempt.written.length).toBeLessThan(30);
+		expect(Buffer.concat(attempt.written).toString()).toBe('data: x\n\n'.repeat(10_000));
+	});
+
+	it('is written at once if one comes at a time', async () => {
+		const attempt = start({kind: 'stream'});
+		attempt.sendHead();
+		for (let count = 1; count < 10; count++) {
+			attempt.send('data: x\n\n');
+			expect(attempt.written.length).toBe(count);
+			await endTurn();
+		}
+
+		attempt.leave();
+	});
+
+	it('has reached the caller up to its last event when the attempt ends', async () => {
+		const attempt = start({kind: 'stream'});
+		attempt.sendHead();
+		for (let count = 0; count < 10; count++) {
+			attempt.send('data: x\n\n');
+		}
+
+		attempt.send('data: half');
+		attempt.fail();
+		expect(Buffer.concat(attempt.written).toString()).toBe('data: x\n\n'.repeat(10));
+		expect(await attempt.result).toMatchObject({kind: 'broken'});
+	});
+});
--- a/packages/gateway/src/forward/create-plain-forwarder.ts
+++ b/packages/gateway/src/forward/create-plain-forwarder.ts
@@ -18,42 +18,13 @@
 
 /** A larger response is forwarded in pieces, and its request can no longer be retried. */
 const PLAIN_SHARE: AnswerShare = {limitBytes: 1024 * 1024, partOfFree: 1 / 8};
-/** Each write costs several objects until the caller takes it, so smaller pieces are gathered. */
-const MIN_WRITE_BYTES = 4096;
 
 export const createPlainForwarder = ({response, holding, startResponse, write, onPassedOnEarly}: PlainOptions) => {
 	const kept = createByteBlocks();
-	let flushing: NodeJS.Immediate | undefined;
-
-	const flush = (): void => {
-		clearImmediate(flushing);
-		flushing = undefined;
-		for (const block of kept.take()) {
-			write(block);
-		}
-
-		holding.hold(0);
-	};
-
-	const writeGathered = (chunk: Uint8Array): void => {
-		if (chunk.length >= MIN_WRITE_BYTES && kept.size() === 0) {
-			write(chunk);
-			return;
-		}
-
-		kept.append(chunk);
-		holding.hold(kept.capacity());
-		if (kept.size() >= MIN_WRITE_BYTES) {
-			flush();
-		} else {
-			flushing ??= setImmediate(flush);
-		}
-	};
-
 	return {
 		receive(chunk: Uint8Array): void {
 			if (response.isStarted()) {
-				writeGathered(chunk);
+				write(chunk);
 				return;
 			}
 
@@ -61,12 +32,15 @@
 			if (!holding.tryHold(kept.capacity(), PLAIN_SHARE)) {
 				onPassedOnEarly();
 				startResponse();
-				flush();
+				for (const block of kept.take()) {
+					write(block);
+				}
+
+				holding.hold(0);
 			}
 		},
-		/** Sends what is left and ends the response. May be called after the attempt has ended. */
+		/** Sends what is kept and ends the response. May be called after the attempt has ended. */
 		finish(): void {
-			clearImmediate(flushing);
 			startResponse();
 			const blocks = kept.take();
 			for (const block of blocks.slice(0, -1)) {
@@ -75,10 +49,5 @@
 
 			response.finish(blocks.at(-1));
 		},
-		/** Nothing more is received; what is kept may still be sent by `finish`. */
-		stop(): void {
-			clearImmediate(flushing);
-			flushing = undefined;
-		},
 	};
 };
--- a/packages/gateway/src/forward/run-attempt.ts
+++ b/packages/gateway/src/forward/run-attempt.ts
@@ -63,7 +63,8 @@
 			isSettled = true;
 			clearTimeout(timer);
 			stream.stop();
-			plain.stop();
+			// The caller has what counts as passed on, also if the stream goes on elsewhere.
+			writer.flush();
 			holding.release();
 			resolve(result);
 		}
@@ -94,7 +95,7 @@
 			exchange.resume();
 		},
 	};
-	const write = createCallerWriter({response, ...flow});
+	const writer = createCallerWriter({response, ...flow});
 
 	const stream = createStreamForwarder({
 		progress,
@@ -102,7 +103,7 @@
 		recordEvents,
 		startResponse,
 		confirmFirstEvent,
-		write,
+		write: writer.write,
 		...flow,
 		onExcess,
 		onRejected(message) {
@@ -114,7 +115,7 @@
 		response,
 		holding,
 		startResponse,
-		write,
+		write: writer.write,
 		onPassedOnEarly() {
 			onExcess('plain-passed-on');
 		},
@@ -138,6 +139,7 @@
 		}
 
 		startResponse();
+		writer.flush();
 		response.finish(remainder.length > 0 ? remainder : undefined);
 		settle({kind: 'done', status: head!.status, isFramed: head!.isFramed});
 	};
@@ -148,6 +150,7 @@
 			return;
 		}
 
+		writer.flush();
 		plain.finish();
 		settle({kind: 'done', status: head!.status, isFramed: head!.isFramed});
 	};
