feat(gateway): what is read from upstreams, and cut, is counted

Nothing told an operator that an upstream sends without end. New metrics: reads and bytes by size, time that large reads took, connections that wait for their share of the time, connections closed because what arrived was no answer. They are read from counts of the process whenever the metrics are collected (GatewayMetrics.addCounter).

--- a/packages/gateway/src/host/register-gateway-gauges.ts
+++ b/packages/gateway/src/host/register-gateway-gauges.ts
@@ -6,6 +6,7 @@
 import {listGroups} from '@siskinhub/turns/membership/list-groups.js';
 import type {HolderClient} from '@siskinhub/turns/client/holder-client.js';
 import type {createLoopMonitor} from '../admission/create-loop-monitor.js';
+import type {upstreamReads} from '../forward/upstream-reads.js';
 import type {GatewayMetrics} from '../metrics/gateway-metrics.js';
 import type {RouteTable} from '../routes/route-table.js';
 
@@ -16,6 +17,7 @@
 	readonly registry: Pick<HolderRegistry, 'readList' | 'listDisks'>;
 	readonly countActive: () => number;
 	readonly loop: Pick<ReturnType<typeof createLoopMonitor>, 'read'>;
+	readonly reads: typeof upstreamReads;
 	/** When the platform's service last answered, by `performance.now()`. */
 	readonly lastReadAt: () => number;
 };
@@ -23,7 +25,7 @@
 const MS_PER_S = 1000;
 
 /** The gauges read the state each time the metrics are collected. */
-export const registerGatewayGauges = ({addGauge}: GatewayMetrics, {routes, view, holderClient, registry, loop, countActive, lastReadAt}: GatewayState): void => {
+export const registerGatewayGauges = ({addGauge, addCounter}: GatewayMetrics, {routes, view, holderClient, registry, loop, countActive, reads, lastReadAt}: GatewayState): void => {
 	addGauge('siskinhub_routes_version', 'Version of the declared routes in force; 0 before the first.', () => routes.current()?.version ?? 0);
 	addGauge('siskinhub_declared_revision', 'Revision of the platform\'s service up to which this process knows the declared state.', view.revision);
 	addGauge('siskinhub_declared_age_seconds', 'Seconds since the platform\'s service last told the declared state.', () => (performance.now() - lastReadAt()) / MS_PER_S);
@@ -34,4 +36,9 @@
 	addGauge('siskinhub_queue_seconds', 'Recent time until data that has arrived is handled.', () => loop.read().queueMs / MS_PER_S);
 	addGauge('siskinhub_loop_utilization', 'Recent share of the time in which the event loop was busy; first calls of programs are refused while it is high.', () => loop.read().utilization);
 	addGauge('siskinhub_calls_active', 'Requests whose answers are not over.', countActive);
+	addGauge('siskinhub_upstream_reads_waiting', 'Connections to upstreams whose next bytes wait for a share of the processor time.', reads.gate.countWaiting);
+	addCounter('siskinhub_upstream_reads_total', 'Reads from upstreams by size.', 'size', () => reads.counts.reads);
+	addCounter('siskinhub_upstream_read_bytes_total', 'Bytes read from upstreams by the size of the read.', 'size', () => reads.counts.bytes);
+	addCounter('siskinhub_upstream_read_ms_total', 'Milliseconds of processor time for the bytes of large reads from upstreams.', 'size', () => ({large: reads.counts.largeMs}));
+	addCounter('siskinhub_cut_connections_total', 'Connections to upstreams closed because bytes arrived that were no answer, by what was expected.', 'expected', () => reads.counts.cut);
 };
--- a/packages/gateway/src/host/start-gateway.ts
+++ b/packages/gateway/src/host/start-gateway.ts
@@ -24,6 +24,7 @@
 import {createCrashWatch} from '../crashes/create-crash-watch.js';
 import {createCrashTracker} from '../crashes/create-crash-tracker.js';
 import {createUpstreamPools} from '../forward/create-upstream-pools.js';
+import {upstreamReads} from '../forward/upstream-reads.js';
 import {logCutCalls} from '../forward/log-cut-calls.js';
 import {runCall} from '../forward/run-call.js';
 import {createLimitBook} from '../limits/create-limit-book.js';
@@ -211,7 +212,7 @@
 	});
 	metrics.addLimits(limitBook.listLimits);
 	registerGatewayGauges(metrics, {
-		routes, view, holderClient, registry, loop, countActive: server.countActive, lastReadAt: follower.lastReadAt,
+		routes, view, holderClient, registry, loop, countActive: server.countActive, reads: upstreamReads, lastReadAt: follower.lastReadAt,
 	});
 	const metricsServer = await serveText({...cfg.metrics, ...waiting}, async () => ({status: 200, text: await metrics.render()}));
 	log.info('gateway started', {dataCentre: cfg.dataCentre, callers: cfg.callers});
--- a/packages/gateway/src/metrics/__tests__/create-gateway-metrics.test.ts
+++ b/packages/gateway/src/metrics/__tests__/create-gateway-metrics.test.ts
@@ -33,3 +33,15 @@
 		expect(text).toContain(line);
 	}
 });
+
+it('reads counters with a label at collection', async () => {
+	const metrics = createGatewayMetrics();
+	let head = 1;
+	metrics.addCounter('siskinhub_cut_connections_total', 'Cut.', 'expected', () => ({head, body: 0}));
+	await metrics.render();
+	head = 3;
+	const text = await metrics.render();
+	expect(text).toContain('# TYPE siskinhub_cut_connections_total counter');
+	expect(text).toContain('siskinhub_cut_connections_total{expected="head"} 3');
+	expect(text).toContain('siskinhub_cut_connections_total{expected="body"} 0');
+});
--- a/packages/gateway/src/metrics/create-gateway-metrics.ts
+++ b/packages/gateway/src/metrics/create-gateway-metrics.ts
@@ -135,6 +135,16 @@
 				},
 			});
 		},
+		addCounter(name, help, label, read) {
+			const counter: Counter = new Counter({
+				name, help, labelNames: [label], registers, collect() {
+					counter.reset();
+					for (const [value, count] of Object.entries(read())) {
+						counter.inc({[label]: value}, count);
+					}
+				},
+			});
+		},
 		render: async () => registers[0]!.metrics(),
 	};
 };
--- a/packages/gateway/src/metrics/gateway-metrics.ts
+++ b/packages/gateway/src/metrics/gateway-metrics.ts
@@ -44,6 +44,8 @@
 	readonly addLimits: (read: () => ReadonlyArray<{readonly upstream: string; readonly perSecond: number}>) => void;
 	/** Adds a gauge that calls `read` whenever the metrics are collected. */
 	readonly addGauge: (name: string, help: string, read: () => number) => void;
+	/** Adds a counter with the values that `read` returns whenever the metrics are collected, by label; they never fall. */
+	readonly addCounter: (name: string, help: string, label: string, read: () => Readonly<Record<string, number>>) => void;
 	/** Returns all metrics in the text format of Prometheus. */
 	readonly render: () => Promise<string>;
 };
