--- a/packages/gateway/src/host/register-gateway-gauges.ts
+++ b/packages/gateway/src/host/register-gateway-gauges.ts
@@ -7,6 +7,7 @@
 import type {HolderClient} from '@siskinhub/turns/client/holder-client.js';
 import type {createLoopMonitor} from '../admission/create-loop-monitor.js';
 import type {AnswerMemory} from '../forward/answer-memory.js';
+import type {upstreamReads} from '../forward/upstream-reads.js';
 import type {GatewayMetrics} from '../metrics/gateway-metrics.js';
 import type {RouteTable} from '../routes/route-table.js';
 
@@ -21,6 +22,7 @@
 	/** Bytes that callers' requests take. */
 	readonly heldBytes: () => number;
 	readonly loop: Pick<ReturnType<typeof createLoopMonitor>, 'read'>;
+	readonly reads: typeof upstreamReads;
 	/** When the platform's service last answered, by `performance.now()`. */
 	readonly lastReadAt: () => number;
 };
@@ -28,7 +30,7 @@
 const MS_PER_S = 1000;
 
 /** The gauges read the state each time the metrics are collected. */
-export const registerGatewayGauges = ({addGauge}: GatewayMetrics, {routes, view, holderClient, registry, loop, memory, countActive, countConnections, heldBytes, lastReadAt}: GatewayState): void => {
+export const registerGatewayGauges = ({addGauge, addCounter}: GatewayMetrics, {routes, view, holderClient, registry, loop, memory, countActive, countConnections, heldBytes, reads, lastReadAt}: GatewayState): void => {
 	addGauge('siskinhub_routes_version', 'Version of the declared routes in force; 0 before the first.', () => routes.current()?.version ?? 0);
 	addGauge('siskinhub_declared_revision', 'Revision of the platform\'s service up to which this process knows the declared state.', view.revision);
 	addGauge('siskinhub_declared_age_seconds', 'Seconds since the platform\'s service last told the declared state.', () => (performance.now() - lastReadAt()) / MS_PER_S);
@@ -42,4 +44,9 @@
 	addGauge('siskinhub_caller_connections', 'Open connections from callers.', countConnections);
 	addGauge('siskinhub_caller_bytes', 'Bytes that callers\' requests take until their answers are over, with a fixed cost of each; one beyond their bound is refused.', heldBytes);
 	addGauge('siskinhub_answer_bytes', 'Bytes of answers that wait to be passed on, or to be taken by callers.', memory.heldBytes);
+	addGauge('siskinhub_upstream_reads_waiting', 'Connections to upstreams whose next bytes wait for a share of the processor time.', reads.gate.countWaiting);
+	addCounter('siskinhub_upstream_reads_total', 'Reads from upstreams by size.', 'size', () => reads.counts.reads);
+	addCounter('siskinhub_upstream_read_bytes_total', 'Bytes read from upstreams by the size of the read.', 'size', () => reads.counts.bytes);
+	addCounter('siskinhub_upstream_read_ms_total', 'Milliseconds of processor time for the bytes of large reads from upstreams.', 'size', () => ({large: reads.counts.largeMs}));
+	addCounter('siskinhub_cut_connections_total', 'Connections to upstreams closed because bytes arrived that were no answer, by what was expected.', 'expected', () => reads.counts.cut);
 };
