fix(gateway): keep calls off upstreams whose every answer is none

Callers saw: with two of three upstreams of a service sending what is no answer, a steady share of all calls went to them, each of which then failed or ran again.

Cause: after a failure an upstream costs as much as 15 calls that run, 60 at most, half of it a second later. Under load more than that run at the sound upstream, so the faulty ones are chosen again, however often they have failed.

Change: after three answers, one after the other, that break off or are none, an upstream gets one call at a time after a pause of 0.5 s that doubles up to 2 s, until one is served. Calls that may not be repeated wait for one pause more. If no other upstream is left it gets calls as before. Calls that overlapped count once, so a reset of all connections suspends nothing. Refusals, signed errors, ends at the deadline, callers who leave and answers that were dropped since holders were away count for nothing against it: under overload all of them come from sound upstreams.

No metric tells of a suspension yet.

--- a/packages/gateway/src/forward/attempt-result.ts
+++ b/packages/gateway/src/forward/attempt-result.ts
@@ -8,13 +8,13 @@
 run the request and will not; `isFull` means that it had no capacity. `unknown`:
 the request may have run, and the caller has received nothing of the response.
 `broken`: the caller has received a part of it. `isConnectionLost`: the upstream's
-connection ended before its response did. `failed`: the upstream reported a
+connection ended before its response did. `isSound`: not the upstream's answer was what went wrong. `failed`: the upstream reported a
 server error, which may be retried; `forwardResponse` sends it to the caller.
 `gone`: the caller disconnected. `timed-out`: the request's deadline passed.
 */
 export type AttemptResult =
 	| {readonly kind: 'done'; readonly status: number; readonly isFramed: boolean}
 	| {readonly kind: 'not-run'; readonly isFull: boolean; readonly message: string}
-	| {readonly kind: 'unknown' | 'broken'; readonly message: string; readonly isConnectionLost: boolean}
+	| {readonly kind: 'unknown' | 'broken'; readonly message: string; readonly isConnectionLost: boolean; readonly isSound?: boolean}
 	| {readonly kind: 'failed'; readonly status: number; readonly forwardResponse: () => void}
 	| {readonly kind: 'gone' | 'timed-out'; readonly wasSent: boolean};
--- a/packages/gateway/src/forward/create-attempt-runner.ts
+++ b/packages/gateway/src/forward/create-attempt-runner.ts
@@ -36,6 +36,23 @@
 
 const describeResult = (result: AttemptResult): string => 'message' in result ? `${result.kind}: ${result.message}` : result.kind;
 
+/** Says what the end of an attempt tells of its upstream's load and answers. */
+const judgeLoadEnd = (result: AttemptResult): 'done' | 'left' | 'failed' | 'unproven' | 'full' => {
+	if (result.kind === 'done') {
+		return 'done';
+	}
+
+	if (result.kind === 'gone') {
+		return 'left';
+	}
+
+	if (result.kind === 'not-run' && result.isFull) {
+		return 'full';
+	}
+
+	return (result.kind === 'unknown' || result.kind === 'broken') && !result.isSound ? 'unproven' : 'failed';
+};
+
 /** Tries no upstream twice. */
 export const createAttemptRunner = (context: GatewayContext, {plan, response, active, turn: {progress, recordEvents, completeTurn, expectedOrigin}}: AttemptRunnerOptions) => {
 	const {directory, loads, limits, pools, codec, metrics, crashes, crashWatch, crashLog, onLeaving} = context;
@@ -162,11 +179,10 @@
 					}
 				},
 			});
-			const isUpstreamOk = result.kind === 'done' || result.kind === 'gone';
 			const isFull = result.kind === 'not-run' && result.isFull;
 			// A limited upstream that refuses is not a failing one, and says nothing about the capacity of the others.
 			const isLimited = isFull && limits.isLimited(upstream);
-			activeCall.end(isUpstreamOk || isLimited ? 'done' : (isFull ? 'full' : 'failed'));
+			activeCall.end(isLimited ? 'done' : judgeLoadEnd(result));
 			if (isLimited) {
 				limits.recordRefusal(upstream);
 			}
--- a/packages/gateway/src/forward/create-stream-forwarder.ts
+++ b/packages/gateway/src/forward/create-stream-forwarder.ts
@@ -19,8 +19,8 @@
 	readonly confirmFirstEvent: () => boolean | Promise<boolean>;
 	readonly pause: () => void;
 	readonly resume: () => void;
-	/** Called once if the attempt must be given up. */
-	readonly onRejected: (message: string) => void;
+	/** Called once if the attempt must be given up; `isSound` if not for what the upstream sent. */
+	readonly onRejected: (message: string, isSound: boolean) => void;
 };
 
 /** Lines that belong to no event. */
@@ -33,10 +33,10 @@
 	let isConfirmed = false;
 	let isStopped = false;
 
-	const reject = (message: string): void => {
+	const reject = (message: string, isSound = false): void => {
 		if (!isStopped) {
 			isStopped = true;
-			onRejected(message);
+			onRejected(message, isSound);
 		}
 	};
 
@@ -75,7 +75,7 @@
 
 	const decide = (mayPass: boolean): void => {
 		if (!mayPass) {
-			reject('the software that runs the stream could not be stored');
+			reject('the software that runs the stream could not be stored', true);
 			return;
 		}
 
--- a/packages/gateway/src/forward/decide-next-step.ts
+++ b/packages/gateway/src/forward/decide-next-step.ts
@@ -6,6 +6,7 @@
 upstreams than its route allows, and a caller is told "not run" only if the
 request has not run anywhere and will not.
 */
+import {isRepeatable} from '../routes/is-repeatable.js';
 import type {Route} from '../routes/route.js';
 import type {AttemptResult} from './attempt-result.js';
 
@@ -27,8 +28,8 @@
 	| {readonly kind: 'break-off'}
 	| {readonly kind: 'none'};
 
-const mayRunAgain = ({kind, isResumable, maxRuns}: Route, {runs, refusals, isPastDeadline}: CallState): boolean =>
-	(kind === 'idempotent' || (kind === 'stream' && isResumable)) && runs < maxRuns && refusals < MAX_REFUSALS && !isPastDeadline;
+const mayRunAgain = (route: Route, {runs, refusals, isPastDeadline}: CallState): boolean =>
+	isRepeatable(route) && runs < route.maxRuns && refusals < MAX_REFUSALS && !isPastDeadline;
 
 /** The final response if the request is not retried. */
 const decideFinalResponse = ({runs, isPastDeadline}: CallState): NextStep => runs === 0
--- a/packages/gateway/src/forward/run-attempt.ts
+++ b/packages/gateway/src/forward/run-attempt.ts
@@ -70,7 +70,7 @@
 		settle(result);
 	};
 
-	const buildBreakResult = (message: string, isConnectionLost: boolean): AttemptResult => ({kind: response.isStarted() ? 'broken' : 'unknown', message, isConnectionLost});
+	const buildBreakResult = (message: string, isConnectionLost: boolean): Extract<AttemptResult, {kind: 'unknown' | 'broken'}> => ({kind: response.isStarted() ? 'broken' : 'unknown', message, isConnectionLost});
 
 	const ignored = createIgnoredRest(() => {
 		exchange.abort();
@@ -103,8 +103,8 @@
 		resume() {
 			exchange.resume();
 		},
-		onRejected(message) {
-			abortWith(buildBreakResult(message, false));
+		onRejected(message, isSound) {
+			abortWith({...buildBreakResult(message, false), isSound});
 		},
 	});
 
@@ -135,7 +135,9 @@
 
 		if (!await completeTurn()) {
 			response.abort();
-			settle({kind: 'broken', message: 'too few copies of the turn could be stored', isConnectionLost: false});
+			settle({
+				kind: 'broken', message: 'too few copies of the turn could be stored', isConnectionLost: false, isSound: true,
+			});
 			return;
 		}
 
@@ -183,7 +185,9 @@
 			case 'failure':
 			case 'server-failure': {
 				if (response.isStarted()) {
-					abortWith({kind: 'broken', message: `the stream could not be resumed: status ${status}`, isConnectionLost: false});
+					abortWith({
+						kind: 'broken', message: `the stream could not be resumed: status ${status}`, isConnectionLost: false, isSound: true,
+					});
 				}
 
 				break;
--- a/packages/gateway/src/placement/__tests__/placement.test.ts
+++ b/packages/gateway/src/placement/__tests__/placement.test.ts
@@ -25,7 +25,7 @@
 
 const createTracker = () => createLoadTracker({dataCentre: OWN_DATA_CENTRE, memoryTokens: () => 200_000});
 const engines = ['a', 'b', 'c', 'd', 'e', 'f', 'g', 'h'].map(id => upstream(id));
-const choose = (loads: ReturnType<typeof createTracker>, call: CallHead) => chooseEngine(call, engines.map(engine => loads.getLoad(engine, call)))!.upstream;
+const choose = (loads: ReturnType<typeof createTracker>, call: CallHead) => chooseEngine(call, engines.map(engine => loads.getLoad(engine, call, true)))!.upstream;
 
 describe('chooseEngine', () => {
 	it('keeps a program on the engine that read its prompt while other programs start', () => {
@@ -47,10 +47,10 @@
 		const [home, other] = engines;
 		const chooseBeside = (waitMs: number) => chooseEngine(call, [
 			{
-				upstream: home!, running: 4, pendingPrefillTokens: 0, waitMs: 450, heldTokens: 4000, penaltyMs: 0, isNear: true,
+				upstream: home!, running: 4, pendingPrefillTokens: 0, waitMs: 450, heldTokens: 4000, penaltyMs: 0, trust: 'trusted', isNear: true,
 			},
 			{
-				upstream: other!, running: 4, pendingPrefillTokens: 0, waitMs, heldTokens: 0, penaltyMs: 0, isNear: true,
+				upstream: other!, running: 4, pendingPrefillTokens: 0, waitMs, heldTokens: 0, penaltyMs: 0, trust: 'trusted', isNear: true,
 			},
 		])!.upstream;
 		expect(chooseBeside(300)).toBe(home);
@@ -95,7 +95,7 @@
 		const all = [...['n1', 'n2', 'n3', 'n4'].map(id => upstream(id)), ...['f1', 'f2', 'f3', 'f4'].map(id => upstream(id, OTHER_DATA_CENTRE))];
 		const counts = new Map<string, number>();
 		for (let index = 0; index < 32; index++) {
-			const {upstream: {id}} = choosePlainUpstream(call, all.map(each => loads.getLoad(each, call)), false, () => 0.5)!;
+			const {upstream: {id}} = choosePlainUpstream(call, all.map(each => loads.getLoad(each, call, true)), false, () => 0.5)!;
 			counts.set(id, (counts.get(id) ?? 0) + 1);
 			loads.beginCall(all.find(each => each.id === id)!, call);
 		}
@@ -108,7 +108,7 @@
 		const loads = createTracker();
 		const all = ['n1', 'n2', 'n3', 'n4'].map(id => upstream(id));
 		const sticky = {...call, affinityKey: '17'};
-		const getLoads = () => all.map(each => loads.getLoad(each, sticky));
+		const getLoads = () => all.map(each => loads.getLoad(each, sticky, true));
 		const first = choosePlainUpstream(sticky, getLoads(), true, Math.random)!.upstream.id;
 		expect(choosePlainUpstream(sticky, getLoads(), true, Math.random)!.upstream.id).toBe(first);
 	});
--- a/packages/gateway/src/placement/__tests__/simulate-fleet.ts
+++ b/packages/gateway/src/placement/__tests__/simulate-fleet.ts
@@ -131,7 +131,7 @@
 			prompt: {promptTokens: parts.reduce((sum, {tokens}) => sum + tokens, 0), maxTokens: OUTPUT_TOKENS, parts},
 		};
 		const tracker = trackers[gateway]!;
-		const {upstream} = chooseEngine(call, upstreams.map(each => tracker.getLoad(each, call)))!;
+		const {upstream} = chooseEngine(call, upstreams.map(each => tracker.getLoad(each, call, true)))!;
 		const active = tracker.beginCall(upstream, call);
 		const sentAt = Date.now();
 		if (upstreams.indexOf(upstream) < hangingEngines && random() < HANG_SHARE) {
--- a/packages/gateway/src/placement/create-load-tracker.ts
+++ b/packages/gateway/src/placement/create-load-tracker.ts
@@ -5,6 +5,7 @@
 */
 import type {DataCentreId} from '@siskinhub/core/ids/data-centre-id.js';
 import type {Upstream} from '../upstreams/upstream.js';
+import {createSuspension} from './create-suspension.js';
 import {createPrefixTracker} from './create-prefix-tracker.js';
 import {createWaitTracker} from './create-wait-tracker.js';
 import type {LoadTracker} from './load-tracker.js';
@@ -23,6 +24,7 @@
 	pendingPrefillTokens: number;
 	penaltyMs: number;
 	penaltySetAt: number;
+	suspension: ReturnType<typeof createSuspension>;
 	prefixes: ReturnType<typeof createPrefixTracker>;
 	waits: ReturnType<ReturnType<typeof createWaitTracker>['track']>;
 };
@@ -51,7 +53,14 @@
 		}
 
 		const entry: LoadEntry = {
-			bornAtMs, running: 0, pendingPrefillTokens: 0, penaltyMs: 0, penaltySetAt: 0, prefixes: createPrefixTracker(memoryTokens(service)), waits: getWaits(service).track(),
+			bornAtMs,
+			running: 0,
+			pendingPrefillTokens: 0,
+			penaltyMs: 0,
+			penaltySetAt: 0,
+			suspension: createSuspension(() => performance.now()),
+			prefixes: createPrefixTracker(memoryTokens(service)),
+			waits: getWaits(service).track(),
 		};
 		entries.set(id, entry);
 		return entry;
@@ -66,7 +75,7 @@
 
 	return {
 		meanWaitMs: service => waitsByService.get(service)?.meanMs() ?? 0,
-		getLoad(upstream, call) {
+		getLoad(upstream, call, isRepeatable) {
 			const entry = getEntry(upstream);
 			return {
 				upstream,
@@ -75,6 +84,7 @@
 				waitMs: entry.waits.estimateMs(),
 				heldTokens: call.prompt ? entry.prefixes.countHeldTokens(call.prompt.parts) : 0,
 				penaltyMs: computePenalty(entry) + (upstream.coldMs > 0 ? COLD_PENALTY_MS : 0),
+				trust: entry.suspension.judge(isRepeatable),
 				isNear: upstream.dataCentre === dataCentre,
 			};
 		},
@@ -82,6 +92,7 @@
 			const entry = getEntry(upstream);
 			const prefillTokens = call.prompt ? Math.max(0, call.prompt.promptTokens - entry.prefixes.countHeldTokens(call.prompt.parts)) : 0;
 			entry.running++;
+			const endOnTrial = entry.suspension.begin();
 			entry.pendingPrefillTokens += prefillTokens;
 			const wait = entry.waits.begin(prefillTokens);
 			if (call.prompt) {
@@ -104,7 +115,8 @@
 				end(outcome) {
 					stopWaiting(false);
 					entry.running--;
-					if (outcome !== 'done') {
+					endOnTrial(outcome === 'unproven' ? false : (outcome === 'done' || outcome === 'full' ? true : undefined));
+					if (outcome !== 'done' && outcome !== 'left') {
 						addPenalty(entry, outcome === 'full' ? FULL_PENALTY_MS : FAILURE_PENALTY_MS);
 					}
 				},
--- a/packages/gateway/src/placement/upstream-load.ts
+++ b/packages/gateway/src/placement/upstream-load.ts
@@ -2,6 +2,7 @@
 The load of one upstream as this process knows it, seen from one call.
 */
 import type {Upstream} from '../upstreams/upstream.js';
+import type {Trust} from './trust.js';
 
 /** Covers only this process's calls; what other processes send to the same upstream shows in `waitMs` alone. */
 export type UpstreamLoad = {
@@ -16,6 +17,8 @@
 	readonly heldTokens: number;
 	/** Milliseconds to add to the cost for recent failures and refusals and for a cold start. */
 	readonly penaltyMs: number;
+	/** Whether its last answers allow the call to be sent there while there are others. */
+	readonly trust: Trust;
 	/** The upstream is in this process's data centre. */
 	readonly isNear: boolean;
 };
