--- a/packages/gateway/src/forward/create-stream-forwarder.ts
+++ b/packages/gateway/src/forward/create-stream-forwarder.ts
@@ -23,8 +23,8 @@
 	readonly write: (bytes: Uint8Array) => void;
 	readonly pause: () => void;
 	readonly resume: () => void;
-	/** Called once if the attempt must be given up. */
-	readonly onRejected: (message: string) => void;
+	/** Called once if the attempt must be given up; `isSound` if not for what the upstream sent. */
+	readonly onRejected: (message: string, isSound: boolean) => void;
 	/** Called before `onRejected` if the stream is no answer because of what it sent. */
 	readonly onExcess: (kind: AnswerExcess['kind']) => void;
 };
@@ -48,10 +48,10 @@
 	let isConfirmed = false;
 	let isStopped = false;
 
-	const reject = (message: string): void => {
+	const reject = (message: string, isSound = false): void => {
 		if (!isStopped) {
 			isStopped = true;
-			onRejected(message);
+			onRejected(message, isSound);
 		}
 	};
 
@@ -91,7 +91,7 @@
 
 	const decide = (mayPass: boolean): void => {
 		if (!mayPass) {
-			reject('the software that runs the stream could not be stored');
+			reject('the software that runs the stream could not be stored', true);
 			return;
 		}
 
