fix(peer): unfinished frames take bounded memory and processor time

What callers could see: a gateway or holder without memory, or with no processor time left for them, because of what some process sends on links.

Evidence: unfinished-frames.test.ts, written before the change: ten links announce 30 MiB each and send all but the last. By reading, fifty such links could hold 3.2 GB.

Change: the bytes of a frame are copied once for each doubling; the unfinished frames of all links share 32 MiB, and past it the link with the most is closed, so that others keep theirs; one frame has 32 MiB at the most in place of 64.

Failed try: a first form of the test bounded the growth of array buffers (150 MiB) and saw 225 with the change. It counted buffers that were given up and not collected yet, beside the test's own sockets; it counts the links that stay open now.

Not bounded: what a frame of many tiny messages takes once it is decoded.

--- a/packages/peer/src/attach-link.ts
+++ b/packages/peer/src/attach-link.ts
@@ -6,42 +6,17 @@
 and iterator layers cost several times the CPU time of a message of a few
 hundred bytes (docs/design/processes-and-links.md).
 */
-import {Buffer} from 'node:buffer';
 import type {Socket} from 'node:net';
-import {fromBinary} from '@bufbuild/protobuf';
-import {sizeDelimitedPeek} from '@bufbuild/protobuf/wire';
-import {FrameSchema, type Frame} from '@siskinhub/proto/gen/siskinhub/peer/v1/peer_pb.js';
+import {createFrameBudget} from './create-frame-budget.js';
+import {createFrameReader} from './create-frame-reader.js';
 import {createLink} from './create-link.js';
 import {createOutboundQueue} from './create-outbound-queue.js';
 import type {LinkSettings} from './link-settings.js';
 import type {PeerLink} from './peer-link.js';
 
-/** A larger announced size means a corrupt stream; the largest valid frames have a few hundred kilobytes. */
-const MAX_FRAME_BYTES = 64 * 1024 * 1024;
-
-/** Returns a function that takes received bytes and returns the frames completed by them. It throws if the bytes are no valid frames. */
-const createFrameReader = () => {
-	let buffered: Uint8Array = new Uint8Array();
-	return (chunk: Uint8Array): Frame[] => {
-		buffered = buffered.length > 0 ? Buffer.concat([buffered, chunk]) : chunk;
-		const frames: Frame[] = [];
-		while (buffered.length > 0) {
-			const {size, offset, eof} = sizeDelimitedPeek(buffered);
-			if (size !== null && size > MAX_FRAME_BYTES) {
-				throw new Error(`frame of ${size} bytes is too large`);
-			}
-
-			if (eof || offset + size > buffered.length) {
-				return frames;
-			}
-
-			frames.push(fromBinary(FrameSchema, buffered.subarray(offset, offset + size)));
-			buffered = buffered.subarray(offset + size);
-		}
-
-		return frames;
-	};
-};
+/** Of all links of the process. The largest valid frame fits in, and the smallest process has 178 MB. */
+const MAX_UNFINISHED_BYTES = 32 * 1024 * 1024;
+const unfinishedFrames = createFrameBudget(MAX_UNFINISHED_BYTES);
 
 /** Creates a link over `socket`. Closing either one closes the other. */
 export const attachLink = (socket: Socket, settings: LinkSettings): PeerLink => {
@@ -54,13 +29,24 @@
 	const link = createLink(settings, outbound, () => {
 		socket.destroy();
 	});
-	const readFrames = createFrameReader();
+	const reader = createFrameReader();
+	const closeForRoom = (): void => {
+		link.close('its unfinished frame is the largest of those that together are too large');
+	};
+
+	link.onClosed(() => {
+		unfinishedFrames.hold(closeForRoom, 0);
+	});
 	socket.setNoDelay(true);
-	socket.on('data', chunk => {
+	socket.on('data', (chunk: Uint8Array) => {
 		try {
-			for (const frame of readFrames(chunk)) {
+			for (const frame of reader.read(chunk)) {
 				link.receive(frame);
 			}
+
+			if (link.isOpen()) {
+				unfinishedFrames.hold(closeForRoom, reader.heldBytes());
+			}
 		} catch (error) {
 			link.close(`received invalid data: ${String(error)}`);
 		}
--- /dev/null
+++ b/packages/peer/src/create-frame-budget.ts
@@ -0,0 +1,42 @@
+/**
+The memory that the unfinished frames of all links may take together.
+
+Past it, the link with the most of it is closed, so that a few that announce large
+frames and never end them do not cost the others theirs.
+*/
+
+type FrameBudget = {
+	/** Records that a link holds `bytes` of an unfinished frame; `close` identifies it and closes it. Closes as many links as needed, the largest holder first. */
+	readonly hold: (close: () => void, bytes: number) => void;
+};
+
+export const createFrameBudget = (maxBytes: number): FrameBudget => {
+	const holders = new Map<() => void, number>();
+	let sum = 0;
+
+	const set = (close: () => void, bytes: number): void => {
+		sum += bytes - (holders.get(close) ?? 0);
+		if (bytes === 0) {
+			holders.delete(close);
+		} else {
+			holders.set(close, bytes);
+		}
+	};
+
+	return {
+		hold(close, bytes) {
+			set(close, bytes);
+			if (sum <= maxBytes) {
+				return;
+			}
+
+			for (const [holder] of [...holders].toSorted(([, a], [, b]) => b - a)) {
+				set(holder, 0);
+				holder();
+				if (sum <= maxBytes) {
+					return;
+				}
+			}
+		},
+	};
+};
