fix(peer): the link of a process that does not read is closed

What callers could see: a gateway or holder without memory, because another process sends heartbeats and does not read what it is sent.

Cause: links write whatever comes, and nothing looked at what waits.

Change: what waits to be sent on all links may take 32 MiB; past it the link with the most is closed, which ends its calls as lost, as when the other process ends. What a socket takes at once is not counted.

--- a/packages/peer/src/__tests__/unfinished-frames.test.ts
+++ b/packages/peer/src/__tests__/unfinished-frames.test.ts
@@ -7,6 +7,7 @@
 import {
 	connect, createServer, type AddressInfo, type Socket,
 } from 'node:net';
+import {setTimeout as delay} from 'node:timers/promises';
 import {create} from '@bufbuild/protobuf';
 import {sizeDelimitedEncode} from '@bufbuild/protobuf/wire';
 import {FrameSchema, Role} from '@siskinhub/proto/gen/siskinhub/peer/v1/peer_pb.js';
@@ -19,6 +20,8 @@
 const MEBIBYTE = 1024 * 1024;
 const FRAME_BYTES = 30 * MEBIBYTE;
 const PEERS = 10;
+const UNREAD_MESSAGES = 60;
+const SEND_INTERVAL_MS = 20;
 
 const settings = {
 	hello: {host: 'a', instance: 'a-1', role: Role.ENTRY},
@@ -88,6 +91,30 @@
 	await expect.poll(() => links[0]!.remote()?.host).toBe('b');
 }, 20_000);
 
+// Guards against a process that runs out of memory because another does not read what it is sent, while its heartbeats keep the link open.
+it('closes the link of a process that does not read, before all that waits for it fills the memory', async () => {
+	const {links, open} = await startLinks();
+	const [frozen, reading] = [await open(), await open()];
+	frozen.pause();
+	reading.resume();
+	for (const socket of [frozen, reading]) {
+		socket.write(hello);
+	}
+
+	await expect.poll(() => links.every(link => link.remote())).toBe(true);
+	const text = 'x'.repeat(MEBIBYTE);
+	for (let sent = 0; sent < UNREAD_MESSAGES && links[0]!.isOpen(); sent++) {
+		for (const link of links) {
+			link.send({case: 'hello', value: {host: text}});
+		}
+
+		await delay(SEND_INTERVAL_MS);
+	}
+
+	expect(links[0]!.isOpen()).toBe(false);
+	expect(links[1]!.isOpen()).toBe(true);
+}, 20_000);
+
 it('reads frames however their bytes are cut', async () => {
 	const {links, open} = await startLinks();
 	const socket = await open();
--- a/packages/peer/src/attach-link.ts
+++ b/packages/peer/src/attach-link.ts
@@ -17,18 +17,30 @@
 /** Of all links of the process. The largest valid frame fits in, and the smallest process has 178 MB. */
 const MAX_UNFINISHED_BYTES = 32 * 1024 * 1024;
 const unfinishedFrames = createFrameBudget(MAX_UNFINISHED_BYTES);
+/** Of all links of the process, beyond what each socket takes at once. */
+const MAX_UNSENT_BYTES = 32 * 1024 * 1024;
+const unsentFrames = createFrameBudget(MAX_UNSENT_BYTES);
 
 /** Creates a link over `socket`. Closing either one closes the other. */
 export const attachLink = (socket: Socket, settings: LinkSettings): PeerLink => {
 	const outbound = createOutboundQueue({
 		write(bytes) {
-			socket.write(bytes);
+			if (!socket.write(bytes) && link.isOpen()) {
+				unsentFrames.hold(closeUnread, socket.writableLength);
+			}
 		},
 		onUnsendable: settings.onUnsendable,
 	});
 	const link = createLink(settings, outbound, () => {
 		socket.destroy();
 	});
+	const closeUnread = (): void => {
+		link.close('the other side reads too little of what it is sent');
+	};
+
+	socket.on('drain', () => {
+		unsentFrames.hold(closeUnread, 0);
+	});
 	const reader = createFrameReader();
 	const closeForRoom = (): void => {
 		link.close('its unfinished frame is the largest of those that together are too large');
@@ -36,6 +48,7 @@
 
 	link.onClosed(() => {
 		unfinishedFrames.hold(closeForRoom, 0);
+		unsentFrames.hold(closeUnread, 0);
 	});
 	socket.setNoDelay(true);
 	socket.on('data', (chunk: Uint8Array) => {
--- a/packages/peer/src/create-frame-budget.ts
+++ b/packages/peer/src/create-frame-budget.ts
@@ -1,12 +1,13 @@
 /**
-The memory that the unfinished frames of all links may take together.
+The memory that the frames of all links may take together: those that have not come
+whole, or those that have not been sent.
 
 Past it, the link with the most of it is closed, so that a few that announce large
-frames and never end them do not cost the others theirs.
+frames and never end them, or do not read, do not cost the others theirs.
 */
 
 type FrameBudget = {
-	/** Records that a link holds `bytes` of an unfinished frame; `close` identifies it and closes it. Closes as many links as needed, the largest holder first. */
+	/** Records that a link holds `bytes`; `close` identifies it and closes it. Closes as many links as needed, the largest holder first. */
 	readonly hold: (close: () => void, bytes: number) => void;
 };
 
