fix(gateway): an ordinary answer need not wait for a read of each endless one

What callers saw: answers of some 20 kB from sound upstreams late while others' send without end.

Cause: at the gate of large reads turns came in the order of arrival alone. Such an answer takes two or three turns, each behind one of every endless answer.

The share of the time is as before.

--- a/packages/gateway/src/forward/__tests__/create-connection-reads.test.ts
+++ b/packages/gateway/src/forward/__tests__/create-connection-reads.test.ts
@@ -237,18 +237,18 @@
 	});
 
 	// Guards against callers that starve while others' upstreams send much: Node reads up to 2 MiB of each connection before anything else gets its turn.
-	it('leave the time to others, whatever a piece costs', async () => {
+	it.each([2, 20 * KIBIBYTE])('leave the time to others, whatever a piece costs, with answers of %j bytes', async soundBytes => {
 		const faulty = await Promise.all(Array.from({length: 20}, async () => startRawUpstream(socket => {
 			sendEndlessly(socket, `${HEAD}\r\n`, FILL);
 		})));
 		const sound = await startRawUpstream(socket => {
-			socket.write(`${HEAD}Content-Length: 2\r\n\r\nok`);
+			socket.write(`${HEAD}Content-Length: ${soundBytes}\r\n\r\n${FILL.slice(0, soundBytes)}`);
 		});
 		await startRequest(sound).outcome;
 		const floods = faulty.map(pool => startRequest(pool, () => {
 			block(1);
 		}));
-		await delay(100);
+		await delay(500);
 		const latencies: number[] = [];
 		for (let round = 0; round < 20; round++) {
 			const startedAt = performance.now();
--- a/packages/gateway/src/forward/__tests__/create-read-gate.test.ts
+++ b/packages/gateway/src/forward/__tests__/create-read-gate.test.ts
@@ -18,6 +18,7 @@
 	const waitAgain = (name: string): void => {
 		gate.wait({
 			expectedMs: costMs,
+			isEarly: false,
 			start() {
 				reads.push(name);
 				setImmediate(() => {
@@ -45,7 +46,7 @@
 	it('lets a single read pass at once, without a timer', () => {
 		const gate = createReadGate();
 		const start = vi.fn();
-		gate.wait({expectedMs: 0.1, start});
+		gate.wait({expectedMs: 0.1, isEarly: false, start});
 		expect(start).toHaveBeenCalledOnce();
 		expect([gate.countWaiting(), vi.getTimerCount()]).toEqual([0, 0]);
 	});
@@ -62,12 +63,29 @@
 		stop();
 	});
 
+	it('lets answers that have brought little and all others take turns', () => {
+		const gate = createReadGate();
+		const reads: string[] = [];
+		gate.charge(1000);
+		for (const [name, isEarly] of [['a', false], ['b', false], ['c', false], ['d', false], ['x', true], ['y', true]] as const) {
+			gate.wait({
+				expectedMs: 0, isEarly, start() {
+					reads.push(name);
+				},
+			});
+		}
+
+		vi.advanceTimersByTime(1000);
+		expect(reads).toEqual(['x', 'a', 'y', 'b', 'c', 'd']);
+	});
+
 	it('charges what a read has cost beyond its expectation', () => {
 		const gate = createReadGate();
 		let reads = 0;
 		const waitAgain = (): void => {
 			gate.wait({
 				expectedMs: 0,
+				isEarly: false,
 				start() {
 					reads++;
 					setImmediate(() => {
@@ -88,7 +106,7 @@
 		const gate = createReadGate();
 		const start = vi.fn();
 		gate.charge(5000);
-		gate.wait({expectedMs: 0.1, start});
+		gate.wait({expectedMs: 0.1, isEarly: false, start});
 		vi.advanceTimersByTime(201);
 		expect(start).toHaveBeenCalledOnce();
 	});
@@ -97,7 +115,7 @@
 		const gate = createReadGate();
 		const start = vi.fn();
 		for (let index = 0; index < 100; index++) {
-			gate.wait({expectedMs: 0.5, start});
+			gate.wait({expectedMs: 0.5, isEarly: false, start});
 		}
 
 		expect(start).toHaveBeenCalledTimes(4);
@@ -108,7 +126,7 @@
 	it('forgets those that leave and keeps no timer for them', () => {
 		const gate = createReadGate();
 		const start = vi.fn();
-		const turns = Array.from({length: 10}, () => ({expectedMs: 0.1, start}));
+		const turns = Array.from({length: 10}, () => ({expectedMs: 0.1, isEarly: false, start}));
 		gate.charge(1000);
 		for (const turn of turns) {
 			gate.wait(turn);
--- a/packages/gateway/src/forward/create-read-gate.ts
+++ b/packages/gateway/src/forward/create-read-gate.ts
@@ -1,8 +1,11 @@
 /**
 Divides processor time among the connections that bring much. Each of their reads
-waits for its turn, in the order of arrival, and all of them together may take a
-share of the process's time, whatever a byte costs. Answers that come in small
-pieces do not pass here.
+waits for its turn, and all of them together may take a share of the process's time,
+whatever a byte costs. Answers that come in small pieces do not pass here.
+
+Answers that have brought little and those that have brought much take turns, each
+kind in the order of arrival, so that an ordinary answer need not wait for a read of
+each of those that do not end.
 
 Nothing runs while no connection waits.
 */
@@ -20,12 +23,16 @@
 type ReadTurn = {
 	/** What the read will probably cost, in milliseconds of processor time; it is charged when the turn comes. */
 	readonly expectedMs: number;
+	/** Whether the answer has brought little so far. */
+	readonly isEarly: boolean;
 	/** Called when the turn comes, at once if nobody is before it. */
 	readonly start: () => void;
 };
 
 export const createReadGate = () => {
-	const waiting = new Set<ReadTurn>();
+	const early = new Set<ReadTurn>();
+	const late = new Set<ReadTurn>();
+	let wasEarly = false;
 	let balanceMs = BURST_MS;
 	let refilledAt = performance.now();
 	let roundMs = 0;
@@ -42,6 +49,20 @@
 		roundMs = Math.max(0, roundMs + ms);
 	};
 
+	const countWaiting = (): number => early.size + late.size;
+
+	const takeNext = (): ReadTurn | undefined => {
+		const isEarlyNext = early.size > 0 && (late.size === 0 || !wasEarly);
+		const queue = isEarlyNext ? early : late;
+		const [turn] = queue;
+		if (turn) {
+			queue.delete(turn);
+			wasEarly = isEarlyNext;
+		}
+
+		return turn;
+	};
+
 	const canStart = (): boolean => balanceMs > 0 && roundMs < ROUND_MS;
 
 	const startTurn = (turn: ReadTurn): void => {
@@ -53,12 +74,12 @@
 		cancelRound = undefined;
 		roundMs = 0;
 		refill();
-		for (const turn of waiting) {
-			if (!canStart()) {
+		while (canStart()) {
+			const turn = takeNext();
+			if (!turn) {
 				break;
 			}
 
-			waiting.delete(turn);
 			startTurn(turn);
 		}
 
@@ -66,7 +87,7 @@
 	};
 
 	const scheduleRound = (): void => {
-		if (waiting.size === 0 || cancelRound) {
+		if (countWaiting() === 0 || cancelRound) {
 			return;
 		}
 
@@ -89,18 +110,18 @@
 		/** Calls `start` of the turn once, unless it leaves before. */
 		wait(turn: ReadTurn): void {
 			refill();
-			if (waiting.size === 0 && canStart()) {
+			if (countWaiting() === 0 && canStart()) {
 				startTurn(turn);
 				return;
 			}
 
-			waiting.add(turn);
+			(turn.isEarly ? early : late).add(turn);
 			scheduleRound();
 		},
 		/** Returns whether the turn was still waiting. */
 		leave(turn: ReadTurn): boolean {
-			const wasWaiting = waiting.delete(turn);
-			if (waiting.size === 0) {
+			const wasWaiting = early.delete(turn) || late.delete(turn);
+			if (countWaiting() === 0) {
 				cancelRound?.();
 				cancelRound = undefined;
 			}
@@ -109,6 +130,6 @@
 		},
 		/** Charges what a read has cost beyond the expectation, in milliseconds; a negative number gives back. */
 		charge,
-		countWaiting: () => waiting.size,
+		countWaiting,
 	};
 };
