--- a/packages/gateway/src/host/__tests__/serve-text.test.ts
+++ b/packages/gateway/src/host/__tests__/serve-text.test.ts
@@ -1,5 +1,5 @@
 import {once} from 'node:events';
-import {createServer, type AddressInfo} from 'node:net';
+import {connect, createServer, type AddressInfo} from 'node:net';
 import {setTimeout as delay} from 'node:timers/promises';
 import {request} from 'undici';
 import {expect, it, vi} from 'vitest';
@@ -8,6 +8,7 @@
 const IP = '127.0.0.1';
 const HELD_MS = 100;
 const WAIT_MS = 5000;
+const MAX_CONNECTION_MS = 8000;
 const answer = () => ({status: 200, text: 'fine'});
 
 const holdPort = async () => {
@@ -47,3 +48,26 @@
 	expect(warn).toHaveBeenCalledExactlyOnceWith(expect.any(String), expect.objectContaining({reason: 'no gauge'}));
 	server.close();
 });
+
+// Guards against connections that are never given up: a body without end was read for five minutes, an unread answer held for ever.
+it.each([
+	['sends a body without end', 'POST / HTTP/1.1\r\nhost: h\r\ntransfer-encoding: chunked\r\n\r\n', '1\r\nx\r\n'],
+	['sends no whole head', 'GET / HTTP/1.1\r\n', ''],
+	['sends nothing', '', ''],
+])('gives up a connection that %s', async (_name, first, repeated) => {
+	const server = await serveText({ip: IP, port: 0}, answer);
+	const socket = connect((server.address() as AddressInfo).port, IP);
+	const closed = new Promise(resolve => {
+		socket.on('error', () => {/* It may be reset while it sends. */});
+		socket.once('close', resolve);
+	});
+	socket.resume();
+	socket.write(first);
+	const timer = setInterval(() => {
+		socket.write(repeated);
+	}, 50);
+	expect(await Promise.race([closed, delay(MAX_CONNECTION_MS, 'still open')])).not.toBe('still open');
+	clearInterval(timer);
+	socket.destroy();
+	server.close();
+}, 15_000);
