--- a/packages/sidecar/src/create-engine-client.ts
+++ b/packages/sidecar/src/create-engine-client.ts
@@ -10,6 +10,7 @@
 import {isConnectFailure} from './is-connect-failure.js';
 import {probeHttp} from './probe-http.js';
 import {readEngineStream} from './read-engine-stream.js';
+import {readReason} from './read-reason.js';
 import type {RunOutcome} from './run-outcome.js';
 import type {RunRequest} from './run-request.js';
 import type {UpstreamClient} from './upstream-client.js';
@@ -110,9 +111,9 @@
 			try {
 				const res = attempt === 0 ? await startStream(call, combinedSignal) : await resumeStream(call, receivedBytes, combinedSignal);
 				if (res.statusCode !== HTTP_OK) {
-					const text = await res.body.text();
+					const text = await readReason(res.body);
 					return attempt === 0
-						? {kind: 'not-sent', reason: `the engine answered ${res.statusCode}: ${text.slice(0, 200)}`}
+						? {kind: 'not-sent', reason: `the engine answered ${res.statusCode}: ${text}`}
 						: {kind: 'lost', reason: `the engine no longer knows the stream (${res.statusCode})`, isCrash: res.statusCode === HTTP_NOT_FOUND};
 				}
 
