fix(gateway): the answer that has cost least reads next

Callers could see: sound answers of some hundred KiB that took seconds while upstreams of others sent without end: 3.0 to 6.5 s for 256 KiB beside 200 connections with chunks of one byte, 27 ms alone (three runs of large-beside-costly.test.ts on the code before, beside a load of 16 to 32).

Cause: turns at the gate came in the order of arrival. Each read of a sound answer waited for one read of each endless one, which costs many times as much. That answers below 64 KiB took turns with all others moved the fault to larger ones.

Change: the answer that has used least processor time so far comes next. What a read costs counts, so no size needs to be named; an endless answer falls behind with its first reads.

Measured: large-beside-costly.test.ts (bound 2 s) passes, red before; the order of answers that have brought little and much is now a case of this rule, and its test checks it.

--- a/packages/gateway/src/forward/create-connection-reads.ts
+++ b/packages/gateway/src/forward/create-connection-reads.ts
@@ -28,9 +28,6 @@
 /** A read that brings as many bytes as this is large: the next one waits for its turn at the gate. */
 const LARGE_FROM_BYTES = SMALL_READ_BYTES;
 
-/** Answers that have brought less take turns with all others together at the gate. */
-const EARLY_BYTES = 64 * KIBIBYTE;
-
 /** Filled and copied in one go, so that one buffer serves all connections. */
 const largeBuffer = Buffer.allocUnsafeSlow(LARGE_READ_BYTES);
 const smallBuffer = largeBuffer.subarray(0, SMALL_READ_BYTES);
@@ -49,7 +46,8 @@
 	/** What may arrive next; a connection without a request is `idle`. */
 	let expected: CutReason = 'idle';
 	let bytesWithoutProgress = 0;
-	let answerBytes = 0;
+	/** What the answer has cost so far. */
+	let usedMs = 0;
 	let wasUnproductive = false;
 	let wasLarge = false;
 	/** Whether the stream has asked for bytes and reading has not been started since. */
@@ -72,6 +70,7 @@
 	const finishMeasuring = (): void => {
 		largeMs = performance.now() - measuredFrom!;
 		measuredFrom = undefined;
+		usedMs += largeMs;
 		counts.largeMs += largeMs;
 		gate.charge(largeMs - prepaidMs);
 		prepaidMs = 0;
@@ -86,7 +85,7 @@
 		const expectedMs = largeMs / largeBytes * chooseBuffer().length;
 		turn = {
 			expectedMs,
-			isEarly: answerBytes < EARLY_BYTES,
+			usedMs,
 			start() {
 				turn = undefined;
 				prepaidMs = expectedMs;
@@ -134,7 +133,6 @@
 
 		wasUnproductive = bytesWithoutProgress > 0;
 		bytesWithoutProgress += byteCount;
-		answerBytes += byteCount;
 		wasLarge = byteCount >= LARGE_FROM_BYTES;
 		const size = wasLarge ? 'large' : 'small';
 		counts.reads[size]++;
@@ -199,7 +197,7 @@
 		startRequest(): void {
 			expected = 'head';
 			bytesWithoutProgress = 0;
-			answerBytes = 0;
+			usedMs = 0;
 		},
 		/** Must be called with the head of an answer, other than an interim one, and with data of its body. */
 		recordProgress(): void {
--- a/packages/gateway/src/forward/create-read-gate.ts
+++ b/packages/gateway/src/forward/create-read-gate.ts
@@ -3,9 +3,8 @@
 waits for its turn, and all of them together may take a share of the process's time,
 whatever a byte costs. Answers that come in small pieces do not pass here.
 
-Answers that have brought little and those that have brought much take turns, each
-kind in the order of arrival, so that an ordinary answer need not wait for a read of
-each of those that do not end.
+The answer that has cost least so far comes next, and of equal ones the first, so that
+a sound answer of any size need not wait for a read of each of those that do not end.
 
 Nothing runs while no connection waits.
 */
@@ -23,16 +22,14 @@
 type ReadTurn = {
 	/** What the read will probably cost, in milliseconds of processor time; it is charged when the turn comes. */
 	readonly expectedMs: number;
-	/** Whether the answer has brought little so far. */
-	readonly isEarly: boolean;
+	/** What the answer has cost so far, in milliseconds of processor time. */
+	readonly usedMs: number;
 	/** Called when the turn comes, at once if nobody is before it. */
 	readonly start: () => void;
 };
 
 export const createReadGate = () => {
-	const early = new Set<ReadTurn>();
-	const late = new Set<ReadTurn>();
-	let wasEarly = false;
+	const waiting = new Set<ReadTurn>();
 	let balanceMs = BURST_MS;
 	let refilledAt = performance.now();
 	let roundMs = 0;
@@ -49,18 +46,19 @@
 		roundMs = Math.max(0, roundMs + ms);
 	};
 
-	const countWaiting = (): number => early.size + late.size;
-
 	const takeNext = (): ReadTurn | undefined => {
-		const isEarlyNext = early.size > 0 && (late.size === 0 || !wasEarly);
-		const queue = isEarlyNext ? early : late;
-		const [turn] = queue;
-		if (turn) {
-			queue.delete(turn);
-			wasEarly = isEarlyNext;
+		let next: ReadTurn | undefined;
+		for (const turn of waiting) {
+			if (!next || turn.usedMs < next.usedMs) {
+				next = turn;
+			}
+		}
+
+		if (next) {
+			waiting.delete(next);
 		}
 
-		return turn;
+		return next;
 	};
 
 	const canStart = (): boolean => balanceMs > 0 && roundMs < ROUND_MS;
@@ -87,7 +85,7 @@
 	};
 
 	const scheduleRound = (): void => {
-		if (countWaiting() === 0 || cancelRound) {
+		if (waiting.size === 0 || cancelRound) {
 			return;
 		}
 
@@ -110,18 +108,18 @@
 		/** Calls `start` of the turn once, unless it leaves before. */
 		wait(turn: ReadTurn): void {
 			refill();
-			if (countWaiting() === 0 && canStart()) {
+			if (waiting.size === 0 && canStart()) {
 				startTurn(turn);
 				return;
 			}
 
-			(turn.isEarly ? early : late).add(turn);
+			waiting.add(turn);
 			scheduleRound();
 		},
 		/** Returns whether the turn was still waiting. */
 		leave(turn: ReadTurn): boolean {
-			const wasWaiting = early.delete(turn) || late.delete(turn);
-			if (countWaiting() === 0) {
+			const wasWaiting = waiting.delete(turn);
+			if (waiting.size === 0) {
 				cancelRound?.();
 				cancelRound = undefined;
 			}
@@ -130,6 +128,6 @@
 		},
 		/** Charges what a read has cost beyond the expectation, in milliseconds; a negative number gives back. */
 		charge,
-		countWaiting,
+		countWaiting: () => waiting.size,
 	};
 };
