fix(gateway): a head or trailer of many tiny fields takes bounded memory

Cause: the HTTP client keeps a buffer for each name and each value until the head or the answer ends. The bound counted bytes alone.

Change: 256 lines without progress close the connection like 16 KiB do; a read in progress may add what 2 KiB hold. Bytes that wait because the caller is slow are data of a body and not counted. The reason names which bound was passed; its test checks both.

Tried first: lines of every small read, which cut a sound stream with a slow caller (the test of that caller failed).

--- a/packages/gateway/src/forward/__tests__/create-connection-reads.test.ts
+++ b/packages/gateway/src/forward/__tests__/create-connection-reads.test.ts
@@ -133,14 +133,17 @@
 	it('are named in the reason of the failure and counted', async () => {
 		const before = {...upstreamReads.counts.cut};
 		const headless = await startRawUpstream(socket => {
+			sendEndlessly(socket, 'HTTP/1.1 200 ', 'x'.repeat(KIBIBYTE));
+		});
+		const lines = await startRawUpstream(socket => {
 			sendEndlessly(socket, '', '\r\n'.repeat(KIBIBYTE));
 		});
 		const endless = await startRawUpstream(socket => {
 			sendEndlessly(socket, CHUNKED, '0'.repeat(KIBIBYTE));
 		});
-		const outcomes = await Promise.all([headless, endless].map(async pool => startRequest(pool).outcome));
-		expect(outcomes.map(({message}) => message)).toEqual(['16 KiB arrived without a whole head of an answer', '16 KiB arrived without data or the end of the answer']);
-		expect(upstreamReads.counts.cut).toEqual({idle: before.idle, head: before.head + 1, body: before.body + 1});
+		const outcomes = await Promise.all([headless, lines, endless].map(async pool => startRequest(pool).outcome));
+		expect(outcomes.map(({message}) => message)).toEqual(['16 KiB arrived without a whole head of an answer', '1024 lines arrived without a whole head of an answer', '16 KiB arrived without data or the end of the answer']);
+		expect(upstreamReads.counts.cut).toEqual({idle: before.idle, head: before.head + 2, body: before.body + 1});
 	});
 
 	// Guards against newlines after an answer, which the parser skips without end.
--- a/packages/gateway/src/forward/create-connection-reads.ts
+++ b/packages/gateway/src/forward/create-connection-reads.ts
@@ -21,6 +21,8 @@
 const KIBIBYTE = 1024;
 /** Larger than any sound head, and than what may come between two pieces of a body. */
 const MAX_BYTES_WITHOUT_PROGRESS = 16 * KIBIBYTE;
+/** More than a sound head or trailer has. Each becomes objects of some hundred bytes, however short it is. */
+const MAX_FIELDS_WITHOUT_PROGRESS = 256;
 /** Size of a read while a head is pending or the bytes bring nothing. */
 const SMALL_READ_BYTES = 2 * KIBIBYTE;
 /** Size of a read within a body, and what is kept while undici takes nothing. */
@@ -32,12 +34,24 @@
 const largeBuffer = Buffer.allocUnsafeSlow(LARGE_READ_BYTES);
 const smallBuffer = largeBuffer.subarray(0, SMALL_READ_BYTES);
 
+const NEWLINE = 0x0A;
+
+/** Counts the ends of lines; what is data of a body among them is forgotten with the progress that it brings. */
+const countFields = (bytes: Uint8Array): number => {
+	let count = 0;
+	for (let index = bytes.indexOf(NEWLINE); index !== -1; index = bytes.indexOf(NEWLINE, index + 1)) {
+		count++;
+	}
+
+	return count;
+};
+
 type CutReason = keyof (typeof upstreamReads)['counts']['cut'];
 
-const CUT_MESSAGES: Record<CutReason, string> = {
-	idle: 'bytes arrived without a request',
-	head: `${MAX_BYTES_WITHOUT_PROGRESS / KIBIBYTE} KiB arrived without a whole head of an answer`,
-	body: `${MAX_BYTES_WITHOUT_PROGRESS / KIBIBYTE} KiB arrived without data or the end of the answer`,
+const CUT_MESSAGES: Record<CutReason, (amount: string) => string> = {
+	idle: () => 'bytes arrived without a request',
+	head: amount => `${amount} arrived without a whole head of an answer`,
+	body: amount => `${amount} arrived without data or the end of the answer`,
 };
 
 /** `socketOptions` are for the socket's constructor, and `attach` must be called before anything is read from it. */
@@ -46,6 +60,7 @@
 	/** What may arrive next; a connection without a request is `idle`. */
 	let expected: CutReason = 'idle';
 	let bytesWithoutProgress = 0;
+	let fieldsWithoutProgress = 0;
 	/** What the answer has cost so far. */
 	let usedMs = 0;
 	let wasUnproductive = false;
@@ -119,19 +134,22 @@
 	};
 
 	const cut = (): false => {
+		const amount = fieldsWithoutProgress >= MAX_FIELDS_WITHOUT_PROGRESS ? `${fieldsWithoutProgress} lines` : `${MAX_BYTES_WITHOUT_PROGRESS / KIBIBYTE} KiB`;
 		counts.cut[expected]++;
 		// With this code undici fails a running request, and sends one that waits on another connection.
-		socket.destroy(Object.assign(new Error(CUT_MESSAGES[expected]), {code: 'UND_ERR_SOCKET'}));
+		socket.destroy(Object.assign(new Error(CUT_MESSAGES[expected](amount)), {code: 'UND_ERR_SOCKET'}));
 		return false;
 	};
 
 	const receive = (byteCount: number, buffer: Uint8Array): boolean => {
 		const startedAt = performance.now();
-		if (expected === 'idle' || bytesWithoutProgress >= MAX_BYTES_WITHOUT_PROGRESS) {
+		if (expected === 'idle' || bytesWithoutProgress >= MAX_BYTES_WITHOUT_PROGRESS || fieldsWithoutProgress >= MAX_FIELDS_WITHOUT_PROGRESS) {
 			return cut();
 		}
 
 		wasUnproductive = bytesWithoutProgress > 0;
+		// What undici leaves while a caller is slow is data of a body, which brings nothing yet.
+		const areFields = expected === 'head' || (wasUnproductive && socket.readableLength === 0);
 		bytesWithoutProgress += byteCount;
 		wasLarge = byteCount >= LARGE_FROM_BYTES;
 		const size = wasLarge ? 'large' : 'small';
@@ -139,6 +157,10 @@
 		counts.bytes[size] += byteCount;
 		const copy = Buffer.allocUnsafeSlow(byteCount);
 		copy.set(buffer.subarray(0, byteCount));
+		if (areFields) {
+			fieldsWithoutProgress += countFields(copy);
+		}
+
 		const hasRoom = socket.push(copy);
 		if (!wasLarge) {
 			returnPrepaid();
@@ -197,12 +219,14 @@
 		startRequest(): void {
 			expected = 'head';
 			bytesWithoutProgress = 0;
+			fieldsWithoutProgress = 0;
 			usedMs = 0;
 		},
 		/** Must be called with the head of an answer, other than an interim one, and with data of its body. */
 		recordProgress(): void {
 			expected = 'body';
 			bytesWithoutProgress = 0;
+			fieldsWithoutProgress = 0;
 		},
 		/** Must be called when the request is over. The end of the connection must be seen without delay from then on. */
 		endRequest(): void {
