fix(gateway): nothing is kept of an attempt that is over

Cause: the caller's response keeps the listener of each attempt, and with it all that the attempt refers to, until the call is over. And an error that may yet be passed on was not counted any more, though it was kept.

Change: the listener is detached when its attempt ends, kept blocks are dropped, and an error counts until it is passed on or another attempt begins.

--- a/packages/gateway/src/forward/create-plain-forwarder.ts
+++ b/packages/gateway/src/forward/create-plain-forwarder.ts
@@ -49,5 +49,9 @@
 
 			response.finish(blocks.at(-1));
 		},
+		/** Keeps nothing from now on; `finish` must not be called any more. */
+		drop(): void {
+			kept.take();
+		},
 	};
 };
--- a/packages/gateway/src/forward/run-attempt.ts
+++ b/packages/gateway/src/forward/run-attempt.ts
@@ -15,6 +15,7 @@
 import type {CallPlan} from './call-plan.js';
 import {classifyResponseHead} from './classify-response-head.js';
 import {createCallerWriter} from './create-caller-writer.js';
+import {createDetachableListener} from './create-detachable-listener.js';
 import {createIgnoredRest} from './create-ignored-rest.js';
 import {createPlainForwarder} from './create-plain-forwarder.js';
 import {createStreamForwarder} from './create-stream-forwarder.js';
@@ -58,6 +59,11 @@
 	let responseClass: ReturnType<typeof classifyResponseHead> | undefined;
 	let isSettled = false;
 
+	const dropKept = (): void => {
+		plain.drop();
+		holding.release();
+	};
+
 	const settle = (result: AttemptResult): void => {
 		if (!isSettled) {
 			isSettled = true;
@@ -65,7 +71,11 @@
 			stream.stop();
 			// The caller has what counts as passed on, also if the stream goes on elsewhere.
 			writer.flush();
-			holding.release();
+			disconnect.detach();
+			if (result.kind !== 'failed') {
+				dropKept();
+			}
+
 			resolve(result);
 		}
 	};
@@ -75,6 +85,11 @@
 		settle(result);
 	};
 
+	// The response keeps its listeners until the call is over, which may take several attempts.
+	const disconnect = createDetachableListener(() => {
+		abortWith({kind: 'gone', wasSent: exchange.wasSent()});
+	});
+
 	const buildBreakResult = (message: string, isConnectionLost: boolean): Extract<AttemptResult, {kind: 'unknown' | 'broken'}> => ({kind: response.isStarted() ? 'broken' : 'unknown', message, isConnectionLost});
 
 	const ignored = createIgnoredRest(() => {
@@ -148,7 +163,9 @@
 
 	const finishPlain = (): void => {
 		if (responseClass === 'server-failure' && !response.isStarted()) {
-			settle({kind: 'failed', status: head!.status, forwardResponse: plain.finish});
+			settle({
+				kind: 'failed', status: head!.status, forwardResponse: plain.finish, dropResponse: dropKept,
+			});
 			return;
 		}
 
@@ -257,7 +274,5 @@
 		}
 	};
 
-	response.onDisconnect(() => {
-		abortWith({kind: 'gone', wasSent: exchange.wasSent()});
-	});
+	response.onDisconnect(disconnect.listen);
 });
--- a/packages/gateway/src/forward/run-call.ts
+++ b/packages/gateway/src/forward/run-call.ts
@@ -81,6 +81,13 @@
 	}
 };
 
+/** Frees what is kept of the response of a failed attempt. */
+const dropResponse = (result: AttemptResult): void => {
+	if (result.kind === 'failed') {
+		result.dropResponse();
+	}
+};
+
 /** Adds to `fields` the log fields that explain the outcome. */
 const serveCall = async (context: GatewayContext, routed: RoutedCall, fields: LogFields): Promise<CallReport> => {
 	const {call, body, response, active, route, service} = routed;
@@ -163,6 +170,7 @@
 		const isPastDeadline = active.isStopped || Date.now() >= deadlineAt;
 		const step = decideNextStep(route, {runs: attempts.runs(), refusals: attempts.refusals(), isPastDeadline}, result);
 		if (step.kind === 'retry') {
+			dropResponse(result);
 			continue;
 		}
 
@@ -175,7 +183,9 @@
 		Object.assign(fields, attempts.denials() > 0 && {denials: attempts.denials(), withheldForMs});
 		const whenFullMs = active.isStopped ? RETRY_OTHER_PROCESS_MS : RETRY_WHEN_FULL_MS;
 		const retryAfterMs = attempts.isBlocked() ? RETRY_BLOCKED_MS : Math.max(RETRY_OTHER_PROCESS_MS, withheldForMs ?? whenFullMs);
-		return {...finishCall(response, result, step, {retryAfterMs, isStopped: active.isStopped}), attempts: attempts.trail.length, firstEventMs};
+		const ended = finishCall(response, result, step, {retryAfterMs, isStopped: active.isStopped});
+		dropResponse(result);
+		return {...ended, attempts: attempts.trail.length, firstEventMs};
 	}
 };
 
