--- /dev/null
+++ b/review/lib-2/run-case.mjs
@@ -0,0 +1,38 @@
+/**
+Runs a case and ends the process with its result: 1 if the rule was broken, 0 if it
+held, 2 if the case could not run.
+*/
+import path from 'node:path';
+import process from 'node:process';
+import {fileURLToPath} from 'node:url';
+import {createRecord} from './create-record.mjs';
+
+const HELD = 0;
+const BROKEN = 1;
+const NOT_RUN = 2;
+const TIMEOUT_MS = 115_000;
+
+/** `play` gets the record and whether there is trouble, and resolves to why the rule was broken, or to nothing if it held. */
+export const runCase = async (caseUrl, play) => {
+	const folder = path.dirname(fileURLToPath(caseUrl));
+	const record = createRecord(path.join(folder, 'record.txt'));
+	const hasTrouble = process.env.TROUBLE !== '0';
+	const report = (text, code) => {
+		record(text);
+		process.stdout.write(`${text}\n`);
+		process.exitCode = code;
+	};
+
+	const late = setTimeout(() => {
+		report('could not run: not over in time', NOT_RUN);
+		process.exit(); // eslint-disable-line unicorn/no-process-exit -- A case is a program of its own.
+	}, TIMEOUT_MS);
+	try {
+		const breach = await play({record, hasTrouble});
+		report(breach ? `BROKEN: ${breach}` : 'held', breach ? BROKEN : HELD);
+	} catch (error) {
+		report(`could not run: ${error.stack}`, NOT_RUN);
+	}
+
+	clearTimeout(late);
+};
