review: workers that are gone get requests for as long as they serve

Cause: an independent review looks for broken promises. An entry that cannot be decoded leaves the worker of the entry before in use, also if its removal fell into the same read of a relay.

No code outside review/ is changed.

--- a/review/lib-2/open-client.mjs
+++ b/review/lib-2/open-client.mjs
@@ -50,11 +50,11 @@
 	});
 	return {
 		isOpen: () => !socket.destroyed && socket.writable,
-		/** Resolves to the status and id of the answer, or to `isCut`. */
-		send: async ({method, path, id, deadlineMs, body = ''}) => new Promise(resolve => {
+		/** `headers` are whole lines. Resolves to the status and id of the answer, or to `isCut`. */
+		send: async ({method, path, id, deadlineMs, headers = '', body = ''}) => new Promise(resolve => {
 			open.push({id, resolve});
 			const length = body === '' ? '' : `Content-Length: ${body.length}\r\n`;
-			socket.write(`${method} ${path} HTTP/1.1\r\nHost: shop.example\r\nX-Request-Id: ${id}\r\nX-Deadline-Milliseconds: ${deadlineMs}\r\n${length}\r\n${body}`);
+			socket.write(`${method} ${path} HTTP/1.1\r\nHost: shop.example\r\nX-Request-Id: ${id}\r\nX-Deadline-Milliseconds: ${deadlineMs}\r\n${headers}${length}\r\n${body}`);
 		}),
 		close() {
 			socket.destroy();
--- a/review/lib-2/start-worker.mjs
+++ b/review/lib-2/start-worker.mjs
@@ -11,7 +11,7 @@
 const WRONG_INSTANCE = 421;
 
 /** `answer` gets the response, and what was asked: `id`, `path`, `headers` and `body`. */
-export const startWorker = async ({store, ip, id, service, slots, answer}) => {
+export const startWorker = async ({store, ip, id, service, slots, answer, version = 'v1'}) => {
 	const server = createServer(async (req, res) => {
 		const chunks = [];
 		try {
@@ -45,7 +45,7 @@
 	server.listen(0, ip);
 	await once(server, 'listening');
 	const entry = {
-		service, address: `${ip}:${server.address().port}`, zone: 'z1', version: 'v1', slots, state: 'ready', coldRemainingMs: 0, sequence: 0, born: Date.now(),
+		service, address: `${ip}:${server.address().port}`, zone: 'z1', version, slots, state: 'ready', coldRemainingMs: 0, sequence: 0, born: Date.now(),
 	};
 	const beat = () => {
 		entry.sequence++;
@@ -63,6 +63,11 @@
 			beat();
 			return performance.now();
 		},
+		/** Leaves without having said that it is draining: its entry is removed, and it goes on to serve. */
+		leave() {
+			clearInterval(timer);
+			store.remove(`servers/${id}`);
+		},
 		/** Resets all connections and is gone; its entry lapses after three heartbeats, as the store does it. */
 		crash() {
 			clearInterval(timer);
