--- a/review/lib-2/build-config.mjs
+++ b/review/lib-2/build-config.mjs
@@ -7,7 +7,7 @@
 };
 
 /** `routes` take the host and other usual fields unless they name them. */
-export const buildConfig = (version, routes, connections = 110) => ({
+export const buildConfig = (version, routes) => ({
 	version,
 	routes: routes.map(route => ({
 		host: 'shop.example', timeoutMs: 6000, targetLatencyMs: 800, priority: 2, attempts: 1, ...route,
@@ -17,7 +17,7 @@
 			name: 'models', healthPath: '/health', connectionLimit: 370, protocol: 'h1', tls: false, engine: ENGINE,
 		},
 		{
-			name: 'orders', healthPath: '/health', connectionLimit: connections, protocol: 'h1', tls: false,
+			name: 'orders', healthPath: '/health', connectionLimit: 110, protocol: 'h1', tls: false,
 		},
 	],
 	limits: {
--- a/review/lib-2/start-worker.mjs
+++ b/review/lib-2/start-worker.mjs
@@ -57,12 +57,6 @@
 	return {
 		id,
 		address: entry.address,
-		/** Says that it is draining; the returned time is that of the acknowledgement. */
-		drain() {
-			entry.state = 'draining';
-			beat();
-			return performance.now();
-		},
 		/** Leaves without having said that it is draining: its entry is removed, and it goes on to serve. */
 		leave() {
 			clearInterval(timer);
