--- a/review/lib-2/run-case.mjs
+++ b/review/lib-2/run-case.es6
@@ -4,18 +4,16 @@
 */
 import path from 'node:path';
 import process from 'node:process';
-import {fileURLToPath} from 'node:url';
-import {createRecord} from './create-record.mjs';
+import {createRecord} from './create-record.es6';
 
 const HELD = 0;
 const BROKEN = 1;
 const NOT_RUN = 2;
 const TIMEOUT_MS = 115_000;
 
-/** `play` gets the record and whether there is trouble, and resolves to why the rule was broken, or to nothing if it held. */
-export const runCase = async (caseUrl, play) => {
-	const folder = path.dirname(fileURLToPath(caseUrl));
-	const record = createRecord(path.join(folder, 'record.txt'));
+/** Runs from the root of the repository, and records in the folder of the case of this number. `play` gets the record and whether there is trouble, and resolves to why the rule was broken, or to nothing if it held. */
+export const runCase = async (number, play) => {
+	const record = createRecord(path.join('review', number, 'record.txt'));
 	const hasTrouble = process.env.TROUBLE !== '0';
 	const report = (text, code) => {
 		record(text);
--- a/review/lib-2/start-deployment.mjs
+++ b/review/lib-2/start-deployment.es6
@@ -6,8 +6,8 @@
 import {tmpdir} from 'node:os';
 import path from 'node:path';
 import {setTimeout as delay} from 'node:timers/promises';
-import {startMachine} from './start-machine.mjs';
-import {startStore} from './start-store.mjs';
+import {startMachine} from './start-machine.es6';
+import {startStore} from './start-store.es6';
 
 const HOLDERS = 3;
 const OK = 200;
--- a/review/lib-2/start-machine.mjs
+++ b/review/lib-2/start-machine.es6
@@ -7,7 +7,7 @@
 import {mkdirSync, openSync, writeFileSync} from 'node:fs';
 import path from 'node:path';
 import process from 'node:process';
-import {readCommand} from './read-command.mjs';
+import {readCommand} from './read-command.es6';
 
 const RESTART_DELAY_MS = 300;
 const FRONTEND_PORT = 8149;
