--- a/review/lib-2/run-case.es6
+++ b/review/lib-2/run-case.es6
@@ -21,6 +21,14 @@
 		process.exitCode = code;
 	};
 
+	// Its processes end with it, also if it is told to end.
+	for (const signal of ['SIGINT', 'SIGTERM']) {
+		process.once(signal, () => {
+			report('could not run: told to end', NOT_RUN);
+			process.exit(); // eslint-disable-line unicorn/no-process-exit -- As below.
+		});
+	}
+
 	const late = setTimeout(() => {
 		report('could not run: not over in time', NOT_RUN);
 		process.exit(); // eslint-disable-line unicorn/no-process-exit -- A case is a program of its own.
